--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Installs the Debian packages that the build needs. Does nothing when they are there already.
+set -euo pipefail
+packages=(
+  build-essential cmake ninja-build clang-format clang-tidy pkg-config
+  libwebsockets-dev libjsonrpccpp-dev prometheus-cpp-dev libpopt-dev libboost-log1.81-dev
+  libcpputest-dev libopentracing-dev libxxhash-dev libzstd-dev nlohmann-json3-dev libssl-dev
+)
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+done
+[ ${#missing[@]} -eq 0 ] && exit 0
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}"
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Runs the formatter in check mode and the linter over our sources. A source that passed the linter is not linted
+# again until it, one of our headers or the linter's settings change; the marks live in build/lint.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t files < <(git ls-files --cached --others --exclude-standard -- '*.cc' '*.h')
+clang-format --dry-run --Werror "${files[@]}"
+mkdir -p build/lint
+headers=$(git ls-files --cached --others --exclude-standard -- '*.h' '*.chart' .clang-tidy | xargs cat | sha256sum | cut -c1-16)
+lint_one() {
+  local file=$1 mark
+  mark="build/lint/$(cat "$file" <(echo "$2 $file") | sha256sum | cut -c1-32)"
+  [ -e "$mark" ] && return 0
+  clang-tidy -p build --quiet "$file" 2> >(grep -v 'warnings generated' >&2) || return 1
+  touch "$mark"
+}
+export -f lint_one
+printf '%s\n' "${files[@]}" | grep '\.cc$' | xargs -P "$(nproc)" -I{} bash -c 'lint_one "$1" "$2"' _ {} "$headers"
--- /dev/null
+++ b/src/endivecleat_io.cc
@@ -0,0 +1,1 @@
+#include "endivecleat_io.h"
--- /dev/null
+++ b/src/endivecleat_io.h
@@ -0,0 +1,8 @@
+// Public header of endivecleat_io: sockets, files, logs, metrics and traces around the decisions of
+// endivecleat_core, and the processes built from both.
+#ifndef ENDIVECLEAT_ENDIVECLEAT_IO_H_
+#define ENDIVECLEAT_ENDIVECLEAT_IO_H_
+
+#include "endivecleat_core.h"
+
+#endif  // ENDIVECLEAT_ENDIVECLEAT_IO_H_
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,4 @@
+// Entry point of the endivecleat binary.
+#include "endivecleat_io.h"
+
+int main() { return 0; }
--- /dev/null
+++ b/src/result_code.h
@@ -0,0 +1,71 @@
+// The numbered results that operators, callers and peers see. docs/result-codes.md holds the same
+// table; a test compares the two.
+#ifndef ENDIVECLEAT_RESULT_CODE_H_
+#define ENDIVECLEAT_RESULT_CODE_H_
+
+#include <span>
+#include <string_view>
+
+namespace endivecleat {
+
+enum class ResultCode {
+  kOk = 0,
+  kUsage = 100,
+  kSettingsInvalid = 101,
+  kSettingsUnreadable = 102,
+  kDocumentSyntax = 200,
+  kDocumentInvalid = 201,
+  kUnknownPreset = 202,
+  kDocumentTooLarge = 203,
+  kUnauthorized = 300,
+  kVersionConflict = 301,
+  kNotLeader = 302,
+  kNoMajority = 303,
+  kUnknownVersion = 304,
+  kControlUnreachable = 305,
+  kUnknownTarget = 306,
+  kNoRoute = 400,
+  kBadRequest = 401,
+  kNoReadyTarget = 402,
+  kOverloaded = 403,
+  kDeadlinePassed = 404,
+  kTargetUnreachable = 405,
+  kAnswerBroken = 406,
+  kStoppedAfterCrashes = 407,
+  kBodyTooLarge = 408,
+  kDraining = 409,
+  kNoConfiguration = 410,
+  kCancelled = 411,
+  kNotRun = 501,
+  kOutcomeUnknown = 502,
+  kNotStarted = 503,
+  kKeyReused = 504,
+  kKeyMissing = 505,
+  kAnswerTooLargeToReplay = 506,
+  kPeerUnauthorized = 600,
+  kMessageMalformed = 601,
+  kPeerBusy = 602,
+  kDigestMismatch = 603,
+  kDataFolderUnusable = 700,
+  kDataCorrupt = 701,
+  kInternal = 900,
+};
+
+/// One row of the table of result codes.
+struct ResultCodeInfo {
+  ResultCode code;
+  std::string_view name;
+  int http_status;  // sent to a caller or an operator; 0 where the code is never sent over HTTP
+  int exit_status;  // of a command that ends with this code
+  std::string_view meaning;
+};
+
+/// All rows, in ascending order of code.
+std::span<const ResultCodeInfo> ResultCodeTable();
+
+/// The row of a code. Throws InternalError for a number that has no row.
+const ResultCodeInfo& Describe(ResultCode code);
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_RESULT_CODE_H_
