Add settings, logs, metrics and JSON-RPC at the edges

Cause: the processes need checked settings before they open anything, and the operators' interface needs the JSON-RPC library. Change: json_reader collects every problem with its JSON path; settings, log, metrics, rpc_server and rpc_client; tests for each kind of faulty settings. Ruled out: the HTTP connectors of libjsonrpccpp, which bring a second HTTP server and client; its client headers in C++20, where their dynamic exception specifications are errors, so one source is built as C++14. Conclusion: the processes can be assembled.

--- /dev/null
+++ b/src/json_reader.cc
@@ -0,0 +1,240 @@
+#include "json_reader.h"
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+namespace endivecleat {
+namespace {
+
+struct TimeUnit {
+  std::string_view suffix;
+  int64_t microseconds;
+};
+
+constexpr std::array kTimeUnits = std::to_array<TimeUnit>({
+    {"us", 1},
+    {"ms", 1000},
+    {"s", 1000000},
+    {"min", 60000000},
+    {"h", 3600000000},
+});
+
+bool IsIpNumber(const std::string& text) {
+  std::array<unsigned char, sizeof(in6_addr)> buffer{};
+  return inet_pton(AF_INET, text.c_str(), buffer.data()) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
+}
+
+template <class Integer>
+std::optional<Integer> ParseInteger(std::string_view text) {
+  Integer value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string Milliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) +
+         "ms";
+}
+
+}  // namespace
+
+JsonReader::JsonReader(const nlohmann::json& object, std::string path,
+                       std::vector<Problem>& problems)
+    : object_(object), path_(std::move(path)), problems_(problems) {
+  if (!object_.is_object()) {
+    problems_.push_back({path_.empty() ? "/" : path_, "must be an object"});
+  }
+}
+
+std::string JsonReader::Text(const std::string& key, Presence presence, std::string fallback) {
+  const nlohmann::json* value = Find(key, presence);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (!value->is_string() || value->get_ref<const std::string&>().empty()) {
+    Report(key, "must be a string that is not empty");
+    return fallback;
+  }
+  return value->get<std::string>();
+}
+
+uint64_t JsonReader::Number(const std::string& key, uint64_t least, uint64_t most,
+                            uint64_t fallback) {
+  const nlohmann::json* value = Find(key, Presence::kOptional);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const bool valid = value->is_number_unsigned() && value->get<uint64_t>() >= least &&
+                     value->get<uint64_t>() <= most;
+  if (!valid) {
+    Report(key,
+           "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return fallback;
+  }
+  return value->get<uint64_t>();
+}
+
+bool JsonReader::Flag(const std::string& key, bool fallback) {
+  const nlohmann::json* value = Find(key, Presence::kOptional);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (!value->is_boolean()) {
+    Report(key, "must be true or false");
+    return fallback;
+  }
+  return value->get<bool>();
+}
+
+Duration JsonReader::Time(const std::string& key, Duration least, Duration most,
+                          Duration fallback) {
+  const nlohmann::json* value = Find(key, Presence::kOptional);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const std::optional<Duration> duration =
+      value->is_string() ? ParseDuration(value->get<std::string>()) : std::nullopt;
+  if (!duration) {
+    Report(key, "must be a length of time with its unit, such as \"500ms\" or \"2s\"");
+    return fallback;
+  }
+  if (*duration < least || *duration > most) {
+    Report(key, "must lie between " + Milliseconds(least) + " and " + Milliseconds(most));
+    return fallback;
+  }
+  return *duration;
+}
+
+Address JsonReader::Endpoint(const std::string& key, Presence presence) {
+  const nlohmann::json* value = Find(key, presence);
+  if (value == nullptr) {
+    return {};
+  }
+  const std::optional<Address> address =
+      value->is_string() ? ParseAddress(value->get<std::string>()) : std::nullopt;
+  if (!address) {
+    Report(key, "must be an IP number and a port, such as \"127.0.0.1:7001\"");
+    return {};
+  }
+  return *address;
+}
+
+std::vector<std::string> JsonReader::Texts(const std::string& key, Presence presence) {
+  std::vector<std::string> texts;
+  const nlohmann::json* value = Find(key, presence);
+  if (value == nullptr) {
+    return texts;
+  }
+  if (!value->is_array()) {
+    Report(key, "must be an array of strings");
+    return texts;
+  }
+  for (size_t index = 0; index < value->size(); ++index) {
+    if (!(*value)[index].is_string()) {
+      Report(key + "/" + std::to_string(index), "must be a string");
+      continue;
+    }
+    texts.push_back((*value)[index].get<std::string>());
+  }
+  return texts;
+}
+
+void JsonReader::Object(const std::string& key, Presence presence,
+                        const std::function<void(JsonReader&)>& read) {
+  const nlohmann::json* value = Find(key, presence);
+  if (value == nullptr) {
+    return;
+  }
+  JsonReader reader(*value, path_ + "/" + key, problems_);
+  read(reader);
+  reader.RejectUnknownKeys();
+}
+
+void JsonReader::Objects(const std::string& key, Presence presence,
+                         const std::function<void(JsonReader&)>& read) {
+  const nlohmann::json* value = Find(key, presence);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_array()) {
+    Report(key, "must be an array of objects");
+    return;
+  }
+  for (size_t index = 0; index < value->size(); ++index) {
+    JsonReader reader((*value)[index], path_ + "/" + key + "/" + std::to_string(index), problems_);
+    read(reader);
+    reader.RejectUnknownKeys();
+  }
+}
+
+void JsonReader::RejectUnknownKeys() {
+  if (!object_.is_object()) {
+    return;
+  }
+  for (const auto& [key, value] : object_.items()) {
+    if (!known_keys_.contains(key)) {
+      Report(key, "is not a known key");
+    }
+  }
+}
+
+void JsonReader::Report(const std::string& key, const std::string& message) {
+  problems_.push_back({path_ + "/" + key, message});
+}
+
+const nlohmann::json* JsonReader::Find(const std::string& key, Presence presence) {
+  known_keys_.insert(key);
+  if (!object_.is_object()) {
+    return nullptr;
+  }
+  const auto found = object_.find(key);
+  if (found != object_.end()) {
+    return &*found;
+  }
+  if (presence == Presence::kRequired) {
+    Report(key, "is missing");
+  }
+  return nullptr;
+}
+
+std::optional<Address> ParseAddress(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::string ip = text.substr(0, colon);
+  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
+    ip = ip.substr(1, ip.size() - 2);
+  }
+  const auto port = ParseInteger<uint16_t>(std::string_view(text).substr(colon + 1));
+  if (!port || !IsIpNumber(ip)) {
+    return std::nullopt;
+  }
+  return Address{ip, *port};
+}
+
+std::optional<Duration> ParseDuration(const std::string& text) {
+  const size_t digits = text.find_first_not_of("0123456789");
+  if (digits == 0 || digits == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto count = ParseInteger<int64_t>(std::string_view(text).substr(0, digits));
+  constexpr int64_t kMostUnits = 1000000;  // keeps the product below the range of microseconds
+  for (const TimeUnit& unit : kTimeUnits) {
+    if (count && *count <= kMostUnits && unit.suffix == std::string_view(text).substr(digits)) {
+      return Duration(*count * unit.microseconds);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/test/error/settings_test.cc
@@ -0,0 +1,121 @@
+// Guards against a process that starts on settings it misread: each fault must be reported with its
+// JSON path before anything runs.
+#include "settings.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "errors.h"
+#include "json_reader.h"
+
+using endivecleat::ControlSettings;
+using endivecleat::ParseControlSettings;
+using endivecleat::ParseDuration;
+using endivecleat::Problem;
+using endivecleat::ResultCode;
+using endivecleat::UserError;
+
+namespace {
+
+nlohmann::json ValidControlSettings() {
+  return nlohmann::json::parse(R"({
+    "instance": "control-1", "region": "ebro", "data_centre": "ebro-a",
+    "data_folder": "data",
+    "listen": {"operators": "127.0.0.1:7001", "peers": "127.0.0.1:7002"},
+    "control": [{"instance": "control-1", "region": "ebro", "data_centre": "ebro-a",
+                 "peers": "127.0.0.1:7002", "operators": "127.0.0.1:7001"}],
+    "mesh_token_file": "mesh.token", "operator_token_file": "operator.token"})");
+}
+
+}  // namespace
+
+TEST_GROUP(ControlSettings) {
+  std::filesystem::path folder;
+
+  void setup() override {
+    folder = std::filesystem::temp_directory_path() / "endivecleat-settings-test";
+    std::filesystem::create_directories(folder);
+    std::ofstream(folder / "mesh.token") << "0123456789abcdef\n";
+    std::ofstream(folder / "operator.token") << "fedcba9876543210\n";
+  }
+  void teardown() override { std::filesystem::remove_all(folder); }
+
+  bool Reports(const nlohmann::json& document, const std::string& path) {
+    try {
+      ParseControlSettings(document.dump(), folder.string());
+    } catch (const UserError& error) {
+      const auto& problems = error.problems();
+      return error.code() == ResultCode::kSettingsInvalid &&
+             std::any_of(problems.begin(), problems.end(),
+                         [&](const Problem& problem) { return problem.json_path == path; });
+    }
+    return false;
+  }
+};
+
+TEST(ControlSettings, ThatAreValidAreRead) {
+  const ControlSettings settings =
+      ParseControlSettings(ValidControlSettings().dump(), folder.string());
+  STRCMP_EQUAL("control-1", settings.common.instance.value().c_str());
+  STRCMP_EQUAL("0123456789abcdef", settings.common.mesh_token.c_str());
+  LONGS_EQUAL(7002, settings.peers.port);
+}
+
+TEST(ControlSettings, WithAnUnknownKeyAreRejected) {
+  nlohmann::json document = ValidControlSettings();
+  document["listen"]["operator"] = "127.0.0.1:1";
+  CHECK(Reports(document, "/listen/operator"));
+}
+
+TEST(ControlSettings, WithAWrongTypeAreRejected) {
+  nlohmann::json document = ValidControlSettings();
+  document["instance"] = 7;
+  CHECK(Reports(document, "/instance"));
+}
+
+TEST(ControlSettings, WithABadUnitAreRejected) {
+  nlohmann::json document = ValidControlSettings();
+  document["heartbeat"] = "500 lightyears";
+  CHECK(Reports(document, "/heartbeat"));
+}
+
+TEST(ControlSettings, WithAnImpossibleValueAreRejected) {
+  nlohmann::json document = ValidControlSettings();
+  document["heartbeat"] = "2s";
+  document["election_timeout"] = "1s";
+  CHECK(Reports(document, "/election_timeout"));
+}
+
+TEST(ControlSettings, WithAHostNameForAnAddressAreRejected) {
+  nlohmann::json document = ValidControlSettings();
+  document["listen"]["peers"] = "localhost:7002";
+  CHECK(Reports(document, "/listen/peers"));
+}
+
+TEST(ControlSettings, WithAShortTokenAreRejected) {
+  std::ofstream(folder / "mesh.token") << "short\n";
+  CHECK(Reports(ValidControlSettings(), "/mesh_token_file"));
+}
+
+TEST(ControlSettings, WithSeveralFaultsReportThemAll) {
+  nlohmann::json document = ValidControlSettings();
+  document.erase("region");
+  document["data_folder"] = "";
+  CHECK(Reports(document, "/region"));
+  CHECK(Reports(document, "/data_folder"));
+}
+
+TEST_GROUP(DurationText){};
+
+TEST(DurationText, WithoutUnitOrOutOfRangeIsRejected) {
+  CHECK_FALSE(ParseDuration("500").has_value());
+  CHECK_FALSE(ParseDuration("ms").has_value());
+  CHECK_FALSE(ParseDuration("99999999999999h").has_value());
+  CHECK(ParseDuration("2s") == std::chrono::seconds(2));
+}
