--- /dev/null
+++ b/src/caller_task.h
@@ -0,0 +1,73 @@
+// The caller's side of a daemon: takes requests of callers over HTTP, finds the route, drives a
+// Call for each and answers with the target's answer or a result code.
+#ifndef ENDIVECLEAT_CALLER_TASK_H_
+#define ENDIVECLEAT_CALLER_TASK_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "balancer.h"
+#include "call.h"
+#include "call_message.h"
+#include "daemon_context.h"
+#include "http_server.h"
+#include "retry_budget.h"
+#include "target_task.h"
+
+namespace endivecleat {
+
+class CallerTask {
+ public:
+  /// Attempts to the daemon's own target go to `target` without the network.
+  CallerTask(DaemonContext& context, TargetTask& target);
+  CallerTask(const CallerTask&) = delete;
+  CallerTask& operator=(const CallerTask&) = delete;
+  ~CallerTask();
+
+  void Handle(HttpRequest request, const ResponseSink& sink);
+  /// The incoming calls that these calls were made for were cancelled.
+  void Cancel(const std::vector<RequestNumber>& calls);
+  /// Takes the candidates of every service from the membership and the summaries.
+  void RefreshCandidates();
+  size_t in_flight() const { return exchanges_.size(); }
+
+ private:
+  struct ServiceState {
+    explicit ServiceState(uint64_t seed, Percent retry_percent)
+        : balancer(seed), budget(retry_percent) {}
+    Balancer balancer;
+    RetryBudget budget;
+  };
+  struct Exchange;
+
+  std::optional<ResultCode> Prepare(Exchange& exchange);
+  std::optional<ResultCode> PrepareOnce(Exchange& exchange);
+  TimePoint OwnDeadline(Exchange& exchange, const ServicePolicy& policy);
+  ServiceState& StateOf(const CompiledService& service);
+  std::vector<Candidate> CandidatesFor(const CompiledService& service) const;
+  void Carry(const std::shared_ptr<Exchange>& exchange, const CallEffects& effects);
+  void Send(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect);
+  void OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
+               const AttemptReply& reply);
+  void OnLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect, bool sent);
+  void CancelSent(Exchange& exchange, const CancelAttempt& effect);
+  void Refuse(const std::shared_ptr<Exchange>& exchange, const RefuseInLedger& effect);
+  void Finish(const std::shared_ptr<Exchange>& exchange, const FinishCall& effect);
+  void Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer);
+  void ArmTimer(const std::shared_ptr<Exchange>& exchange);
+
+  DaemonContext& context_;
+  TargetTask& target_;
+  std::map<ServiceName, std::unique_ptr<ServiceState>> services_;
+  std::map<RequestNumber, std::shared_ptr<Exchange>> exchanges_;  // not finished
+};
+
+/// An answer that states a result code, as JSON with the header endivecleat-result.
+HttpResponse ErrorResponse(ResultCode code, const std::string& detail = "");
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_CALLER_TASK_H_
--- /dev/null
+++ b/src/control_process.cc
@@ -0,0 +1,288 @@
+#include "control_process.h"
+
+#include <chrono>
+#include <filesystem>
+#include <random>
+#include <utility>
+
+#include "configuration.h"
+#include "errors.h"
+#include "ledger_message.h"
+#include "log.h"
+#include "transfer_codec.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr Duration kLedgerForwardTimeout = std::chrono::milliseconds(800);
+constexpr ByteCount kMaxConfigMessage{8U << 20U};
+
+WallTime Now() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return WallTime(static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+}
+
+std::filesystem::path LogFolder(const ControlSettings& settings, const std::string& log) {
+  return std::filesystem::path(settings.data_folder) / log;
+}
+
+Incarnation NewIncarnation() {
+  std::random_device device;
+  const uint64_t high = device();
+  return Incarnation(((high << 32U) | device()) | 1U);  // never 0, which is that of a new cluster
+}
+
+// A folder without a log belongs to a new cluster only if an operator says so (init); otherwise its
+// disk was lost, and the instance must not vote before it is admitted again.
+std::filesystem::path OpenFolder(const ControlSettings& settings, const std::string& log) {
+  const std::filesystem::path folder = LogFolder(settings, log);
+  if (!HoldsLog(folder)) {
+    Log(LogLevel::kWarning, "data_folder_empty", {{"log", log}, {"role", std::string("learner")}});
+    InitializeLearnerLog(folder, NewIncarnation());
+  }
+  return folder;
+}
+
+}  // namespace
+
+ControlProcess::ControlProcess(EventLoop& loop, ControlSettings settings, uint64_t seed)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      node_(loop, settings_.common, settings_.peers,
+            MeshHandlers{.message = [this](const InstanceId& from, PeerChannel channel,
+                                           const std::string& bytes) {
+                           OnMessage(from, channel, bytes);
+                         },
+                         .request =
+                             [this](PeerChannel channel, const std::string& payload,
+                                    const PeerReplier& replier) {
+                               OnRequest(channel, payload, replier);
+                             }},
+            seed),
+      config_(settings_.common.instance, LogSettingsOf(seed), OpenFolder(settings_, "config"),
+              loop.now(),
+              [this](const InstanceId& to, const std::string& message) {
+                node_.Send(to, PeerChannel::kConfigLog, message);
+              }),
+      once_(settings_.common.instance, LogSettingsOf(seed + 1), OpenFolder(settings_, "once"),
+            loop.now(),
+            [this](const InstanceId& to, const std::string& message) {
+              node_.Send(to, PeerChannel::kOnceLog, message);
+            }),
+      source_(ConfigSourceSettings{}, MakeTransferCodec(), seed) {
+  operators_ = std::make_unique<OperatorService>(loop_, settings_, config_, node_, metrics_);
+  loop_.SetAfterBatch([this] { Flush(); });
+  PublishNewVersion();
+  Tick();
+  Log(LogLevel::kInfo, "control_started",
+      {{"peers", settings_.peers.text()}, {"operators", settings_.operators.text()}});
+}
+
+ControlProcess::~ControlProcess() {
+  loop_.SetAfterBatch(nullptr);
+  loop_.Cancel(timer_);
+}
+
+void ControlProcess::Drain() {
+  Log(LogLevel::kInfo, "control_draining");
+  operators_->StopAccepting();
+  FinishDrain(loop_.now() + settings_.common.drain_timeout);
+}
+
+void ControlProcess::OnMessage(const InstanceId& from, PeerChannel channel,
+                               const std::string& bytes) {
+  const TimePoint now = loop_.now();
+  switch (channel) {
+    case PeerChannel::kConfigLog:
+      config_.Receive(now, from, bytes);
+      return;
+    case PeerChannel::kOnceLog:
+      once_.Receive(now, from, bytes);
+      return;
+    case PeerChannel::kDistribution:
+      if (const auto message = DecodeConfigMessage(bytes, kMaxConfigMessage)) {
+        SendConfigMessages(source_.Receive(now, from, *message));
+      }
+      return;
+    case PeerChannel::kSummary:
+      if (const auto summary = DecodeSummary(bytes)) {
+        node_.membership().MergeSummary(*summary);
+      }
+      return;
+    case PeerChannel::kCall:
+    case PeerChannel::kLedger:
+    case PeerChannel::kOperations:
+      return;
+  }
+}
+
+void ControlProcess::OnRequest(PeerChannel channel, const std::string& payload,
+                               const PeerReplier& replier) {
+  if (channel != PeerChannel::kLedger) {
+    return;
+  }
+  try {
+    OnLedgerRequest(payload, replier);
+  } catch (const UserError& error) {
+    Log(LogLevel::kWarning, "ledger_request_malformed", {{"reason", std::string(error.what())}});
+    replier.Reply(EncodeLedgerReply(std::nullopt));
+  }
+}
+
+void ControlProcess::OnLedgerRequest(const std::string& payload, const PeerReplier& replier) {
+  LedgerRequest request = DecodeLedgerRequest(payload);
+  request.command.at = Now();
+  ++ledger_requests_;
+  const bool proposed =
+      once_.Propose(loop_.now(), EncodeLedgerCommand(request.command),
+                    [this, replier](const std::optional<LedgerAnswer>& answer) {
+                      --ledger_requests_;
+                      replier.Reply(EncodeLedgerReply(answer));
+                    });
+  if (proposed) {
+    return;
+  }
+  --ledger_requests_;
+  if (request.forwarded) {
+    replier.Reply(EncodeLedgerReply(std::nullopt));
+    return;
+  }
+  ForwardLedgerRequest(std::move(request.command), replier);
+}
+
+void ControlProcess::ForwardLedgerRequest(LedgerCommand command, const PeerReplier& replier) {
+  const std::optional<InstanceId> leader = once_.log().leader();
+  const std::optional<Address> address = leader ? node_.FindAddress(*leader) : std::nullopt;
+  if (!address) {
+    replier.Reply(EncodeLedgerReply(std::nullopt));
+    return;
+  }
+  ++ledger_requests_;
+  node_.network().Request(*address, PeerChannel::kLedger,
+                          EncodeLedgerRequest({true, std::move(command)}), kLedgerForwardTimeout,
+                          [this, replier](const PeerOutcome& outcome) {
+                            --ledger_requests_;
+                            const bool answered = outcome.kind == PeerOutcome::kAnswered;
+                            replier.Reply(answered ? outcome.payload
+                                                   : EncodeLedgerReply(std::nullopt));
+                          });
+}
+
+void ControlProcess::Tick() {
+  timer_ = loop_.After(kTick, [this] { Tick(); });
+  const TimePoint now = loop_.now();
+  config_.Tick(now);
+  once_.Tick(now);
+  for (const PeerVersion& peer : node_.membership().peer_versions()) {
+    source_.Heard(now, peer.version);
+  }
+  SendConfigMessages(source_.Tick(now));
+  ExchangeSummaries();
+  UpdateMetrics();
+}
+
+void ControlProcess::Flush() {
+  once_.Flush();
+  if (config_.Flush()) {
+    PublishNewVersion();
+  }
+}
+
+void ControlProcess::PublishNewVersion() {
+  const ConfigStore& store = config_.state().store;
+  const ConfigTextPtr held = source_.newest();
+  if (store.version().value() == 0 || (held && held->version >= store.version())) {
+    return;
+  }
+  auto text = std::make_shared<ConfigText>();
+  text->version = store.version();
+  text->text = store.text();
+  text->digest = TextDigest(text->text);
+  std::vector<InstanceId> daemons;
+  for (const MemberRecord& member : node_.membership().members()) {
+    if (member.instance != settings_.common.instance) {
+      daemons.push_back(member.instance);
+    }
+  }
+  MemberRecord self = node_.membership().self();
+  self.config_version = text->version;
+  self.config_digest = text->digest;
+  node_.UpdateSelf(self);
+  Log(LogLevel::kInfo, "version_accepted",
+      {{"version", text->version.value()}, {"preset", store.preset().value()}});
+  SendConfigMessages(source_.Publish(loop_.now(), std::move(text), daemons));
+}
+
+void ControlProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
+  for (const PeerMessage& message : messages) {
+    node_.Send(message.to, PeerChannel::kDistribution, EncodeConfigMessage(message.message));
+  }
+}
+
+void ControlProcess::ExchangeSummaries() {
+  const DataCentreSummary summary = node_.membership().OwnSummary();
+  if (!summary_schedule_.Due(loop_.now(), summary)) {
+    return;
+  }
+  const std::string bytes = EncodeSummary(summary);
+  for (const ControlPeer& peer : settings_.common.control) {
+    if (peer.place.data_centre != settings_.common.place.data_centre) {
+      node_.Send(peer.instance, PeerChannel::kSummary, bytes);
+    }
+  }
+}
+
+void ControlProcess::UpdateMetrics() {
+  const auto set = [&](const std::string& name, const std::string& help, double value) {
+    metrics_.Gauge(name, help).Set(value);
+  };
+  set("endivecleat_config_version", "Newest accepted configuration version",
+      static_cast<double>(config_.state().store.version().value()));
+  set("endivecleat_config_log_term", "Term of the log config",
+      static_cast<double>(config_.log().term().value()));
+  set("endivecleat_config_leader", "1 while this instance leads the log config",
+      config_.log().role() == ReplicaRole::kLeader ? 1 : 0);
+  set("endivecleat_once_leader", "1 while this instance leads the log once",
+      once_.log().role() == ReplicaRole::kLeader ? 1 : 0);
+  set("endivecleat_once_records", "At-most-once records kept",
+      static_cast<double>(once_.state().ledger.record_count()));
+  set("endivecleat_members", "Members of the data centre that are alive",
+      static_cast<double>(node_.membership().members().size()));
+}
+
+// Requests whose outcome is not known yet are answered before the process ends.
+void ControlProcess::FinishDrain(TimePoint limit) {
+  const bool idle = operators_->in_flight() == 0 && ledger_requests_ == 0;
+  if (!idle && loop_.now() < limit) {
+    loop_.After(kTick, [this, limit] { FinishDrain(limit); });
+    return;
+  }
+  node_.Leave();
+  constexpr Duration kLastWrites = std::chrono::milliseconds(100);
+  loop_.After(kLastWrites, [this] { loop_.Stop(); });
+}
+
+ReplicatedLogSettings ControlProcess::LogSettingsOf(uint64_t seed) const {
+  ReplicatedLogSettings log;
+  for (const ControlPeer& peer : settings_.common.control) {
+    log.members.push_back(peer.instance);
+  }
+  log.seed = seed;
+  log.heartbeat_interval = settings_.heartbeat;
+  log.election_timeout_min = settings_.election_timeout;
+  log.election_timeout_max = 2 * settings_.election_timeout;
+  return log;
+}
+
+void InitializeControl(const ControlSettings& settings) {
+  std::vector<InstanceId> voters;
+  for (const ControlPeer& peer : settings.common.control) {
+    voters.push_back(peer.instance);
+  }
+  InitializeLog(LogFolder(settings, "config"), voters);
+  InitializeLog(LogFolder(settings, "once"), voters);
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/control_process.h
@@ -0,0 +1,65 @@
+// A control instance: a replica of the logs "config" and "once", the configuration source of its
+// data centre, and the operators' interface.
+#ifndef ENDIVECLEAT_CONTROL_PROCESS_H_
+#define ENDIVECLEAT_CONTROL_PROCESS_H_
+
+#include <memory>
+#include <string>
+
+#include "config_source.h"
+#include "event_loop.h"
+#include "mesh_node.h"
+#include "metrics.h"
+#include "operator_service.h"
+#include "replica_task.h"
+#include "replicated_states.h"
+#include "settings.h"
+#include "units.h"
+
+namespace endivecleat {
+
+class ControlProcess {
+ public:
+  /// Opens the data folder and listens. Throws UserError when the folder cannot be used.
+  ControlProcess(EventLoop& loop, ControlSettings settings, uint64_t seed);
+  ControlProcess(const ControlProcess&) = delete;
+  ControlProcess& operator=(const ControlProcess&) = delete;
+  ~ControlProcess();
+
+  /// Takes no new operators' requests, answers those in flight, then stops the loop.
+  void Drain();
+
+ private:
+  void OnMessage(const InstanceId& from, PeerChannel channel, const std::string& bytes);
+  void OnRequest(PeerChannel channel, const std::string& payload, const PeerReplier& replier);
+  void OnLedgerRequest(const std::string& payload, const PeerReplier& replier);
+  void ForwardLedgerRequest(LedgerCommand command, const PeerReplier& replier);
+  void Tick();
+  void Flush();
+  void PublishNewVersion();
+  void SendConfigMessages(const std::vector<PeerMessage>& messages);
+  void ExchangeSummaries();
+  void UpdateMetrics();
+  void FinishDrain(TimePoint limit);
+  ReplicatedLogSettings LogSettingsOf(uint64_t seed) const;
+
+  EventLoop& loop_;
+  ControlSettings settings_;
+  Metrics metrics_;
+  MeshNode node_;
+  ReplicaTask<ConfigState> config_;
+  ReplicaTask<OnceState> once_;
+  ConfigSource source_;
+  SummarySchedule summary_schedule_;
+  std::unique_ptr<OperatorService> operators_;
+  TimerId timer_;
+  uint64_t ledger_requests_ = 0;  // not answered
+};
+
+/// Writes the data folder of a voter of a new cluster. Throws UserError (kDataFolderUnusable) when
+/// it holds data already.
+void InitializeControl(const ControlSettings& settings);
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_CONTROL_PROCESS_H_
--- /dev/null
+++ b/src/daemon_process.cc
@@ -0,0 +1,326 @@
+#include "daemon_process.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "errors.h"
+#include "json_reader.h"
+#include "log.h"
+#include "operator_service.h"
+#include "transfer_codec.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+// Gossip tells the data centre that the target drains; until then callers still send to it.
+constexpr Duration kDrainNotice = std::chrono::seconds(2);
+constexpr ByteCount kMaxConfigMessage{8U << 20U};
+constexpr uint64_t kMostSlots = 100000;
+
+HttpServerLimits CallerLimits() {
+  HttpServerLimits limits;
+  return limits;
+}
+
+std::string RunId(const CommonSettings& settings, uint64_t seed) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string id = settings.instance.value() + ".";
+  for (int shift = 60; shift >= 0; shift -= 4) {
+    id.push_back(kDigits[(seed >> static_cast<unsigned>(shift)) & 0xFU]);
+  }
+  return id;
+}
+
+}  // namespace
+
+DaemonProcess::DaemonProcess(EventLoop& loop, DaemonSettings settings, uint64_t seed)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      tracer_(settings_.common.instance, settings_.common.trace_file, seed),
+      node_(loop, settings_.common, settings_.peers,
+            MeshHandlers{.message = [this](const InstanceId& from, PeerChannel channel,
+                                           const std::string& bytes) {
+                           OnMessage(from, channel, bytes);
+                         },
+                         .request =
+                             [this](PeerChannel channel, const std::string& payload,
+                                    const PeerReplier& replier) {
+                               OnRequest(channel, payload, replier);
+                             }},
+            seed),
+      ledger_(node_.network(), settings_.common),
+      context_{.loop = loop_,
+               .settings = settings_,
+               .node = node_,
+               .ledger = ledger_,
+               .metrics = metrics_,
+               .tracer = tracer_,
+               .guard = CrashGuard(settings_.common.instance),
+               .run_id = RunId(settings_.common, seed)},
+      target_(context_),
+      callers_(context_, target_),
+      replica_(settings_.common.instance, ReplicaSettings(), MakeTransferCodec(),
+               [this](ConfigVersion version, const std::string& text) {
+                 return Install(version, text);
+               },
+               seed, loop.now()),
+      caller_server_(loop, settings_.callers, CallerLimits(),
+                     [this](HttpRequest request, const ResponseSink& sink) {
+                       callers_.Handle(std::move(request), sink);
+                     }),
+      local_server_(loop, settings_.local, HttpServerLimits{},
+                    [this](const HttpRequest& request, const ResponseSink& sink) {
+                      OnLocalRequest(request, sink);
+                    }) {
+  target_.SetCancelOutgoing(
+      [this](const std::vector<RequestNumber>& calls) { callers_.Cancel(calls); });
+  Tick();
+  Log(LogLevel::kInfo, "daemon_started",
+      {{"callers", settings_.callers.text()}, {"peers", settings_.peers.text()}});
+}
+
+DaemonProcess::~DaemonProcess() { loop_.Cancel(timer_); }
+
+void DaemonProcess::Drain() {
+  Log(LogLevel::kInfo, "daemon_draining");
+  target_.Drain();
+  UpdateSelf();
+  const TimePoint now = loop_.now();
+  FinishDrain(now + kDrainNotice, now + settings_.common.drain_timeout);
+}
+
+void DaemonProcess::OnMessage(const InstanceId& from, PeerChannel channel,
+                              const std::string& bytes) {
+  if (channel != PeerChannel::kDistribution) {
+    return;
+  }
+  if (const auto message = DecodeConfigMessage(bytes, kMaxConfigMessage)) {
+    SendConfigMessages(replica_.Receive(loop_.now(), from, *message));
+  }
+}
+
+void DaemonProcess::OnRequest(PeerChannel channel, const std::string& payload,
+                              const PeerReplier& replier) {
+  try {
+    if (channel == PeerChannel::kCall) {
+      target_.HandlePeer(payload, replier);
+    } else if (channel == PeerChannel::kOperations && payload == "drain") {
+      target_.Drain();
+      UpdateSelf();
+      replier.Reply("ok");
+    }
+  } catch (const UserError& error) {
+    Log(LogLevel::kWarning, "peer_request_malformed", {{"reason", std::string(error.what())}});
+  }
+}
+
+void DaemonProcess::OnLocalRequest(const HttpRequest& request, const ResponseSink& sink) {
+  if (request.method == "GET" && request.path == "/healthz") {
+    sink.Send(Health());
+  } else if (request.method == "GET" && request.path == "/metrics") {
+    HttpResponse response{.status = 200, .headers = {}, .body = metrics_.Text()};
+    response.headers.Add("content-type", "text/plain; version=0.0.4");
+    sink.Send(std::move(response));
+  } else if (request.path == "/announce") {
+    OnAnnounce(request, sink);
+  } else {
+    sink.Send(ErrorResponse(ResultCode::kNoRoute));
+  }
+}
+
+void DaemonProcess::OnAnnounce(const HttpRequest& request, const ResponseSink& sink) {
+  const std::string expected = "Bearer " + settings_.announce_token;
+  if (!EqualTokens(request.headers.ValueOr("authorization", ""), expected)) {
+    sink.Send(ErrorResponse(ResultCode::kUnauthorized));
+    return;
+  }
+  if (request.method == "POST") {
+    try {
+      target_.Announce(ReadAnnouncement(request.body));
+    } catch (const UserError& error) {
+      sink.Send(ErrorResponse(error.code(), error.what()));
+      return;
+    }
+  } else if (request.method == "DELETE") {
+    target_.Drain();
+  } else {
+    sink.Send(ErrorResponse(ResultCode::kBadRequest));
+    return;
+  }
+  UpdateSelf();
+  sink.Send(HttpResponse{.status = 204, .headers = {}, .body = ""});
+}
+
+HttpResponse DaemonProcess::Health() const {
+  const auto configuration = context_.configuration;
+  const nlohmann::json body = {
+      {"instance", settings_.common.instance.value()},
+      {"version", configuration ? configuration->version().value() : 0},
+      {"preset", configuration ? configuration->preset().value() : ""},
+      {"target", TargetStateName(target_.target().state())},
+      {"running", target_.running()}};
+  HttpResponse response{.status = configuration ? 200 : 503, .headers = {}, .body = body.dump()};
+  response.headers.Add("content-type", "application/json");
+  return response;
+}
+
+bool DaemonProcess::Install(ConfigVersion version, const std::string& text) {
+  try {
+    context_.configuration = CompileStored(text, version);
+  } catch (const UserError& error) {
+    Log(LogLevel::kError, "version_rejected",
+        {{"version", version.value()}, {"reason", std::string(error.what())}});
+    return false;
+  }
+  Log(LogLevel::kInfo, "version_in_force",
+      {{"version", version.value()}, {"preset", context_.configuration->preset().value()}});
+  target_.ConfigurationChanged();
+  callers_.RefreshCandidates();
+  UpdateSelf();
+  return true;
+}
+
+void DaemonProcess::Tick() {
+  timer_ = loop_.After(kTick, [this] { Tick(); });
+  const TimePoint now = loop_.now();
+  SendConfigMessages(replica_.Tick(now, node_.membership().peer_versions()));
+  UpdateSelf();
+  LearnCrashReports();
+  SpreadCrashReports();
+  context_.guard.Tick(DaemonContext::wall_now());
+  callers_.RefreshCandidates();
+  UpdateMetrics();
+}
+
+void DaemonProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
+  for (const PeerMessage& message : messages) {
+    node_.Send(message.to, PeerChannel::kDistribution, EncodeConfigMessage(message.message));
+  }
+}
+
+void DaemonProcess::SpreadCrashReports() {
+  for (const CrashReport& report : context_.guard.OwnReports()) {
+    const size_t count = report.crashes.size();
+    const auto known = reported_crashes_.find(report.fingerprint);
+    if (known != reported_crashes_.end() && known->second == count) {
+      continue;
+    }
+    reported_crashes_[report.fingerprint] = count;
+    node_.membership().ReportCrash(loop_.now(), FingerprintNumber(report.fingerprint),
+                                   static_cast<uint32_t>(count));
+  }
+}
+
+// Gossip carries a count and the time of the report; the guard wants the times of the crashes, and
+// the time of the report is the latest that each can have.
+void DaemonProcess::LearnCrashReports() {
+  std::map<InstanceId, std::vector<CrashReport>> by_reporter;
+  for (const MemberCrashReport& report : node_.membership().crash_reports()) {
+    if (report.reporter == settings_.common.instance) {
+      continue;
+    }
+    CrashReport learned;
+    learned.fingerprint = FingerprintOfNumber(report.fingerprint);
+    learned.crashes.assign(std::min<uint32_t>(report.count, 2), report.reported_at);
+    learned.last_success = report.count == 0 ? report.reported_at : WallTime();
+    by_reporter[report.reporter].push_back(learned);
+  }
+  for (const auto& [reporter, reports] : by_reporter) {
+    context_.guard.Merge(reporter, reports);
+  }
+}
+
+void DaemonProcess::UpdateSelf() {
+  MemberRecord self = node_.membership().self();
+  target_.FillRecord(self);
+  if (context_.configuration) {
+    self.config_version = context_.configuration->version();
+    self.config_digest = context_.configuration->digest();
+  }
+  node_.UpdateSelf(self);
+}
+
+void DaemonProcess::UpdateMetrics() {
+  const auto set = [&](const std::string& name, const std::string& help, double value) {
+    metrics_.Gauge(name, help).Set(value);
+  };
+  set("endivecleat_config_version", "Configuration version in force",
+      context_.configuration ? static_cast<double>(context_.configuration->version().value()) : 0);
+  set("endivecleat_target_running", "Requests that the target runs",
+      static_cast<double>(target_.running()));
+  set("endivecleat_calls_in_flight", "Calls of this daemon's callers in flight",
+      static_cast<double>(callers_.in_flight()));
+  set("endivecleat_members", "Members of the data centre that are alive",
+      static_cast<double>(node_.membership().members().size()));
+}
+
+void DaemonProcess::FinishDrain(TimePoint not_before, TimePoint limit) {
+  const TimePoint now = loop_.now();
+  const bool idle = callers_.in_flight() == 0 && target_.in_flight() == 0 &&
+                    caller_server_.in_flight() == 0;
+  if (now < not_before || (!idle && now < limit)) {
+    if (now >= not_before) {
+      caller_server_.StopAccepting();
+    }
+    loop_.After(kTick, [this, not_before, limit] { FinishDrain(not_before, limit); });
+    return;
+  }
+  caller_server_.StopAccepting();
+  node_.Leave();
+  loop_.After(kTick, [this] { loop_.Stop(); });
+}
+
+ConfigReplicaSettings DaemonProcess::ReplicaSettings() const {
+  ConfigReplicaSettings replica;
+  const Place& here = settings_.common.place;
+  replica.data_centre = here.data_centre;
+  std::vector<InstanceId> far;
+  for (const ControlPeer& peer : settings_.common.control) {
+    if (peer.place.data_centre == here.data_centre) {
+      replica.local_controls.push_back(peer.instance);
+    } else if (peer.place.region == here.region) {
+      replica.remote_controls.push_back(peer.instance);
+    } else {
+      far.push_back(peer.instance);
+    }
+  }
+  replica.remote_controls.insert(replica.remote_controls.end(), far.begin(), far.end());
+  return replica;
+}
+
+Announcement ReadAnnouncement(const std::string& body) {
+  nlohmann::json document;
+  try {
+    document = nlohmann::json::parse(body);
+  } catch (const nlohmann::json::exception&) {
+    throw UserError(ResultCode::kBadRequest, "the announcement is not valid JSON");
+  }
+  std::vector<Problem> problems;
+  JsonReader reader(document, "", problems);
+  Announcement announcement;
+  announcement.service = ServiceName(reader.Text("service", Presence::kRequired));
+  announcement.target = TargetId(reader.Text("target", Presence::kRequired));
+  announcement.address.ip = reader.Text("address", Presence::kRequired);
+  announcement.address.port = static_cast<uint16_t>(reader.Number("port", 1, 65535, 0));
+  announcement.slots = static_cast<uint32_t>(reader.Number("slots", 1, kMostSlots, 0));
+  announcement.connections =
+      static_cast<uint32_t>(reader.Number("connections", 1, kMostSlots, 0));
+  reader.RejectUnknownKeys();
+  if (!ParseAddress(announcement.address.ip + ":1")) {
+    reader.Report("address", "must be an IP number");
+  }
+  for (const char* key : {"port", "slots", "connections"}) {
+    if (!document.is_object() || !document.contains(key)) {
+      reader.Report(key, "is missing");
+    }
+  }
+  if (!problems.empty()) {
+    throw UserError(ResultCode::kBadRequest,
+                    problems.front().json_path + " " + problems.front().message, problems);
+  }
+  return announcement;
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/daemon_process.h
@@ -0,0 +1,71 @@
+// The daemon beside a target: it holds the configuration in force, takes its callers' requests,
+// guards its target, and is a member of its data centre.
+#ifndef ENDIVECLEAT_DAEMON_PROCESS_H_
+#define ENDIVECLEAT_DAEMON_PROCESS_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "caller_task.h"
+#include "config_replica.h"
+#include "daemon_context.h"
+#include "http_server.h"
+#include "ledger_client.h"
+#include "mesh_node.h"
+#include "metrics.h"
+#include "settings.h"
+#include "target_task.h"
+#include "trace.h"
+
+namespace endivecleat {
+
+class DaemonProcess {
+ public:
+  /// Listens at once on the addresses for callers, for peers and for the target.
+  DaemonProcess(EventLoop& loop, DaemonSettings settings, uint64_t seed);
+  DaemonProcess(const DaemonProcess&) = delete;
+  DaemonProcess& operator=(const DaemonProcess&) = delete;
+  ~DaemonProcess();
+
+  /// Takes no new work, finishes what is in flight, leaves the data centre and stops the loop.
+  void Drain();
+
+ private:
+  void OnMessage(const InstanceId& from, PeerChannel channel, const std::string& bytes);
+  void OnRequest(PeerChannel channel, const std::string& payload, const PeerReplier& replier);
+  void OnLocalRequest(const HttpRequest& request, const ResponseSink& sink);
+  void OnAnnounce(const HttpRequest& request, const ResponseSink& sink);
+  HttpResponse Health() const;
+  bool Install(ConfigVersion version, const std::string& text);
+  void Tick();
+  void SendConfigMessages(const std::vector<PeerMessage>& messages);
+  void SpreadCrashReports();
+  void LearnCrashReports();
+  void UpdateSelf();
+  void UpdateMetrics();
+  void FinishDrain(TimePoint not_before, TimePoint limit);
+  ConfigReplicaSettings ReplicaSettings() const;
+
+  EventLoop& loop_;
+  DaemonSettings settings_;
+  Metrics metrics_;
+  Tracer tracer_;
+  MeshNode node_;
+  LedgerClient ledger_;
+  DaemonContext context_;
+  TargetTask target_;
+  CallerTask callers_;
+  ConfigReplica replica_;
+  HttpServer caller_server_;
+  HttpServer local_server_;
+  std::map<Fingerprint, size_t> reported_crashes_;  // counts that gossip has from this daemon
+  TimerId timer_;
+};
+
+/// The announcement in the body of POST /announce. Throws UserError (kBadRequest) with each problem.
+Announcement ReadAnnouncement(const std::string& body);
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_DAEMON_PROCESS_H_
--- /dev/null
+++ b/src/mesh_node.cc
@@ -0,0 +1,141 @@
+#include "mesh_node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "byte_codec.h"
+#include "errors.h"
+#include "log.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr Duration kGossipTick = std::chrono::milliseconds(100);
+
+WallTime Now() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return WallTime(static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+}
+
+MemberRecord SelfRecord(const CommonSettings& settings, const Address& listen) {
+  MemberRecord self;
+  self.instance = settings.instance;
+  self.address = listen;
+  self.boot_time = Now();
+  return self;
+}
+
+MembershipSettings GossipSettings(const CommonSettings& settings) {
+  MembershipSettings gossip;
+  gossip.data_centre = settings.place.data_centre;
+  gossip.region = settings.place.region;
+  gossip.mesh_token = settings.mesh_token;
+  for (const ControlPeer& peer : settings.control) {
+    if (peer.place.data_centre != settings.place.data_centre) {
+      gossip.remote_seeds.push_back(peer.peers);
+    }
+  }
+  return gossip;
+}
+
+std::vector<Address> LocalSeeds(const CommonSettings& settings) {
+  std::vector<Address> seeds;
+  for (const ControlPeer& peer : settings.control) {
+    const bool local = peer.place.data_centre == settings.place.data_centre;
+    if (local && peer.instance != settings.instance) {
+      seeds.push_back(peer.peers);
+    }
+  }
+  return seeds;
+}
+
+}  // namespace
+
+MeshNode::MeshNode(EventLoop& loop, const CommonSettings& settings, const Address& listen,
+                   MeshHandlers handlers, uint64_t seed)
+    : loop_(loop),
+      self_(settings.instance),
+      handlers_(std::move(handlers)),
+      membership_(SelfRecord(settings, listen), GossipSettings(settings), LocalSeeds(settings),
+                  seed, loop.now()),
+      network_(loop, listen, settings.mesh_token,
+               PeerHandler{
+                   .message =
+                       [this](const Address& from, PeerChannel channel,
+                              const std::string& payload) { OnMessage(from, channel, payload); },
+                   .request =
+                       [this](const Address&, PeerChannel channel, const std::string& payload,
+                              PeerReplier replier) {
+                         handlers_.request(channel, payload, std::move(replier));
+                       },
+                   .datagram =
+                       [this](const Address& from, const std::string& datagram) {
+                         SendDatagrams(membership_.Receive(loop_.now(), from, datagram));
+                       }},
+               seed) {
+  for (const ControlPeer& peer : settings.control) {
+    addresses_[peer.instance] = peer.peers;
+  }
+  timer_ = loop_.After(Duration(0), [this] { Tick(); });
+}
+
+MeshNode::~MeshNode() { loop_.Cancel(timer_); }
+
+void MeshNode::Send(const InstanceId& to, PeerChannel channel, const std::string& bytes) {
+  const std::optional<Address> address = FindAddress(to);
+  if (!address) {
+    return;
+  }
+  ByteWriter writer;
+  writer.Text(self_.value());
+  writer.Text(bytes);
+  network_.Send(*address, PeerFrame{.channel = channel, .payload = writer.Take()});
+}
+
+void MeshNode::UpdateSelf(const MemberRecord& self) { membership_.UpdateSelf(loop_.now(), self); }
+
+void MeshNode::Leave() {
+  loop_.Cancel(timer_);
+  SendDatagrams(membership_.Leave(loop_.now()));
+}
+
+std::optional<Address> MeshNode::FindAddress(const InstanceId& instance) const {
+  const auto known = addresses_.find(instance);
+  if (known != addresses_.end()) {
+    return known->second;
+  }
+  const auto& members = membership_.members();
+  const auto member = std::find_if(members.begin(), members.end(), [&](const MemberRecord& each) {
+    return each.instance == instance;
+  });
+  return member == members.end() ? std::nullopt : std::optional(member->address);
+}
+
+void MeshNode::Tick() {
+  SendDatagrams(membership_.Tick(loop_.now()));
+  timer_ = loop_.After(kGossipTick, [this] { Tick(); });
+}
+
+void MeshNode::SendDatagrams(const std::vector<Datagram>& datagrams) {
+  for (const Datagram& datagram : datagrams) {
+    network_.SendDatagram(datagram.to, datagram.bytes);
+  }
+}
+
+void MeshNode::OnMessage(const Address& from, PeerChannel channel, const std::string& payload) {
+  try {
+    ByteReader reader(payload);
+    const InstanceId sender(reader.Text());
+    const std::string bytes = reader.Text();
+    reader.ExpectEnd();
+    addresses_.insert_or_assign(sender, from);
+    handlers_.message(sender, channel, bytes);
+  } catch (const UserError& error) {
+    Log(LogLevel::kWarning, "peer_message_dropped",
+        {{"from", from.text()}, {"reason", std::string(error.what())}});
+  }
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/mesh_node.h
@@ -0,0 +1,65 @@
+// What every process of the mesh has: its membership in the data centre, its links to peers and a
+// directory of their addresses. Messages between processes carry the id of their sender.
+#ifndef ENDIVECLEAT_MESH_NODE_H_
+#define ENDIVECLEAT_MESH_NODE_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "event_loop.h"
+#include "membership.h"
+#include "peer_network.h"
+#include "settings.h"
+#include "units.h"
+
+namespace endivecleat {
+
+struct MeshHandlers {
+  std::function<void(const InstanceId& from, PeerChannel, const std::string& bytes)> message;
+  std::function<void(PeerChannel, const std::string& payload, PeerReplier)> request;
+};
+
+class MeshNode {
+ public:
+  /// Listens at once on the address for peers.
+  MeshNode(EventLoop& loop, const CommonSettings& settings, const Address& listen,
+           MeshHandlers handlers, uint64_t seed);
+  MeshNode(const MeshNode&) = delete;
+  MeshNode& operator=(const MeshNode&) = delete;
+  ~MeshNode();
+
+  /// Loses the message when the address of the instance is not known or its link is down.
+  void Send(const InstanceId& to, PeerChannel channel, const std::string& bytes);
+
+  /// Takes the fields of this member that change; see Membership::UpdateSelf.
+  void UpdateSelf(const MemberRecord& self);
+  /// Tells the data centre that this instance leaves, and stops gossip.
+  void Leave();
+
+  std::optional<Address> FindAddress(const InstanceId& instance) const;
+  Membership& membership() { return membership_; }
+  const Membership& membership() const { return membership_; }
+  PeerNetwork& network() { return network_; }
+  const PeerNetwork& network() const { return network_; }
+
+ private:
+  void Tick();
+  void SendDatagrams(const std::vector<Datagram>& datagrams);
+  void OnMessage(const Address& from, PeerChannel channel, const std::string& payload);
+
+  EventLoop& loop_;
+  InstanceId self_;
+  MeshHandlers handlers_;
+  // Addresses of control instances by the settings, and of others as their messages come in.
+  std::unordered_map<InstanceId, Address> addresses_;
+  Membership membership_;
+  PeerNetwork network_;
+  TimerId timer_;
+};
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_MESH_NODE_H_
--- /dev/null
+++ b/src/replica_task.h
@@ -0,0 +1,190 @@
+// Runs one replicated log with its file and its state machine: it persists before it sends, sends
+// before it applies, and answers the commands that were proposed here. Events only change the log;
+// Flush, called once after each batch of events, writes and syncs for all of them together.
+#ifndef ENDIVECLEAT_REPLICA_TASK_H_
+#define ENDIVECLEAT_REPLICA_TASK_H_
+
+#include <concepts>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "log_store.h"
+#include "replicated_log.h"
+#include "units.h"
+
+namespace endivecleat {
+
+/// What a replicated log can drive: deterministic, and restored exactly from its snapshot.
+template <class State>
+concept ReplicatedState = requires(State state, const State constant, std::string_view bytes) {
+  typename State::Result;
+  { state.Apply(bytes) } -> std::same_as<typename State::Result>;
+  { constant.Snapshot() } -> std::same_as<std::string>;
+  { State::Restore(bytes) } -> std::same_as<State>;
+};
+
+template <ReplicatedState State>
+class ReplicaTask {
+ public:
+  using Result = typename State::Result;
+  /// nullopt: this instance does not know whether the command was accepted.
+  using AppliedCallback = std::function<void(std::optional<Result>)>;
+  using ReadCallback = std::function<void(bool confirmed)>;
+  using SendFunction = std::function<void(const InstanceId& to, const std::string& message)>;
+
+  /// The folder holds a log already.
+  ReplicaTask(const InstanceId& self, const ReplicatedLogSettings& settings,
+              const std::filesystem::path& folder, TimePoint now, SendFunction send)
+      : store_(folder), send_(std::move(send)), log_(Open(self, settings, now)) {}
+
+  void Receive(TimePoint now, const InstanceId& from, std::string_view message) {
+    log_.Receive(now, from, message);
+  }
+
+  void Tick(TimePoint now) { log_.Tick(now); }
+  TimePoint next_timer() const { return log_.next_timer(); }
+
+  /// False, and no callback, when this instance is not the leader.
+  bool Propose(TimePoint now, std::string command, AppliedCallback callback) {
+    const std::optional<LogIndex> index = log_.Propose(now, std::move(command));
+    if (!index) {
+      return false;
+    }
+    proposals_[*index] = {log_.term(), std::move(callback)};
+    return true;
+  }
+
+  /// Calls back once a majority has confirmed that this instance leads and everything accepted
+  /// before is applied here, or with false.
+  void ConfirmRead(TimePoint now, ReadCallback callback) {
+    const uint64_t token = next_token_++;
+    reads_[token] = std::move(callback);
+    log_.RequestRead(now, token);
+  }
+
+  /// Carries out what the log wants. Returns true when anything was applied.
+  bool Flush() {
+    bool applied = false;
+    for (Ready ready = log_.TakeReady(); HasWork(ready); ready = log_.TakeReady()) {
+      applied = Carry(ready) || applied;
+    }
+    if (log_.role() != ReplicaRole::kLeader) {
+      AbandonProposals();
+    }
+    return applied;
+  }
+
+  const State& state() const { return state_; }
+  const ReplicatedLog& log() const { return log_; }
+
+ private:
+  struct Proposal {
+    Term term;
+    AppliedCallback callback;
+  };
+
+  ReplicatedLog Open(const InstanceId& self, const ReplicatedLogSettings& settings,
+                     TimePoint now) {
+    StoredLog stored = store_.Load();
+    if (!stored.snapshot.state.empty()) {
+      state_ = State::Restore(stored.snapshot.state);
+    }
+    return ReplicatedLog(self, settings, std::move(stored), now);
+  }
+
+  static bool HasWork(const Ready& ready) {
+    return ready.hard_state || ready.snapshot || !ready.entries.empty() ||
+           !ready.messages.empty() || !ready.committed.empty() || !ready.reads.empty();
+  }
+
+  bool Carry(const Ready& ready) {
+    store_.Persist(ready);
+    for (const Outgoing& outgoing : ready.messages) {
+      send_(outgoing.to, outgoing.message);
+    }
+    if (ready.restore && ready.snapshot) {
+      state_ = ready.snapshot->state.empty() ? State() : State::Restore(ready.snapshot->state);
+    }
+    for (const LogEntry& entry : ready.committed) {
+      Apply(entry);
+    }
+    for (const ReadResult& read : ready.reads) {
+      AnswerRead(read);
+    }
+    if (!ready.committed.empty() && log_.wants_compaction()) {
+      log_.Compact(ready.committed.back().index, state_.Snapshot());
+    }
+    return ready.restore || !ready.committed.empty();
+  }
+
+  void Apply(const LogEntry& entry) {
+    applied_ = entry.index;
+    std::optional<Result> result;
+    if (entry.kind == EntryKind::kCommand) {
+      result = state_.Apply(entry.payload);
+    }
+    const auto found = proposals_.find(entry.index);
+    if (found != proposals_.end()) {
+      const Proposal proposal = std::move(found->second);
+      proposals_.erase(found);
+      proposal.callback(proposal.term == entry.term ? result : std::nullopt);
+    }
+    AnswerWaitingReads();
+  }
+
+  void AnswerRead(const ReadResult& read) {
+    if (read.confirmed && applied_ < read.wait_for) {
+      waiting_reads_[read.wait_for].push_back(read.token);
+      return;
+    }
+    FinishRead(read.token, read.confirmed);
+  }
+
+  void AnswerWaitingReads() {
+    while (!waiting_reads_.empty() && waiting_reads_.begin()->first <= applied_) {
+      const std::vector<uint64_t> tokens = std::move(waiting_reads_.begin()->second);
+      waiting_reads_.erase(waiting_reads_.begin());
+      for (const uint64_t token : tokens) {
+        FinishRead(token, true);
+      }
+    }
+  }
+
+  void FinishRead(uint64_t token, bool confirmed) {
+    const auto found = reads_.find(token);
+    if (found == reads_.end()) {
+      return;
+    }
+    const ReadCallback callback = std::move(found->second);
+    reads_.erase(found);
+    callback(confirmed);
+  }
+
+  // A command may still be accepted after this instance stopped leading, so its outcome is unknown.
+  void AbandonProposals() {
+    std::map<LogIndex, Proposal> abandoned;
+    abandoned.swap(proposals_);
+    for (const auto& [index, proposal] : abandoned) {
+      proposal.callback(std::nullopt);
+    }
+  }
+
+  LogStore store_;
+  SendFunction send_;
+  State state_;
+  ReplicatedLog log_;  // opened from store_, after state_
+  LogIndex applied_;
+  std::map<LogIndex, Proposal> proposals_;  // empty unless this instance leads
+  uint64_t next_token_ = 1;
+  std::map<uint64_t, ReadCallback> reads_;
+  std::map<LogIndex, std::vector<uint64_t>> waiting_reads_;
+};
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_REPLICA_TASK_H_
--- /dev/null
+++ b/src/replicated_states.h
@@ -0,0 +1,37 @@
+// The two state machines that control instances replicate, in the form that ReplicaTask drives.
+#ifndef ENDIVECLEAT_REPLICATED_STATES_H_
+#define ENDIVECLEAT_REPLICATED_STATES_H_
+
+#include <string>
+#include <string_view>
+
+#include "config_store.h"
+#include "once_ledger.h"
+
+namespace endivecleat {
+
+/// The log "config".
+struct ConfigState {
+  using Result = ChangeResult;
+
+  Result Apply(std::string_view command) { return store.Apply(DecodeChange(command)); }
+  std::string Snapshot() const { return store.Snapshot(); }
+  static ConfigState Restore(std::string_view bytes) { return {ConfigStore::Restore(bytes)}; }
+
+  ConfigStore store;
+};
+
+/// The log "once".
+struct OnceState {
+  using Result = LedgerAnswer;
+
+  Result Apply(std::string_view command) { return ledger.Apply(DecodeLedgerCommand(command)); }
+  std::string Snapshot() const { return ledger.Snapshot(); }
+  static OnceState Restore(std::string_view bytes) { return {OnceLedger::Restore(bytes)}; }
+
+  OnceLedger ledger;
+};
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_REPLICATED_STATES_H_
--- /dev/null
+++ b/src/target_task.cc
@@ -0,0 +1,426 @@
+#include "target_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "errors.h"
+#include "log.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+// Separates "the target died" from "this one request broke": a target that still accepts a
+// connection lives.
+constexpr Duration kDeathProbeTimeout = std::chrono::milliseconds(500);
+
+HttpRequest HealthRequest() {
+  HttpRequest request;
+  request.method = "GET";
+  request.path = "/healthz";
+  return request;
+}
+
+bool Passed(const HttpOutcome& outcome) {
+  return outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500;
+}
+
+TargetAnswer ToAnswer(const HttpResponse& response) {
+  TargetAnswer answer;
+  answer.status = response.status;
+  HeaderList headers = response.headers;
+  RemoveHopByHopHeaders(headers);
+  headers.Remove("content-length");
+  for (const Header& header : headers) {
+    answer.headers.emplace_back(header.name, header.value);
+  }
+  answer.body = response.body;
+  return answer;
+}
+
+void AddForwardedFor(HttpRequest& request) {
+  if (request.peer_ip.empty()) {
+    return;
+  }
+  const std::string before = request.headers.ValueOr("x-forwarded-for", "");
+  request.headers.Set("x-forwarded-for",
+                      before.empty() ? request.peer_ip : before + ", " + request.peer_ip);
+}
+
+}  // namespace
+
+struct TargetTask::Exchange {
+  Exchange(TargetCallRequest call_request, TraceSpan hop)
+      : call(std::move(call_request)), span(std::move(hop)) {}
+
+  RequestNumber number;
+  AttemptMessage message;
+  TargetCallRequest request;
+  TargetCall call;
+  TraceSpan span;
+  TimePoint deadline;
+  Reply reply;  // empty once it was used
+  std::optional<CallId> target_call;
+  std::optional<TimerId> timer;
+};
+
+TargetTask::TargetTask(DaemonContext& context)
+    : context_(context), target_(TargetSettings{}), admission_(ServicePolicy{}) {
+  timer_ = context_.loop.After(kTick, [this] { Tick(); });
+}
+
+TargetTask::~TargetTask() { context_.loop.Cancel(timer_); }
+
+void TargetTask::HandlePeer(const std::string& payload, const PeerReplier& replier) {
+  const AttemptMessage message = DecodeAttempt(payload);
+  ExchangePtr exchange;
+  Begin(
+      message, [replier](const AttemptReply& reply) { replier.Reply(EncodeAttemptReply(reply)); },
+      &exchange);
+  if (exchange) {
+    replier.OnCancel([this, weak = std::weak_ptr<Exchange>(exchange)] {
+      if (const ExchangePtr cancelled = weak.lock()) {
+        Cancelled(cancelled);
+      }
+    });
+  }
+}
+
+void TargetTask::HandleLocal(const AttemptMessage& message, Reply reply) {
+  // The reply must not run inside the caller's own step.
+  auto later = [this, reply = std::move(reply)](const AttemptReply& answer) {
+    context_.loop.Post([reply, answer] { reply(answer); });
+  };
+  ExchangePtr exchange;
+  Begin(message, std::move(later), &exchange);
+  if (exchange) {
+    local_[message.attempt] = exchange;
+  }
+}
+
+void TargetTask::CancelLocal(const AttemptId& attempt) {
+  const auto found = local_.find(attempt);
+  if (found != local_.end()) {
+    const ExchangePtr exchange = found->second;
+    Cancelled(exchange);
+  }
+}
+
+void TargetTask::Announce(const Announcement& announcement) {
+  const bool moved = client_ == nullptr || client_->target() != announcement.address;
+  target_.Announce(context_.loop.now(), announcement);
+  if (moved) {
+    const MessageLimits limits;
+    client_ = std::make_unique<HttpClient>(context_.loop, announcement.address,
+                                           std::max<uint32_t>(announcement.connections, 1), limits);
+    probe_client_ = std::make_unique<HttpClient>(context_.loop, announcement.address, 1, limits);
+    Log(LogLevel::kInfo, "target_announced",
+        {{"service", announcement.service.value()},
+         {"target", announcement.target.value()},
+         {"address", announcement.address.text()}});
+  }
+  ConfigurationChanged();
+  FollowState();
+}
+
+void TargetTask::Drain() {
+  target_.Drain(context_.loop.now());
+  FollowState();
+}
+
+void TargetTask::ConfigurationChanged() {
+  const ServicePolicy policy = EffectivePolicy();
+  target_.SetWarmUp(policy.warm_up);
+  Decide(admission_.SetPolicy(context_.loop.now(), policy));
+}
+
+void TargetTask::FillRecord(MemberRecord& record) const {
+  const TimePoint now = context_.loop.now();
+  record.service = target_.announcement().service;
+  record.target = target_.announcement().target;
+  record.state = target_.state();
+  record.slots = static_cast<uint32_t>(admission_.slots(now));
+  record.load = static_cast<uint32_t>(admission_.free_slots(now));
+}
+
+void TargetTask::Begin(const AttemptMessage& message, Reply reply, ExchangePtr* started) {
+  if (!Serves(message.service)) {
+    const ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
+                                                                  : ResultCode::kNoReadyTarget;
+    reply({Refusal{code, false}, Load()});
+    return;
+  }
+  const RequestNumber number = context_.NextNumber();
+  const HttpRequest& http = message.request;
+  const std::string target = http.query.empty() ? http.path : http.path + "?" + http.query;
+  TargetCallRequest request;
+  request.kind = message.kind;
+  request.key = message.key;
+  request.attempt = AttemptId(context_.run_id + "-t" + std::to_string(number.value()));
+  request.digest = message.digest;
+  request.fingerprint = FingerprintOf(http.method, target, http.body);
+  request.deadline = context_.loop.now() + message.time_left;
+  const std::optional<TraceContext> parent =
+      ParseTraceparent(http.headers.ValueOr(kTraceparentHeader, ""));
+  auto exchange = std::make_shared<Exchange>(request, context_.tracer.Start("serve", parent));
+  exchange->number = number;
+  exchange->message = message;
+  exchange->request = request;
+  exchange->deadline = request.deadline;
+  exchange->reply = std::move(reply);
+  exchanges_[number] = exchange;
+  *started = exchange;
+  context_.calls.Begin(number, exchange->span.context().trace, exchange->deadline);
+  Decide(admission_.Arrive(context_.loop.now(), {number, message.kind == CallKind::kAtMostOnce,
+                                                 exchange->deadline}));
+  ArmTimer(exchange);
+}
+
+bool TargetTask::Serves(const ServiceName& service) const {
+  const Announcement& announced = target_.announcement();
+  if (client_ == nullptr || announced.service != service || !context_.configuration) {
+    return false;
+  }
+  const CompiledService* declared = context_.configuration->FindService(service);
+  return declared != nullptr && declared->Allows(announced.target);
+}
+
+ServicePolicy TargetTask::EffectivePolicy() const {
+  ServicePolicy policy;
+  const Announcement& announced = target_.announcement();
+  if (context_.configuration) {
+    const CompiledService* service = context_.configuration->FindService(announced.service);
+    policy = service == nullptr ? policy : service->policy;
+  }
+  if (announced.slots > 0) {
+    policy.slots = std::min(policy.slots, SlotCount(announced.slots));
+  }
+  return policy;
+}
+
+void TargetTask::Cancelled(const ExchangePtr& exchange) {
+  if (cancel_outgoing_) {
+    cancel_outgoing_(context_.calls.Cancel(exchange->number));
+  }
+  Carry(exchange, exchange->call.Cancelled(context_.loop.now()));
+}
+
+void TargetTask::Decide(const std::vector<AdmissionDecision>& decisions) {
+  for (const AdmissionDecision& decision : decisions) {
+    const auto found = exchanges_.find(decision.number);
+    if (found == exchanges_.end()) {
+      continue;
+    }
+    const ExchangePtr exchange = found->second;
+    const TimePoint now = context_.loop.now();
+    if (decision.refused_with) {
+      Carry(exchange, exchange->call.AdmissionRefused(now, *decision.refused_with));
+      continue;
+    }
+    const CrashVerdict verdict =
+        context_.guard.Check(DaemonContext::wall_now(), exchange->request.fingerprint);
+    Carry(exchange, exchange->call.Admitted(now, verdict));
+  }
+}
+
+void TargetTask::Carry(const ExchangePtr& exchange, const TargetCallEffects& effects) {
+  for (const TargetCallEffect& effect : effects) {
+    CarryOne(exchange, effect);
+  }
+  ArmTimer(exchange);
+  if (exchange->call.finished()) {
+    Settle(exchange);
+  }
+}
+
+void TargetTask::CarryOne(const ExchangePtr& exchange, const TargetCallEffect& effect) {
+  if (const auto* claim = std::get_if<SendClaim>(&effect)) {
+    SendCommand(exchange, LedgerCommand::kClaim, claim->digest, {});
+  } else if (std::holds_alternative<SendRelease>(effect)) {
+    SendCommand(exchange, LedgerCommand::kRelease, "", {});
+  } else if (const auto* complete = std::get_if<SendComplete>(&effect)) {
+    SendCommand(exchange, LedgerCommand::kComplete, "", ToStored(complete->answer));
+  } else if (const auto* refuse = std::get_if<SendRefuse>(&effect)) {
+    SendCommand(exchange, LedgerCommand::kRefuse, refuse->digest, {});
+  } else if (const auto* call = std::get_if<CallTarget>(&effect)) {
+    CallTheTarget(exchange, *call);
+  } else if (std::holds_alternative<CancelTarget>(effect)) {
+    if (exchange->target_call) {
+      client_->Cancel(*exchange->target_call);
+    }
+  } else if (const auto* end = std::get_if<EndTargetCall>(&effect)) {
+    context_.guard.End(DaemonContext::wall_now(), end->fingerprint, end->ending, deaths_);
+  } else if (std::holds_alternative<LeaveQueue>(effect)) {
+    admission_.Withdraw(exchange->number);
+  } else if (std::holds_alternative<FreeSlot>(effect)) {
+    // Later, since a decision about another request must not interrupt the effects of this one.
+    context_.loop.Post([this, number = exchange->number] {
+      Decide(admission_.Finish(context_.loop.now(), number));
+    });
+  } else if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
+    Answer(exchange, answer->answer);
+  } else if (const auto* refusal = std::get_if<RefuseCaller>(&effect)) {
+    Answer(exchange, refusal->refusal);
+  }
+}
+
+void TargetTask::SendCommand(const ExchangePtr& exchange, LedgerCommand::Kind kind,
+                             const std::string& digest, const StoredAnswer& answer) {
+  LedgerCommand command;
+  command.kind = kind;
+  command.key = exchange->request.key;
+  command.attempt = exchange->request.attempt.value();
+  command.digest = digest;
+  command.answer = answer;
+  context_.ledger.Send(command, [this, exchange](const LedgerReply& reply) {
+    Carry(exchange, exchange->call.LedgerAnswered(context_.loop.now(), reply));
+  });
+}
+
+void TargetTask::CallTheTarget(const ExchangePtr& exchange, const CallTarget& effect) {
+  const TimePoint now = context_.loop.now();
+  context_.guard.Begin(exchange->request.fingerprint);
+  HttpRequest request = exchange->message.request;
+  AddForwardedFor(request);
+  request.headers.Set(std::string(kTimeoutHeader), FormatTimeout(now, effect.deadline));
+  request.headers.Set(std::string(kTraceparentHeader),
+                      FormatTraceparent(exchange->span.context()));
+  exchange->target_call = client_->Send(
+      std::move(request), std::max(effect.limit - now, Duration(1)),
+      [this, exchange](const HttpOutcome& outcome) { OnOutcome(exchange, outcome); });
+}
+
+void TargetTask::OnOutcome(const ExchangePtr& exchange, const HttpOutcome& outcome) {
+  const TimePoint now = context_.loop.now();
+  exchange->target_call.reset();
+  switch (outcome.kind) {
+    case HttpOutcome::kAnswered:
+      target_.CallSucceeded(now);
+      Carry(exchange, exchange->call.TargetAnswered(now, ToAnswer(outcome.response)));
+      return;
+    case HttpOutcome::kNotSent:
+      target_.CallFailed(now);
+      FollowState();
+      Carry(exchange, exchange->call.TargetFailed(now, TargetFault::kNotSent));
+      return;
+    case HttpOutcome::kBroken:
+      FindOutWhetherItDied(exchange);
+      return;
+    case HttpOutcome::kTimedOut:
+      Carry(exchange, exchange->call.TargetFailed(now, TargetFault::kBroken));
+      return;
+  }
+}
+
+void TargetTask::FindOutWhetherItDied(const ExchangePtr& exchange) {
+  broken_.push_back(exchange);
+  if (broken_.size() > 1) {
+    return;
+  }
+  // A connection of its own: one from the pool may be a leftover of the dead target.
+  probe_client_ = std::make_unique<HttpClient>(context_.loop, target_.announcement().address, 1);
+  probe_client_->Send(HealthRequest(), kDeathProbeTimeout,
+                      [this](const HttpOutcome& outcome) { OnDeathProbe(outcome); });
+}
+
+void TargetTask::OnDeathProbe(const HttpOutcome& outcome) {
+  const TimePoint now = context_.loop.now();
+  const bool died = outcome.kind == HttpOutcome::kNotSent;
+  if (died) {
+    ++deaths_;
+    target_.CallFailed(now);
+    Log(LogLevel::kWarning, "target_died",
+        {{"target", target_.announcement().target.value()},
+         {"requests", static_cast<uint64_t>(broken_.size())}});
+    FollowState();
+  }
+  const std::vector<ExchangePtr> broken = std::exchange(broken_, {});
+  for (const ExchangePtr& exchange : broken) {
+    const TargetFault fault = died ? TargetFault::kDied : TargetFault::kBroken;
+    Carry(exchange, exchange->call.TargetFailed(now, fault));
+  }
+}
+
+void TargetTask::Answer(const ExchangePtr& exchange, std::variant<TargetAnswer, Refusal> outcome) {
+  const Reply reply = std::exchange(exchange->reply, nullptr);
+  if (reply) {
+    reply({std::move(outcome), Load()});
+  }
+}
+
+void TargetTask::ArmTimer(const ExchangePtr& exchange) {
+  if (exchange->timer) {
+    context_.loop.Cancel(*exchange->timer);
+    exchange->timer.reset();
+  }
+  const TimePoint due = exchange->call.finished() ? TimePoint::max() : exchange->call.next_timer();
+  if (due == TimePoint::max()) {
+    return;
+  }
+  const Duration delay = std::max(due - context_.loop.now(), Duration(0));
+  exchange->timer = context_.loop.After(delay, [this, exchange] {
+    exchange->timer.reset();
+    Carry(exchange, exchange->call.TimedOut(context_.loop.now()));
+  });
+}
+
+void TargetTask::Settle(const ExchangePtr& exchange) {
+  if (exchanges_.erase(exchange->number) == 0) {
+    return;
+  }
+  local_.erase(exchange->message.attempt);
+  context_.calls.End(exchange->number);
+}
+
+void TargetTask::Tick() {
+  const TimePoint now = context_.loop.now();
+  timer_ = context_.loop.After(kTick, [this] { Tick(); });
+  target_.Tick(now);
+  if (client_ && target_.ProbeDue(now)) {
+    Probe();
+  }
+  if (target_.state() == TargetState::kDraining && admission_.empty()) {
+    target_.Drained(now);
+  }
+  FollowState();
+  Decide(admission_.Tick(now));
+}
+
+void TargetTask::Probe() {
+  if (!broken_.empty()) {
+    return;  // the probe under way tells more
+  }
+  probe_client_->Send(HealthRequest(), kProbeTimeout, [this](const HttpOutcome& outcome) {
+    target_.ProbeResult(context_.loop.now(), Passed(outcome));
+    FollowState();
+  });
+}
+
+void TargetTask::FollowState() {
+  const TargetState state = target_.state();
+  if (state == followed_) {
+    return;
+  }
+  const auto open = [](TargetState each) {
+    return each == TargetState::kWarming || each == TargetState::kReady;
+  };
+  const bool was_open = open(followed_);
+  followed_ = state;
+  Log(LogLevel::kInfo, "target_state",
+      {{"target", target_.announcement().target.value()}, {"state", TargetStateName(state)}});
+  if (open(state) && !was_open) {
+    admission_.Open(context_.loop.now());
+  } else if (state == TargetState::kDraining) {
+    admission_.Drain();
+  } else if (!open(state)) {
+    Decide(admission_.Close());
+  }
+}
+
+TargetLoad TargetTask::Load() const {
+  const uint64_t slots = std::max<size_t>(admission_.slots(context_.loop.now()), 1);
+  return {admission_.running() + admission_.queued(), slots};
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/trace.cc
@@ -0,0 +1,97 @@
+#include "trace.h"
+
+#include <opentracing/mocktracer/recorder.h>
+#include <opentracing/mocktracer/tracer.h>
+
+#include <chrono>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "errors.h"
+
+namespace endivecleat {
+namespace {
+
+/// Writes each finished span as a line.
+class LineRecorder : public opentracing::mocktracer::Recorder {
+ public:
+  explicit LineRecorder(const std::string& path) : file_(path, std::ios::app) {
+    if (!file_) {
+      throw UserError(ResultCode::kSettingsUnreadable, "cannot open the trace file " + path);
+    }
+  }
+
+  void RecordSpan(opentracing::mocktracer::SpanData&& span) noexcept override {
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    const auto start = span.start_timestamp.time_since_epoch();
+    nlohmann::ordered_json line = {
+        {"operation", span.operation_name},
+        {"start_us", duration_cast<microseconds>(start).count()},
+        {"duration_us", duration_cast<microseconds>(span.duration).count()}};
+    for (const auto& [name, value] : span.tags) {
+      if (value.is<std::string>()) {
+        line[name] = value.get<std::string>();
+      }
+    }
+    file_ << line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace)
+          << std::endl;
+  }
+
+ private:
+  std::ofstream file_;
+};
+
+std::string HexDigits(uint64_t number) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string text(16, '0');
+  for (size_t index = text.size(); index-- > 0; number >>= 4U) {
+    text[index] = kDigits[number & 0xFU];
+  }
+  return text;
+}
+
+}  // namespace
+
+TraceSpan::TraceSpan(TraceContext context, std::unique_ptr<opentracing::Span> span)
+    : context_(std::move(context)), span_(std::move(span)) {}
+
+TraceSpan::TraceSpan(TraceSpan&&) noexcept = default;
+TraceSpan& TraceSpan::operator=(TraceSpan&&) noexcept = default;
+TraceSpan::~TraceSpan() = default;
+
+void TraceSpan::SetTag(const std::string& name, const std::string& value) {
+  if (span_) {
+    span_->SetTag(name, value);
+  }
+}
+
+Tracer::Tracer(const InstanceId& instance, const std::string& path, uint64_t seed)
+    : instance_(instance.value()), random_(seed) {
+  if (!path.empty()) {
+    opentracing::mocktracer::MockTracerOptions options;
+    options.recorder = std::make_unique<LineRecorder>(path);
+    tracer_ = std::make_shared<opentracing::mocktracer::MockTracer>(std::move(options));
+  }
+}
+
+Tracer::~Tracer() = default;
+
+TraceSpan Tracer::Start(const std::string& operation, const std::optional<TraceContext>& parent) {
+  TraceContext context;
+  context.trace = parent ? parent->trace : TraceId(HexDigits(random_.Next()) + HexDigits(random_.Next()));
+  context.parent = SpanId(HexDigits(random_.Next()));
+  context.sampled = parent ? parent->sampled : tracer_ != nullptr;
+  std::unique_ptr<opentracing::Span> span = tracer_ ? tracer_->StartSpan(operation) : nullptr;
+  TraceSpan result(context, std::move(span));
+  result.SetTag("instance", instance_);
+  result.SetTag("trace_id", context.trace.value());
+  result.SetTag("span_id", context.parent.value());
+  if (parent) {
+    result.SetTag("parent_span_id", parent->parent.value());
+  }
+  return result;
+}
+
+}  // namespace endivecleat
