Add the call policy: admission, balancing, retries, crash guard and calls

Cause: calls need decisions that hold at most once and bounded load, apart from sockets, so that tests can reorder, lose and duplicate their messages. Change: service_policy.h, admission, balancer, retry_budget, crash_guard, deadline, call and target_call with their charts, unit tests, and a seeded test of at-most-once histories against a reference ledger. Ruled out: the caller's attempt id as the claim's attempt, since a duplicate of its message to a restarted daemon would be granted the same claim again. The leak macros of CppUTest are off, since run_tests.cc turns them off and they break standard headers that come after the harness.

--- /dev/null
+++ b/src/balancer.cc
@@ -0,0 +1,176 @@
+#include "balancer.h"
+
+#include <algorithm>
+
+#include "errors.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr Duration kShortestAvoidance = std::chrono::milliseconds(200);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(5);
+// A load that came with an answer is newer than the gossiped one for about a gossip round.
+constexpr Duration kAnswerLoadValid = std::chrono::seconds(1);
+// Weight of the newest answer in the moving share of errors: six errors in a row reach one half.
+constexpr double kErrorWeight = 0.125;
+// A target that answers errors fast has free slots and would draw most calls.
+constexpr double kMostErrorShare = 0.5;
+
+bool Matches(std::string_view pattern, std::string_view text) {
+  const size_t star = pattern.find('*');
+  if (star == std::string_view::npos) {
+    return pattern == text;
+  }
+  if (text.substr(0, star) != pattern.substr(0, star)) {
+    return false;
+  }
+  const std::string_view rest = pattern.substr(star + 1);
+  for (size_t from = star; from <= text.size(); ++from) {
+    if (Matches(rest, text.substr(from))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+double Score(uint64_t in_flight, const TargetLoad& load) {
+  const auto work = static_cast<double>(in_flight + load.busy);
+  return work / static_cast<double>(std::max<uint64_t>(load.slots, 1));
+}
+
+}  // namespace
+
+bool MatchesAnyPattern(const std::vector<std::string>& patterns, const TargetId& target) {
+  return std::any_of(patterns.begin(), patterns.end(),
+                     [&](const std::string& pattern) { return Matches(pattern, target.value()); });
+}
+
+void Balancer::SetCandidates(TimePoint now, const std::vector<Candidate>& candidates,
+                             const std::vector<std::string>& patterns) {
+  for (auto& [instance, target] : targets_) {
+    target.present = false;
+  }
+  for (const Candidate& candidate : candidates) {
+    if (!MatchesAnyPattern(patterns, candidate.target)) {
+      continue;
+    }
+    Target& target = targets_[candidate.endpoint.instance];
+    const TargetLoad observed = target.candidate.load;
+    const bool keep = target.load_at != TimePoint{} && now - target.load_at < kAnswerLoadValid;
+    target.candidate = candidate;
+    target.candidate.load = keep ? observed : candidate.load;
+    target.present = true;
+  }
+  std::erase_if(targets_, [](const auto& entry) {
+    return !entry.second.present && entry.second.in_flight == 0;
+  });
+}
+
+std::optional<Endpoint> Balancer::Choose(TimePoint now, const std::vector<InstanceId>& tried) {
+  for (const Locality locality :
+       {Locality::kOwnDataCentre, Locality::kOwnRegion, Locality::kOtherRegion}) {
+    const std::vector<const Target*> usable = Usable(now, locality, tried);
+    if (usable.empty()) {
+      continue;
+    }
+    const size_t first = random_.Below(usable.size());
+    const size_t step = 1 + random_.Below(usable.size() - 1);
+    const Target* one = usable[first];
+    const Target* other = usable[(first + step) % usable.size()];
+    const double one_score = Score(one->in_flight, one->candidate.load);
+    const double other_score = Score(other->in_flight, other->candidate.load);
+    return (other_score < one_score ? other : one)->candidate.endpoint;
+  }
+  return std::nullopt;
+}
+
+void Balancer::Sent(const InstanceId& instance) { ++targets_[instance].in_flight; }
+
+void Balancer::Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
+                        std::optional<TargetLoad> load) {
+  const auto found = targets_.find(instance);
+  ENDIVECLEAT_CHECK(found != targets_.end() && found->second.in_flight > 0,
+                    "an attempt to " + instance.value() + " finished that was not sent");
+  Target& target = found->second;
+  --target.in_flight;
+  if (load.has_value()) {
+    target.candidate.load = *load;
+    target.load_at = now;
+  }
+  const bool error = result == AttemptResult::kErrorAnswered;
+  if (error || result == AttemptResult::kAnswered) {
+    target.error_share += kErrorWeight * ((error ? 1.0 : 0.0) - target.error_share);
+  }
+  if (error ? target.error_share >= kMostErrorShare
+            : result == AttemptResult::kRefused || result == AttemptResult::kFailed) {
+    Avoid(now, target);
+  } else if (result == AttemptResult::kAnswered) {
+    target.failures = 0;
+    target.avoid_until = now;
+  }
+  if (!target.present && target.in_flight == 0) {
+    targets_.erase(found);
+  }
+}
+
+bool Balancer::avoided(TimePoint now, const InstanceId& instance) const {
+  const auto found = targets_.find(instance);
+  return found != targets_.end() &&
+         Avoided(now, found->second.candidate.locality).contains(instance);
+}
+
+std::vector<const Balancer::Target*> Balancer::Usable(TimePoint now, Locality locality,
+                                                      const std::vector<InstanceId>& tried) const {
+  const std::set<InstanceId> avoided = Avoided(now, locality);
+  std::vector<const Target*> usable;
+  std::vector<const Target*> untried;
+  for (const auto& [instance, target] : targets_) {
+    const bool was_tried = std::find(tried.begin(), tried.end(), instance) != tried.end();
+    if (!target.present || target.candidate.locality != locality || was_tried) {
+      continue;
+    }
+    untried.push_back(&target);
+    if (!avoided.contains(instance)) {
+      usable.push_back(&target);
+    }
+  }
+  return usable.empty() ? untried : usable;
+}
+
+// At most half of a locality's targets: when more of them fail, those whose avoidance ends first
+// are used, since a fault that all targets share must not leave the service without any.
+std::set<InstanceId> Balancer::Avoided(TimePoint now, Locality locality) const {
+  std::vector<std::pair<TimePoint, InstanceId>> failing;
+  size_t present = 0;
+  for (const auto& [instance, target] : targets_) {
+    if (!target.present || target.candidate.locality != locality) {
+      continue;
+    }
+    ++present;
+    if (target.avoid_until > now) {
+      failing.emplace_back(target.avoid_until, instance);
+    }
+  }
+  std::sort(failing.rbegin(), failing.rend());
+  failing.resize(std::min(failing.size(), present / 2));
+  std::set<InstanceId> avoided;
+  for (const auto& [until, instance] : failing) {
+    avoided.insert(instance);
+  }
+  return avoided;
+}
+
+void Balancer::Avoid(TimePoint now, Target& target) {
+  // Attempts that were under way together fail together and count once.
+  if (target.avoid_until > now) {
+    return;
+  }
+  Duration avoidance = kShortestAvoidance;
+  for (uint32_t doubling = 0; doubling < target.failures; ++doubling) {
+    avoidance = std::min(avoidance * 2, kLongestAvoidance);
+  }
+  target.failures = std::min<uint32_t>(target.failures + 1, 8);
+  target.avoid_until = now + avoidance;
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/balancer.h
@@ -0,0 +1,97 @@
+// Chooses the target of an attempt. Each calling daemon has one balancer for each service; it
+// knows its own calls in flight exactly and the load of the targets from reports that are late.
+#ifndef ENDIVECLEAT_BALANCER_H_
+#define ENDIVECLEAT_BALANCER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "seeded_random.h"
+#include "units.h"
+
+namespace endivecleat {
+
+/// In the order of preference; the link between regions is billed.
+enum class Locality { kOwnDataCentre, kOwnRegion, kOtherRegion };
+
+/// A daemon that a call can be sent to.
+struct Endpoint {
+  InstanceId instance;
+  Address address;
+
+  bool operator==(const Endpoint&) const = default;
+};
+
+/// Requests that run or wait at a target, and the slots that it has now.
+struct TargetLoad {
+  uint64_t busy = 0;
+  uint64_t slots = 1;
+
+  bool operator==(const TargetLoad&) const = default;
+};
+
+/// A ready target, from the membership or from the summary of another data centre.
+struct Candidate {
+  Endpoint endpoint;
+  TargetId target;
+  Locality locality = Locality::kOwnDataCentre;
+  TargetLoad load;
+};
+
+enum class AttemptResult {
+  kAnswered,       // an answer with a status below 500
+  kErrorAnswered,  // an answer with a status of 500 or more
+  kRefused,        // the target's daemon ran nothing
+  kFailed,         // the connection broke or the time ran out
+  kAbandoned,      // cancelled by the caller; says nothing about the target
+};
+
+/// Whether the target id matches one of the patterns, in which * stands for any text.
+bool MatchesAnyPattern(const std::vector<std::string>& patterns, const TargetId& target);
+
+class Balancer {
+ public:
+  explicit Balancer(uint64_t seed) : random_(seed) {}
+
+  /// Replaces the candidates by those of them that match a pattern. What this daemon observed of a
+  /// target that stays is kept.
+  void SetCandidates(TimePoint now, const std::vector<Candidate>& candidates,
+                     const std::vector<std::string>& patterns);
+  /// The better of two random candidates of the nearest locality that has one outside `tried`.
+  std::optional<Endpoint> Choose(TimePoint now, const std::vector<InstanceId>& tried);
+  void Sent(const InstanceId& instance);
+  /// Must follow each Sent. The load is the one that the answer or the refusal carried.
+  void Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
+                std::optional<TargetLoad> load);
+
+  bool avoided(TimePoint now, const InstanceId& instance) const;
+  size_t size() const { return targets_.size(); }
+
+ private:
+  struct Target {
+    Candidate candidate;
+    bool present = false;    // false: kept only until its attempts have finished
+    uint64_t in_flight = 0;  // attempts of this daemon
+    TimePoint load_at{};     // when an answer last carried the load
+    TimePoint avoid_until{};
+    uint32_t failures = 0;   // refusals and failures since the last answer
+    double error_share = 0;  // moving share of answers with a status of 500 or more
+  };
+  using Targets = std::map<InstanceId, Target>;
+
+  std::vector<const Target*> Usable(TimePoint now, Locality locality,
+                                    const std::vector<InstanceId>& tried) const;
+  std::set<InstanceId> Avoided(TimePoint now, Locality locality) const;
+  void Avoid(TimePoint now, Target& target);
+
+  SeededRandom random_;
+  Targets targets_;
+};
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_BALANCER_H_
--- /dev/null
+++ b/src/call.cc
@@ -0,0 +1,238 @@
+#include "call.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "errors.h"
+#include "state_chart.h"
+
+namespace endivecleat {
+namespace {
+
+// A commit between the regions takes two crossings of 30 ms and two syncs; an election takes longer
+// than a caller waits.
+constexpr Duration kRefusalWait = std::chrono::milliseconds(500);
+// The number of crashes after which the crash guard blocks a request. Counting here too stops a
+// call with many attempts before the gossip has spread.
+constexpr uint32_t kMostDeaths = 2;
+
+const StateChart& Chart() {
+  static const StateChart chart(
+#include "call.chart"
+  );
+  return chart;
+}
+
+// Answers about the key itself, which hold for every copy of the request.
+bool IsDefinite(ResultCode code) {
+  return code == ResultCode::kNotRun || code == ResultCode::kKeyReused ||
+         code == ResultCode::kKeyMissing || code == ResultCode::kAnswerTooLargeToReplay;
+}
+
+// Whether a refused at-most-once attempt leaves open if it ran. An unknown code counts as open.
+bool MayHaveRun(ResultCode code) {
+  switch (code) {
+    case ResultCode::kDeadlinePassed:
+    case ResultCode::kBodyTooLarge:
+    case ResultCode::kBadRequest:
+    case ResultCode::kNoRoute:
+      return false;
+    default:
+      return !StatesNothingRan(code) && !IsDefinite(code);
+  }
+}
+
+}  // namespace
+
+Call::Call(CallRequest request, RetryBudget& budget)
+    : request_(std::move(request)), budget_(&budget), state_(Chart().initial()) {
+  budget_->CountCall();
+}
+
+CallEffects Call::Start(TimePoint now) {
+  if (request_.kind == CallKind::kAtMostOnce && request_.key.empty()) {
+    return Finish(ResultCode::kKeyMissing);
+  }
+  if (request_.deadline <= now) {
+    return DeadlinePassed(now);
+  }
+  return {ChooseCandidate{}};
+}
+
+CallEffects Call::StartStopped(TimePoint now) {
+  if (request_.kind != CallKind::kAtMostOnce) {
+    return Finish(ResultCode::kStoppedAfterCrashes);
+  }
+  return request_.key.empty() ? Finish(ResultCode::kKeyMissing) : WriteRefusal(now);
+}
+
+CallEffects Call::Chosen(TimePoint now, const std::optional<Endpoint>& endpoint) {
+  if (state_ != "choosing") {
+    return {};
+  }
+  if (request_.deadline <= now) {
+    return DeadlinePassed(now);
+  }
+  if (!endpoint.has_value()) {
+    return Finish(FinalCode(last_refusal_.value_or(ResultCode::kNoReadyTarget)));
+  }
+  const AttemptId attempt = NextAttempt();
+  sent_.push_back({*endpoint, attempt});
+  Move("chosen");
+  return {SendAttempt{*endpoint, attempt}};
+}
+
+CallEffects Call::Answered(TimePoint, const AttemptId& attempt, const TargetAnswer& answer) {
+  // The ledger stands behind every answer to an at-most-once attempt, so that a late one is as
+  // good as that of the current attempt.
+  const bool late_but_definite = request_.kind == CallKind::kAtMostOnce && Mine(attempt);
+  if (finished() || !(Current(attempt) || late_but_definite)) {
+    return {};
+  }
+  CallEffects effects;
+  if (state_ == "waiting" && !Current(attempt)) {
+    effects.emplace_back(CancelAttempt{sent_.back().endpoint, sent_.back().attempt});
+  }
+  for (CallEffect& effect : Finish(ResultCode::kOk, answer)) {
+    effects.push_back(std::move(effect));
+  }
+  return effects;
+}
+
+CallEffects Call::Refused(TimePoint now, const AttemptId& attempt, const Refusal& refusal) {
+  if (!Current(attempt)) {
+    return {};
+  }
+  deaths_ += refusal.target_died ? 1 : 0;
+  unresolved_ = unresolved_ || MayHaveRun(refusal.code);
+  if (refusal.code == ResultCode::kDeadlinePassed) {
+    return DeadlinePassed(now);
+  }
+  return TryAgainOrFinish(refusal.code);
+}
+
+CallEffects Call::LinkBroken(TimePoint, const AttemptId& attempt) {
+  if (!Current(attempt)) {
+    return {};
+  }
+  unresolved_ = true;
+  return TryAgainOrFinish(ResultCode::kAnswerBroken);
+}
+
+CallEffects Call::CallerGone(TimePoint) {
+  if (finished()) {
+    return {};
+  }
+  CallEffects effects;
+  if (state_ == "waiting") {
+    effects.emplace_back(CancelAttempt{sent_.back().endpoint, sent_.back().attempt});
+  }
+  for (CallEffect& effect : Finish(ResultCode::kCancelled)) {
+    effects.push_back(std::move(effect));
+  }
+  return effects;
+}
+
+CallEffects Call::LedgerAnswered(TimePoint, const LedgerReply& reply) {
+  if (state_ != "refusing" || reply.attempt != NextAttempt()) {
+    return {};
+  }
+  switch (reply.outcome) {
+    case LedgerOutcome::kRefused:
+      return Finish(ResultCode::kNotRun);
+    case LedgerOutcome::kRan:
+      return reply.answer.too_large ? Finish(ResultCode::kAnswerTooLargeToReplay)
+                                    : Finish(ResultCode::kOk, reply.answer);
+    case LedgerOutcome::kDigestMismatch:
+      return Finish(ResultCode::kKeyReused);
+    default:
+      return Finish(ResultCode::kOutcomeUnknown);
+  }
+}
+
+CallEffects Call::TimedOut(TimePoint now) {
+  if (finished() || now < next_timer()) {
+    return {};
+  }
+  return state_ == "refusing" ? Finish(ResultCode::kOutcomeUnknown) : DeadlinePassed(now);
+}
+
+TimePoint Call::next_timer() const {
+  if (finished()) {
+    return TimePoint::max();
+  }
+  return state_ == "refusing" ? refusal_limit_ : request_.deadline;
+}
+
+void Call::Move(const std::string& event) { state_ = Chart().Next(state_, event); }
+
+bool Call::Current(const AttemptId& attempt) const {
+  return state_ == "waiting" && sent_.back().attempt == attempt;
+}
+
+bool Call::Mine(const AttemptId& attempt) const {
+  return std::any_of(sent_.begin(), sent_.end(),
+                     [&](const Sent& sent) { return sent.attempt == attempt; });
+}
+
+bool Call::MayTryAgain(ResultCode code) {
+  const bool broken = code == ResultCode::kAnswerBroken;
+  const bool safe = StatesNothingRan(code) || (broken && request_.kind != CallKind::kOther);
+  const bool another = sent_.size() < request_.max_attempts.value();
+  return safe && another && deaths_ < kMostDeaths && budget_->TryTake();
+}
+
+CallEffects Call::TryAgainOrFinish(ResultCode code) {
+  last_refusal_ = code;
+  if (!MayTryAgain(code)) {
+    return Finish(FinalCode(code));
+  }
+  Move("try_again");
+  ChooseCandidate choose;
+  for (const Sent& sent : sent_) {
+    choose.tried.push_back(sent.endpoint.instance);
+  }
+  return {choose};
+}
+
+CallEffects Call::DeadlinePassed(TimePoint now) {
+  CallEffects effects;
+  if (state_ == "waiting") {
+    effects.emplace_back(CancelAttempt{sent_.back().endpoint, sent_.back().attempt});
+    unresolved_ = true;
+  }
+  const bool refuse = request_.kind == CallKind::kAtMostOnce && request_.deadline_from_caller;
+  for (CallEffect& effect :
+       refuse ? WriteRefusal(now) : Finish(FinalCode(ResultCode::kDeadlinePassed))) {
+    effects.push_back(std::move(effect));
+  }
+  return effects;
+}
+
+CallEffects Call::WriteRefusal(TimePoint now) {
+  Move("write_refusal");
+  refusal_limit_ = now + kRefusalWait;
+  return {RefuseInLedger{request_.key, NextAttempt(), request_.digest}};
+}
+
+CallEffects Call::Finish(ResultCode code, std::optional<TargetAnswer> answer) {
+  Move("finish");
+  return {FinishCall{code, std::move(answer)}};
+}
+
+ResultCode Call::FinalCode(ResultCode code) const {
+  if (request_.kind != CallKind::kAtMostOnce || IsDefinite(code)) {
+    return code;
+  }
+  if (unresolved_) {
+    return ResultCode::kOutcomeUnknown;
+  }
+  const bool not_started = StatesNothingRan(code) || code == ResultCode::kDeadlinePassed;
+  return not_started ? ResultCode::kNotStarted : code;
+}
+
+AttemptId Call::NextAttempt() const {
+  return AttemptId(request_.id + "/" + std::to_string(sent_.size() + 1));
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/crash_guard.cc
@@ -0,0 +1,144 @@
+#include "crash_guard.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <string>
+
+#include "errors.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr uint64_t kBlockedMilliseconds = 10ULL * 60 * 1000;
+constexpr size_t kCrashesToBlock = 2;
+
+bool Expired(WallTime now, WallTime crash) {
+  return crash.value() + kBlockedMilliseconds <= now.value();
+}
+
+// The length keeps ("a", "bc") apart from ("ab", "c").
+void AppendField(std::string& text, std::string_view field) {
+  text += std::to_string(field.size());
+  text += ':';
+  text += field;
+}
+
+}  // namespace
+
+Fingerprint FingerprintOf(std::string_view method, std::string_view path, std::string_view body) {
+  std::string text;
+  AppendField(text, method);
+  AppendField(text, path);
+  AppendField(text, body);
+  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+  std::array<char, 33> hex{};
+  std::snprintf(hex.data(), hex.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(hash.high64),  // NOLINT(google-runtime-int)
+                static_cast<unsigned long long>(hash.low64));  // NOLINT(google-runtime-int)
+  return Fingerprint(hex.data());
+}
+
+CrashVerdict CrashGuard::Check(WallTime now, const Fingerprint& fingerprint) const {
+  const size_t count = crashes(now, fingerprint);
+  if (count >= kCrashesToBlock) {
+    return CrashVerdict::kStop;
+  }
+  const bool other_suspect_runs =
+      count > 0 && std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+        return entry.first != fingerprint && crashes(now, entry.first) > 0;
+      });
+  return other_suspect_runs ? CrashVerdict::kBusy : CrashVerdict::kRun;
+}
+
+size_t CrashGuard::crashes(WallTime now, const Fingerprint& fingerprint) const {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end()) {
+    return 0;
+  }
+  const WallTime success = LastSuccess(fingerprint);
+  size_t count = 0;
+  for (const auto& [instance, record] : found->second) {
+    count += static_cast<size_t>(
+        std::count_if(record.crashes.begin(), record.crashes.end(),
+                      [&](WallTime crash) { return crash > success && !Expired(now, crash); }));
+  }
+  return count;
+}
+
+void CrashGuard::Begin(const Fingerprint& fingerprint) { ++running_[fingerprint]; }
+
+void CrashGuard::End(WallTime now, const Fingerprint& fingerprint, CallEnding ending,
+                     uint64_t death) {
+  const auto running = running_.find(fingerprint);
+  ENDIVECLEAT_CHECK(running != running_.end(), "a request ended that the guard did not see begin");
+  if (--running->second == 0) {
+    running_.erase(running);
+  }
+  if (ending == CallEnding::kAnswered && Known(fingerprint)) {
+    records_[fingerprint][self_].last_success = now;
+  }
+  if (ending != CallEnding::kTargetDied) {
+    return;
+  }
+  Record& record = records_[fingerprint][self_];
+  if (!record.crashes.empty() && record.last_death == death) {
+    return;
+  }
+  record.last_death = death;
+  record.crashes.push_back(now);
+  if (record.crashes.size() > kCrashesToBlock) {
+    record.crashes.erase(record.crashes.begin());
+  }
+}
+
+std::vector<CrashReport> CrashGuard::OwnReports() const {
+  std::vector<CrashReport> reports;
+  for (const auto& [fingerprint, members] : records_) {
+    const auto own = members.find(self_);
+    if (own != members.end()) {
+      reports.push_back({fingerprint, own->second.crashes, own->second.last_success});
+    }
+  }
+  return reports;
+}
+
+void CrashGuard::Merge(const InstanceId& from, const std::vector<CrashReport>& reports) {
+  if (from == self_) {
+    return;
+  }
+  for (auto& [fingerprint, members] : records_) {
+    members.erase(from);
+  }
+  for (const CrashReport& report : reports) {
+    records_[report.fingerprint][from] = {report.crashes, report.last_success, 0};
+  }
+  std::erase_if(records_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+void CrashGuard::Tick(WallTime now) {
+  for (auto& [fingerprint, members] : records_) {
+    std::erase_if(members, [&](const auto& entry) {
+      const Record& record = entry.second;
+      const bool crashed_lately = !record.crashes.empty() && !Expired(now, record.crashes.back());
+      return !crashed_lately && Expired(now, record.last_success);
+    });
+  }
+  std::erase_if(records_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+WallTime CrashGuard::LastSuccess(const Fingerprint& fingerprint) const {
+  WallTime newest;
+  for (const auto& [instance, record] : records_.at(fingerprint)) {
+    newest = std::max(newest, record.last_success);
+  }
+  return newest;
+}
+
+bool CrashGuard::Known(const Fingerprint& fingerprint) const {
+  return records_.contains(fingerprint);
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/retry_budget.h
@@ -0,0 +1,36 @@
+// Limits the retries that one daemon sends to one service, so that a failing service is not
+// loaded with a multiple of its calls.
+#ifndef ENDIVECLEAT_RETRY_BUDGET_H_
+#define ENDIVECLEAT_RETRY_BUDGET_H_
+
+#include <cstdint>
+
+#include "service_policy.h"
+
+namespace endivecleat {
+
+/// A bucket that gains retry_percent of a token with each call and pays one token for each retry.
+/// It starts full, so that the first failure after a start can be retried.
+class RetryBudget {
+ public:
+  static constexpr uint64_t kMostTokens = 10;
+
+  explicit RetryBudget(Percent retry_percent) : retry_percent_(retry_percent) {}
+
+  void SetPercent(Percent retry_percent) { retry_percent_ = retry_percent; }
+  /// Counts a call once, however many attempts it makes.
+  void CountCall();
+  /// Takes a token for one retry; false when there is none.
+  bool TryTake();
+  uint64_t tokens() const { return hundredths_ / kHundredths; }
+
+ private:
+  static constexpr uint64_t kHundredths = 100;
+
+  Percent retry_percent_;
+  uint64_t hundredths_ = kMostTokens * kHundredths;  // at most kMostTokens * kHundredths
+};
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_RETRY_BUDGET_H_
--- /dev/null
+++ b/test/correctness/admission_test.cc
@@ -0,0 +1,170 @@
+// Guards against a target that gets more requests than it has slots, a queue without bounds, and a
+// drain that starts new work.
+#include "admission.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "seeded_random.h"
+
+using namespace endivecleat;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint kStart = TimePoint{} + seconds(100);
+const TimePoint kWarm = kStart + seconds(5);
+
+AdmissionRequest Read(uint64_t number) { return {.number = RequestNumber(number)}; }
+AdmissionRequest Once(uint64_t number) {
+  return {.number = RequestNumber(number), .at_most_once = true};
+}
+AdmissionDecision Admitted(uint64_t number) { return {RequestNumber(number), std::nullopt}; }
+AdmissionDecision Refused(uint64_t number, ResultCode code) {
+  return {RequestNumber(number), code};
+}
+using Decisions = std::vector<AdmissionDecision>;
+
+Admission Open(const ServicePolicy& policy) {
+  Admission admission(policy);
+  admission.Open(kStart);
+  return admission;
+}
+
+}  // namespace
+
+TEST_GROUP(AdmissionFull){};
+
+TEST(AdmissionFull, QueuesThenRefuses) {
+  Admission admission = Open({.slots = SlotCount(1), .queue_length = QueueLength(1)});
+  CHECK(admission.Arrive(kWarm, Read(1)) == Decisions{Admitted(1)});
+  CHECK(admission.Arrive(kWarm, Read(2)).empty());
+  CHECK(admission.Arrive(kWarm, Read(3)) == Decisions{Refused(3, ResultCode::kOverloaded)});
+  CHECK(admission.Finish(kWarm, RequestNumber(1)) == Decisions{Admitted(2)});
+}
+
+TEST(AdmissionFull, RefusesAfterTheQueueWait) {
+  Admission admission = Open({.slots = SlotCount(1)});
+  admission.Arrive(kWarm, Read(1));
+  admission.Arrive(kWarm, Read(2));
+  CHECK(admission.next_timer(kWarm) == kWarm + milliseconds(100));
+  CHECK(admission.Tick(kWarm + milliseconds(99)).empty());
+  CHECK(admission.Tick(kWarm + milliseconds(100)) ==
+        Decisions{Refused(2, ResultCode::kOverloaded)});
+}
+
+TEST(AdmissionFull, RefusesAtTheDeadlineOfTheRequest) {
+  Admission admission = Open({.slots = SlotCount(1)});
+  admission.Arrive(kWarm, Read(1));
+  AdmissionRequest request = Read(2);
+  request.deadline = kWarm + milliseconds(10);
+  admission.Arrive(kWarm, request);
+  CHECK(admission.Tick(request.deadline) == Decisions{Refused(2, ResultCode::kDeadlinePassed)});
+}
+
+TEST(AdmissionFull, ServesAtMostOnceRequestsFirst) {
+  Admission admission = Open({.slots = SlotCount(1)});
+  admission.Arrive(kWarm, Read(1));
+  admission.Arrive(kWarm, Read(2));
+  admission.Arrive(kWarm, Once(3));
+  CHECK(admission.Finish(kWarm, RequestNumber(1)) == Decisions{Admitted(3)});
+}
+
+TEST(AdmissionFull, GivesTheNewestReadsPlaceToAnAtMostOnceRequest) {
+  Admission admission = Open({.slots = SlotCount(1), .queue_length = QueueLength(2)});
+  for (uint64_t number = 1; number <= 3; ++number) {
+    admission.Arrive(kWarm, Read(number));
+  }
+  CHECK(admission.Arrive(kWarm, Once(4)) == Decisions{Refused(3, ResultCode::kOverloaded)});
+  CHECK(admission.Arrive(kWarm, Once(5)) == Decisions{Refused(2, ResultCode::kOverloaded)});
+  CHECK(admission.Arrive(kWarm, Once(6)) == Decisions{Refused(6, ResultCode::kOverloaded)});
+}
+
+TEST(AdmissionFull, ForgetsAWithdrawnRequest) {
+  Admission admission = Open({.slots = SlotCount(1)});
+  admission.Arrive(kWarm, Read(1));
+  admission.Arrive(kWarm, Read(2));
+  admission.Withdraw(RequestNumber(2));
+  CHECK(admission.Finish(kWarm, RequestNumber(1)).empty());
+  CHECK(admission.empty());
+}
+
+TEST_GROUP(AdmissionWarmingUp){};
+
+TEST(AdmissionWarmingUp, OpensSlotsLinearly) {
+  const Admission admission = Open({.slots = SlotCount(9)});
+  LONGS_EQUAL(1, admission.slots(kStart));
+  LONGS_EQUAL(5, admission.slots(kStart + milliseconds(2500)));
+  LONGS_EQUAL(8, admission.slots(kWarm - milliseconds(1)));
+  LONGS_EQUAL(9, admission.slots(kWarm));
+}
+
+TEST(AdmissionWarmingUp, WakesTheQueueWhenASlotOpens) {
+  Admission admission = Open({.slots = SlotCount(2), .queue_wait = seconds(60)});
+  admission.Arrive(kStart, Read(1));
+  admission.Arrive(kStart, Read(2));
+  TimePoint now = kStart;
+  while (admission.queued() > 0 && now < kWarm) {
+    now = admission.next_timer(now);
+    admission.Tick(now);
+  }
+  LONGS_EQUAL(2, admission.running());
+  CHECK(now <= kWarm);
+}
+
+TEST_GROUP(AdmissionClosing){};
+
+TEST(AdmissionClosing, DrainTakesNothingNewAndEndsEmpty) {
+  Admission admission = Open({.slots = SlotCount(1)});
+  admission.Arrive(kWarm, Read(1));
+  admission.Arrive(kWarm, Read(2));
+  admission.Drain();
+  CHECK(admission.Arrive(kWarm, Read(3)) == Decisions{Refused(3, ResultCode::kDraining)});
+  LONGS_EQUAL(0, admission.free_slots(kWarm));
+  CHECK(admission.Finish(kWarm, RequestNumber(1)) == Decisions{Admitted(2)});
+  CHECK_FALSE(admission.empty());
+  admission.Finish(kWarm, RequestNumber(2));
+  CHECK(admission.empty());
+}
+
+TEST(AdmissionClosing, LostTargetRefusesWhatWaits) {
+  Admission admission = Open({.slots = SlotCount(1)});
+  admission.Arrive(kWarm, Read(1));
+  admission.Arrive(kWarm, Read(2));
+  CHECK(admission.Close() == Decisions{Refused(2, ResultCode::kTargetUnreachable)});
+  CHECK(admission.Finish(kWarm, RequestNumber(1)).empty());
+}
+
+TEST_GROUP(AdmissionRandomLoad){};
+
+TEST(AdmissionRandomLoad, NeverExceedsItsLimitsAndDecidesEachRequestOnce) {
+  const ServicePolicy policy{.slots = SlotCount(5), .connections = ConnectionCount(4)};
+  Admission admission = Open(policy);
+  SeededRandom random(7);
+  std::set<RequestNumber> undecided;
+  std::set<RequestNumber> running;
+  TimePoint now = kStart;
+  const auto decide = [&](const Decisions& decisions) {
+    for (const AdmissionDecision& decision : decisions) {
+      CHECK(undecided.erase(decision.number) == 1);
+      if (!decision.refused_with.has_value()) {
+        running.insert(decision.number);
+      }
+    }
+  };
+  for (uint64_t number = 1; number <= 20000; ++number) {
+    now += Duration(random.Below(4000));
+    undecided.insert(RequestNumber(number));
+    decide(admission.Arrive(now, random.Chance(30) ? Once(number) : Read(number)));
+    if (!running.empty() && random.Chance(60)) {
+      const RequestNumber first = *running.begin();
+      running.erase(first);
+      decide(admission.Finish(now, first));
+    }
+    decide(admission.Tick(now));
+    CHECK(running.size() <= admission.slots(now));
+    CHECK(running.size() <= 4);
+    CHECK(admission.queued() <= policy.queue_length.value());
+    LONGS_EQUAL(undecided.size(), admission.queued());
+  }
+}
--- /dev/null
+++ b/test/correctness/balancer_test.cc
@@ -0,0 +1,169 @@
+// Guards against calls to targets that a preset excludes, to the billed link without need, and to
+// targets that fail; and against avoiding so many targets that the rest is overloaded.
+#include "balancer.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+#include "retry_budget.h"
+
+using namespace endivecleat;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint kStart = TimePoint{} + seconds(100);
+
+InstanceId Instance(int number) { return InstanceId("i" + std::to_string(number)); }
+
+Candidate Make(int number, Locality locality = Locality::kOwnDataCentre, uint64_t busy = 0) {
+  const TargetId target("portal-" + std::to_string(number));
+  return {{Instance(number), {}}, target, locality, {busy, 9}};
+}
+
+Balancer WithTargets(int count) {
+  Balancer balancer(5);
+  std::vector<Candidate> candidates;
+  candidates.reserve(static_cast<size_t>(count));
+  for (int number = 0; number < count; ++number) {
+    candidates.push_back(Make(number));
+  }
+  balancer.SetCandidates(kStart, candidates, {"*"});
+  return balancer;
+}
+
+std::map<InstanceId, int> Choices(Balancer& balancer, TimePoint now) {
+  std::map<InstanceId, int> counts;
+  for (int round = 0; round < 300; ++round) {
+    ++counts[balancer.Choose(now, {})->instance];
+  }
+  return counts;
+}
+
+void Report(Balancer& balancer, TimePoint now, int number, AttemptResult result) {
+  balancer.Sent(Instance(number));
+  balancer.Finished(now, Instance(number), result, std::nullopt);
+}
+
+}  // namespace
+
+TEST_GROUP(BalancerPattern){};
+
+TEST(BalancerPattern, AllowsOnlyMatchingTargets) {
+  CHECK(MatchesAnyPattern({"a-*"}, TargetId("a-1")));
+  CHECK(MatchesAnyPattern({"x", "*-1"}, TargetId("a-1")));
+  CHECK(MatchesAnyPattern({"a*b*c"}, TargetId("a1b2b3c")));
+  CHECK_FALSE(MatchesAnyPattern({"a-*"}, TargetId("b-a-1")));
+  CHECK_FALSE(MatchesAnyPattern({"a-1"}, TargetId("a-12")));
+  Balancer balancer(1);
+  balancer.SetCandidates(kStart, {Make(1), Make(2)}, {"portal-2"});
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(2));
+}
+
+TEST_GROUP(BalancerLocality){};
+
+TEST(BalancerLocality, GoesFurtherOnlyWhenNothingNearerIsLeft) {
+  Balancer balancer(2);
+  balancer.SetCandidates(
+      kStart, {Make(3, Locality::kOtherRegion), Make(2, Locality::kOwnRegion), Make(1)}, {"*"});
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(1));
+  CHECK(balancer.Choose(kStart, {Instance(1)})->instance == Instance(2));
+  CHECK(balancer.Choose(kStart, {Instance(1), Instance(2)})->instance == Instance(3));
+  CHECK_FALSE(balancer.Choose(kStart, {Instance(1), Instance(2), Instance(3)}).has_value());
+}
+
+TEST_GROUP(BalancerLoad){};
+
+TEST(BalancerLoad, PrefersTheTargetWithLessWork) {
+  Balancer balancer(3);
+  balancer.SetCandidates(kStart, {Make(1, Locality::kOwnDataCentre, 8), Make(2)}, {"*"});
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(2));
+  for (int sent = 0; sent < 9; ++sent) {
+    balancer.Sent(Instance(2));
+  }
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(1));
+}
+
+TEST(BalancerLoad, PrefersTheLoadOfAnAnswerOverAnOlderGossipedOne) {
+  Balancer balancer(3);
+  const std::vector<Candidate> candidates{Make(1), Make(2, Locality::kOwnDataCentre, 4)};
+  balancer.SetCandidates(kStart, candidates, {"*"});
+  balancer.Sent(Instance(1));
+  balancer.Finished(kStart, Instance(1), AttemptResult::kAnswered, TargetLoad{9, 9});
+  balancer.SetCandidates(kStart + milliseconds(500), candidates, {"*"});
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(2));
+  balancer.SetCandidates(kStart + seconds(2), candidates, {"*"});
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(1));
+}
+
+TEST_GROUP(BalancerAvoidance){};
+
+TEST(BalancerAvoidance, DoublesFromAFifthOfASecondToFiveSeconds) {
+  Balancer balancer = WithTargets(4);
+  TimePoint now = kStart;
+  for (const int64_t expected : {200, 400, 800, 1600, 3200, 5000, 5000}) {
+    Report(balancer, now, 0, AttemptResult::kRefused);
+    CHECK(balancer.avoided(now + milliseconds(expected - 1), Instance(0)));
+    CHECK_FALSE(balancer.avoided(now + milliseconds(expected), Instance(0)));
+    now += milliseconds(expected);
+  }
+  Report(balancer, now, 0, AttemptResult::kAnswered);
+  Report(balancer, now, 0, AttemptResult::kFailed);
+  CHECK_FALSE(balancer.avoided(now + milliseconds(200), Instance(0)));
+}
+
+TEST(BalancerAvoidance, LeavesAtLeastHalfOfTheTargets) {
+  Balancer balancer = WithTargets(5);
+  for (int number = 0; number < 5; ++number) {
+    Report(balancer, kStart + milliseconds(number), number, AttemptResult::kFailed);
+  }
+  LONGS_EQUAL(3, Choices(balancer, kStart + milliseconds(10)).size());
+  Balancer single = WithTargets(1);
+  Report(single, kStart, 0, AttemptResult::kFailed);
+  CHECK(single.Choose(kStart, {}).has_value());
+}
+
+TEST(BalancerAvoidance, CoversATargetThatAnswersErrors) {
+  Balancer balancer = WithTargets(4);
+  for (int answer = 0; answer < 10; ++answer) {
+    Report(balancer, kStart, 1, AttemptResult::kErrorAnswered);
+  }
+  CHECK_FALSE(Choices(balancer, kStart).contains(Instance(1)));
+  Report(balancer, kStart, 2, AttemptResult::kErrorAnswered);
+  CHECK(Choices(balancer, kStart).contains(Instance(2)));
+}
+
+TEST(BalancerAvoidance, IgnoresAttemptsThatTheCallerGaveUp) {
+  Balancer balancer = WithTargets(4);
+  Report(balancer, kStart, 1, AttemptResult::kAbandoned);
+  CHECK_FALSE(balancer.avoided(kStart, Instance(1)));
+}
+
+TEST_GROUP(BalancerTargetGone){};
+
+TEST(BalancerTargetGone, IsNotChosenAndItsAttemptsMayEnd) {
+  Balancer balancer = WithTargets(2);
+  balancer.Sent(Instance(0));
+  balancer.SetCandidates(kStart, {Make(1)}, {"*"});
+  CHECK_FALSE(Choices(balancer, kStart).contains(Instance(0)));
+  balancer.Finished(kStart, Instance(0), AttemptResult::kFailed, std::nullopt);
+  LONGS_EQUAL(1, balancer.size());
+}
+
+TEST_GROUP(RetryBudgetUsedUp){};
+
+TEST(RetryBudgetUsedUp, AllowsATenthOfTheCalls) {
+  RetryBudget budget(Percent(10));
+  int taken = 0;
+  while (budget.TryTake()) {
+    ++taken;
+  }
+  LONGS_EQUAL(10, taken);
+  for (int call = 0; call < 1000; ++call) {
+    budget.CountCall();
+    taken += budget.TryTake() ? 1 : 0;
+  }
+  LONGS_EQUAL(110, taken);
+}
--- /dev/null
+++ b/test/correctness/call_test.cc
@@ -0,0 +1,197 @@
+// Guards against a retry that may run a request twice, a call that never finishes, and an answer
+// taken from a stale attempt.
+#include "call.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endivecleat;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+namespace {
+
+const TimePoint kStart = TimePoint{} + std::chrono::seconds(100);
+const TimePoint kDeadline = kStart + milliseconds(1000);
+const AttemptId kFirst("c/1");
+const AttemptId kSecond("c/2");
+
+CallRequest Request(CallKind kind) {
+  const IdempotencyKey key(kind == CallKind::kAtMostOnce ? "k" : "");
+  return {.id = "c",
+          .kind = kind,
+          .key = key,
+          .digest = "d",
+          .deadline = kDeadline,
+          .deadline_from_caller = true};
+}
+
+Endpoint Target(const char* name) { return {InstanceId(name), {}}; }
+
+Call Sent(CallKind kind, RetryBudget& budget) {
+  Call call(Request(kind), budget);
+  call.Start(kStart);
+  call.Chosen(kStart, Target("a"));
+  return call;
+}
+
+template <class Effect>
+const Effect* Find(const CallEffects& effects) {
+  for (const CallEffect& effect : effects) {
+    if (const auto* found = std::get_if<Effect>(&effect)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+bool Finishes(const CallEffects& effects, ResultCode code) {
+  const auto* finish = Find<FinishCall>(effects);
+  return finish != nullptr && finish->code == code;
+}
+
+bool TriesAgain(const CallEffects& effects) {
+  const auto* choose = Find<ChooseCandidate>(effects);
+  return choose != nullptr && choose->tried == std::vector{InstanceId("a")};
+}
+
+}  // namespace
+
+TEST_GROUP(CallAnswered) { RetryBudget budget{Percent(10)}; };
+
+TEST(CallAnswered, PassesOnTheAnswerWhateverItsStatus) {
+  Call call = Sent(CallKind::kIdempotent, budget);
+  const CallEffects effects = call.Answered(kStart, kFirst, {.status = 500, .body = "x"});
+  CHECK(Finishes(effects, ResultCode::kOk));
+  LONGS_EQUAL(500, Find<FinishCall>(effects)->answer->status);
+  CHECK(call.Answered(kStart, kFirst, {}).empty());
+}
+
+TEST(CallAnswered, IgnoresAStaleAttemptOfARead) {
+  Call call = Sent(CallKind::kIdempotent, budget);
+  CHECK(TriesAgain(call.LinkBroken(kStart, kFirst)));
+  call.Chosen(kStart, Target("b"));
+  CHECK(call.Answered(kStart, kFirst, {.status = 200}).empty());
+  CHECK(Finishes(call.Answered(kStart, kSecond, {.status = 200}), ResultCode::kOk));
+}
+
+TEST_GROUP(CallRefusedBeforeRunning) { RetryBudget budget{Percent(10)}; };
+
+TEST(CallRefusedBeforeRunning, TriesAnotherTargetWhateverItsKind) {
+  for (const CallKind kind : {CallKind::kOther, CallKind::kIdempotent, CallKind::kAtMostOnce}) {
+    Call call = Sent(kind, budget);
+    CHECK(TriesAgain(call.Refused(kStart, kFirst, {ResultCode::kOverloaded})));
+    call.Chosen(kStart, Target("b"));
+    const bool once = kind == CallKind::kAtMostOnce;
+    CHECK(Finishes(call.Refused(kStart, kSecond, {ResultCode::kOverloaded}),
+                   once ? ResultCode::kNotStarted : ResultCode::kOverloaded));
+  }
+}
+
+TEST(CallRefusedBeforeRunning, IsNotRetriedWithoutBudget) {
+  Call call = Sent(CallKind::kIdempotent, budget);
+  while (budget.TryTake()) {
+  }
+  CHECK(Finishes(call.Refused(kStart, kFirst, {ResultCode::kDraining}), ResultCode::kDraining));
+}
+
+TEST(CallRefusedBeforeRunning, WithoutAnyTargetSaysSo) {
+  Call call(Request(CallKind::kIdempotent), budget);
+  call.Start(kStart);
+  CHECK(Finishes(call.Chosen(kStart, std::nullopt), ResultCode::kNoReadyTarget));
+}
+
+TEST_GROUP(CallBroken) { RetryBudget budget{Percent(10)}; };
+
+TEST(CallBroken, IsRetriedUnlessItHasNoMark) {
+  CHECK(TriesAgain(Sent(CallKind::kIdempotent, budget).LinkBroken(kStart, kFirst)));
+  CHECK(TriesAgain(Sent(CallKind::kAtMostOnce, budget).LinkBroken(kStart, kFirst)));
+  CHECK(Finishes(Sent(CallKind::kOther, budget).LinkBroken(kStart, kFirst),
+                 ResultCode::kAnswerBroken));
+  CHECK(
+      Finishes(Sent(CallKind::kOther, budget).Refused(kStart, kFirst, {ResultCode::kAnswerBroken}),
+               ResultCode::kAnswerBroken));
+}
+
+TEST(CallBroken, AtMostOnceStaysUnknownWhenTheResendIsNotStarted) {
+  Call call = Sent(CallKind::kAtMostOnce, budget);
+  call.LinkBroken(kStart, kFirst);
+  call.Chosen(kStart, Target("b"));
+  CHECK(Finishes(call.Refused(kStart, kSecond, {ResultCode::kNotStarted}),
+                 ResultCode::kOutcomeUnknown));
+}
+
+TEST(CallBroken, AtMostOnceTakesTheDefiniteAnswerOfTheResend) {
+  Call call = Sent(CallKind::kAtMostOnce, budget);
+  call.LinkBroken(kStart, kFirst);
+  call.Chosen(kStart, Target("b"));
+  CHECK(Finishes(call.Refused(kStart, kSecond, {ResultCode::kNotRun}), ResultCode::kNotRun));
+}
+
+TEST(CallBroken, StopsAfterTwoTargetsDied) {
+  CallRequest request = Request(CallKind::kIdempotent);
+  request.max_attempts = AttemptCount(9);
+  Call call(request, budget);
+  call.Start(kStart);
+  call.Chosen(kStart, Target("a"));
+  const Refusal died{ResultCode::kAnswerBroken, true};
+  CHECK(TriesAgain(call.Refused(kStart, kFirst, died)));
+  call.Chosen(kStart, Target("b"));
+  CHECK(Finishes(call.Refused(kStart, kSecond, died), ResultCode::kAnswerBroken));
+}
+
+TEST_GROUP(CallTimedOut) { RetryBudget budget{Percent(10)}; };
+
+TEST(CallTimedOut, CancelsTheAttempt) {
+  Call call = Sent(CallKind::kIdempotent, budget);
+  CHECK(call.TimedOut(kDeadline - milliseconds(1)).empty());
+  const CallEffects effects = call.TimedOut(kDeadline);
+  CHECK(Find<CancelAttempt>(effects) != nullptr);
+  CHECK(Finishes(effects, ResultCode::kDeadlinePassed));
+}
+
+TEST(CallTimedOut, AtMostOnceIsRefusedInTheLedger) {
+  Call call = Sent(CallKind::kAtMostOnce, budget);
+  const CallEffects effects = call.TimedOut(kDeadline);
+  CHECK(Find<CancelAttempt>(effects) != nullptr);
+  const auto* refuse = Find<RefuseInLedger>(effects);
+  CHECK(refuse != nullptr);
+  CHECK(Finishes(call.LedgerAnswered(kDeadline, {refuse->attempt, LedgerOutcome::kRefused, {}}),
+                 ResultCode::kNotRun));
+}
+
+TEST(CallTimedOut, AtMostOnceIsUnknownWithoutTheLedger) {
+  Call call = Sent(CallKind::kAtMostOnce, budget);
+  call.TimedOut(kDeadline);
+  CHECK(Finishes(call.TimedOut(call.next_timer()), ResultCode::kOutcomeUnknown));
+}
+
+TEST(CallTimedOut, AtMostOnceWithTheDefaultTimeoutIsNotRefusedForGood) {
+  CallRequest request = Request(CallKind::kAtMostOnce);
+  request.deadline_from_caller = false;
+  Call call(request, budget);
+  call.Start(kStart);
+  call.Chosen(kStart, Target("a"));
+  CHECK(Finishes(call.TimedOut(kDeadline), ResultCode::kOutcomeUnknown));
+}
+
+TEST_GROUP(CallStopped) { RetryBudget budget{Percent(10)}; };
+
+TEST(CallStopped, ByTheCallerCancelsTheAttempt) {
+  Call call = Sent(CallKind::kOther, budget);
+  const CallEffects effects = call.CallerGone(kStart);
+  CHECK(Find<CancelAttempt>(effects) != nullptr);
+  CHECK(Finishes(effects, ResultCode::kCancelled));
+}
+
+TEST(CallStopped, ByTheCrashGuardIsRefusedInTheLedgerWhenAtMostOnce) {
+  Call read(Request(CallKind::kIdempotent), budget);
+  CHECK(Finishes(read.StartStopped(kStart), ResultCode::kStoppedAfterCrashes));
+  Call once(Request(CallKind::kAtMostOnce), budget);
+  CHECK(Find<RefuseInLedger>(once.StartStopped(kStart)) != nullptr);
+}
+
+TEST(CallStopped, WithoutAKeyWhenAtMostOnce) {
+  CallRequest request = Request(CallKind::kAtMostOnce);
+  request.key = IdempotencyKey();
+  Call call(request, budget);
+  CHECK(Finishes(call.Start(kStart), ResultCode::kKeyMissing));
+}
