--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,383 @@
+#include "http_server.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace endivecleat {
+namespace {
+
+// A connection is not read while this many bytes wait behind a request in progress.
+constexpr size_t kMaxWaitingInputBytes = 256U << 10U;
+// The next pipelined request waits while this many bytes of answers are unsent.
+constexpr size_t kMaxWaitingOutputBytes = 256U << 10U;
+// How long the rest of a request is discarded after its connection was shut down. Closing at once
+// would send a reset, which can destroy the answer before the caller reads it.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+
+HttpResponse ErrorResponse(int status) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.Add("Content-Type", "text/plain");
+  response.body = "bad request\n";
+  switch (status) {
+    case 408:
+      response.body = "the request did not arrive in time\n";
+      break;
+    case 411:
+      response.body = "a body needs Content-Length or chunked coding\n";
+      break;
+    case 413:
+      response.body = "the body exceeds the limit\n";
+      break;
+    case 431:
+      response.body = "the header exceeds the limit\n";
+      break;
+    case 501:
+      response.body = "the method or transfer coding is not supported\n";
+      break;
+    default:
+      break;
+  }
+  return response;
+}
+
+}  // namespace
+
+struct ResponseSink::Exchange {
+  std::function<void(HttpResponse)> send;  // empty once answered or gone
+  std::function<void()> on_gone;
+  bool gone = false;
+};
+
+void ResponseSink::Send(HttpResponse response) const {
+  if (auto send = std::exchange(exchange_->send, nullptr)) {
+    exchange_->on_gone = nullptr;
+    send(std::move(response));
+  }
+}
+
+void ResponseSink::OnGone(std::function<void()> task) const {
+  if (exchange_->gone) {
+    task();
+  } else if (exchange_->send) {
+    exchange_->on_gone = std::move(task);
+  }
+}
+
+bool ResponseSink::gone() const { return exchange_->gone; }
+
+class HttpServer::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(HttpServer& server, uint64_t id, int descriptor, std::string peer_ip)
+      : server_(server),
+        id_(id),
+        descriptor_(descriptor),
+        peer_ip_(std::move(peer_ip)),
+        reader_(server.limits_.message) {
+    progress_at_ = server_.loop_.now();
+    watch_ =
+        server_.loop_.Watch(descriptor_, events_, [this](uint32_t events) { OnEvents(events); });
+  }
+
+  ~Connection() { Release(); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  /// Closes the connection and tells the handler in progress.
+  void Close() {
+    const std::shared_ptr<Connection> self = shared_from_this();
+    Release();
+    server_.connections_.erase(id_);
+    if (const auto exchange = std::exchange(exchange_, nullptr)) {
+      exchange->send = nullptr;
+      exchange->gone = true;
+      if (const auto on_gone = std::exchange(exchange->on_gone, nullptr)) {
+        on_gone();
+      }
+    }
+  }
+
+  /// Closes the connection unless a request is under way, including one that waits in the kernel.
+  void CloseIfIdle() {
+    const std::shared_ptr<Connection> self = shared_from_this();
+    if (!IsIdle()) {
+      return;
+    }
+    OnReadable();
+    if (descriptor_ >= 0 && IsIdle()) {
+      Close();
+    }
+  }
+
+  void CheckTime(TimePoint now) {
+    const HttpServerLimits& limits = server_.limits_;
+    if (lingering_since_) {
+      if (now - *lingering_since_ >= kLingerTime) {
+        Close();
+      }
+    } else if (!output_.empty()) {
+      if (now - progress_at_ >= limits.transfer_timeout) {
+        Close();
+      }
+    } else if (exchange_) {
+      progress_at_ = now;
+    } else if (reader_.started()) {
+      if (now - request_at_ >= limits.transfer_timeout) {
+        Reject(408);
+      }
+    } else if (now - progress_at_ >= limits.idle_timeout) {
+      Close();
+    }
+  }
+
+ private:
+  bool IsIdle() const {
+    return !exchange_ && output_.empty() && input_.empty() && !reader_.started();
+  }
+
+  void Release() {
+    if (descriptor_ < 0) {
+      return;
+    }
+    server_.loop_.Unwatch(watch_);
+    close(std::exchange(descriptor_, -1));
+    server_.in_flight_ -= unsent_answers_ + (exchange_ ? 1 : 0);
+    unsent_answers_ = 0;
+  }
+
+  void OnEvents(uint32_t events) {
+    const std::shared_ptr<Connection> self = shared_from_this();
+    const bool reading = (events_ & EPOLLIN) != 0;
+    if ((events & EPOLLERR) != 0 || (!reading && (events & (EPOLLRDHUP | EPOLLHUP)) != 0)) {
+      Close();
+      return;
+    }
+    if ((events & EPOLLOUT) != 0) {
+      Process();  // an answer that was blocked may have held up the next request
+    }
+    if (descriptor_ >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP)) != 0) {
+      OnReadable();
+    }
+  }
+
+  void OnReadable() {
+    const SocketStatus status = ReadAvailable(descriptor_, input_);
+    if (status == SocketStatus::kClosed) {
+      Close();
+      return;
+    }
+    if (lingering_since_) {
+      input_.clear();
+      return;
+    }
+    Process();
+  }
+
+  /// Delivers the requests that are complete and writes the answers that are ready.
+  void Process() {
+    if (processing_) {
+      return;  // called from a handler that answered at once; the loop below goes on
+    }
+    processing_ = true;
+    bool more = true;
+    while (more) {
+      more = ReadRequest();
+      if (descriptor_ >= 0 && !more) {
+        more = WriteAnswers();
+      }
+    }
+    processing_ = false;
+    UpdateWatch();
+  }
+
+  /// True when a request was delivered, so that another may follow.
+  bool ReadRequest() {
+    if (descriptor_ < 0 || exchange_ || closing_ || output_.size() > kMaxWaitingOutputBytes) {
+      return false;
+    }
+    const bool was_started = reader_.started();
+    const ReadStatus status = reader_.Feed(input_);
+    if (!was_started && reader_.started()) {
+      request_at_ = server_.loop_.now();
+    }
+    if (reader_.TakeExpectContinue()) {
+      output_.Append("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (status == ReadStatus::kBad) {
+      answers_head_ = false;
+      QueueAnswer(ErrorResponse(reader_.error_status()), false);
+      return false;
+    }
+    if (status == ReadStatus::kNeedMore) {
+      return false;
+    }
+    Deliver(reader_.Take());
+    return true;
+  }
+
+  void Deliver(HttpRequest request) {
+    request.peer_ip = peer_ip_;
+    answers_head_ = request.method == "HEAD";
+    exchange_ = std::make_shared<ResponseSink::Exchange>();
+    exchange_->send = [weak = weak_from_this()](HttpResponse response) {
+      if (const auto connection = weak.lock()) {
+        connection->Answer(std::move(response));
+      }
+    };
+    ++server_.in_flight_;
+    server_.handler_(std::move(request), ResponseSink(exchange_));
+  }
+
+  void Answer(HttpResponse response) {
+    if (!exchange_ || descriptor_ < 0) {
+      return;
+    }
+    exchange_.reset();
+    ++unsent_answers_;
+    QueueAnswer(std::move(response), reader_.keep_alive() && !server_.stopping_);
+    Process();
+  }
+
+  void QueueAnswer(HttpResponse response, bool keep_alive) {
+    if (output_.empty()) {
+      progress_at_ = server_.loop_.now();
+    }
+    output_.Append(ResponseHead(response, answers_head_, keep_alive));
+    if (HasBody(response.status, answers_head_)) {
+      output_.Append(std::move(response.body));
+    }
+    closing_ = !keep_alive;
+  }
+
+  void Reject(int status) {
+    answers_head_ = false;
+    QueueAnswer(ErrorResponse(status), false);
+    Process();
+  }
+
+  /// True when room for the answers of waiting requests was made.
+  bool WriteAnswers() {
+    if (output_.empty()) {
+      return false;
+    }
+    const size_t before = output_.size();
+    const SocketStatus status = output_.Flush(descriptor_);
+    if (status == SocketStatus::kClosed) {
+      Close();
+      return false;
+    }
+    if (output_.size() != before) {
+      progress_at_ = server_.loop_.now();
+    }
+    if (status == SocketStatus::kBlocked) {
+      return false;
+    }
+    server_.in_flight_ -= std::exchange(unsent_answers_, 0);
+    if (closing_) {
+      Linger();
+      return false;
+    }
+    return !exchange_ && !input_.empty() && before > kMaxWaitingOutputBytes;
+  }
+
+  void Linger() {
+    shutdown(descriptor_, SHUT_WR);
+    lingering_since_ = server_.loop_.now();
+    input_.clear();
+  }
+
+  void UpdateWatch() {
+    if (descriptor_ < 0) {
+      return;
+    }
+    uint32_t wanted = EPOLLRDHUP;
+    if (lingering_since_ || input_.size() < kMaxWaitingInputBytes) {
+      wanted |= EPOLLIN;
+    }
+    if (!output_.empty()) {
+      wanted |= EPOLLOUT;
+    }
+    if (wanted != events_) {
+      events_ = wanted;
+      server_.loop_.ChangeWatch(watch_, events_);
+    }
+  }
+
+  HttpServer& server_;
+  const uint64_t id_;
+  int descriptor_;  // -1 once closed
+  const std::string peer_ip_;
+  WatchId watch_;
+  uint32_t events_ = EPOLLIN | EPOLLRDHUP;
+
+  RequestReader reader_;
+  std::string input_;
+  OutputQueue output_;
+  std::shared_ptr<ResponseSink::Exchange> exchange_;  // set while a handler owes an answer
+  size_t unsent_answers_ = 0;                         // answers with bytes in output_
+  bool answers_head_ = false;
+  bool closing_ = false;  // no request is read after the answer in output_
+  bool processing_ = false;
+  std::optional<TimePoint> lingering_since_;
+  TimePoint progress_at_;  // of the last write, or of the last time something was under way
+  TimePoint request_at_;
+};
+
+HttpServer::HttpServer(EventLoop& loop, const Address& address, HttpServerLimits limits,
+                       Handler handler)
+    : loop_(loop),
+      limits_(limits),
+      handler_(std::move(handler)),
+      listener_(loop, address,
+                [this](int descriptor, const Address& peer) { Accept(descriptor, peer); }) {
+  ScheduleSweep();
+}
+
+HttpServer::~HttpServer() {
+  loop_.Cancel(sweep_);
+  while (!connections_.empty()) {
+    connections_.begin()->second->Close();
+  }
+}
+
+void HttpServer::Accept(int descriptor, const Address& peer) {
+  if (connections_.size() >= limits_.connections) {
+    close(descriptor);
+    return;
+  }
+  const uint64_t id = next_connection_++;
+  connections_.emplace(id, std::make_shared<Connection>(*this, id, descriptor, peer.ip));
+}
+
+void HttpServer::StopAccepting() {
+  stopping_ = true;
+  listener_.Close();
+  const auto open = connections_;  // closing a connection removes it from connections_
+  for (const auto& [id, connection] : open) {
+    connection->CloseIfIdle();
+  }
+}
+
+void HttpServer::ScheduleSweep() {
+  const Duration shortest =
+      std::min({limits_.idle_timeout / 2, limits_.transfer_timeout / 2, kLingerTime});
+  sweep_ =
+      loop_.After(std::max<Duration>(shortest, std::chrono::milliseconds(1)), [this] { Sweep(); });
+}
+
+void HttpServer::Sweep() {
+  const TimePoint now = loop_.now();
+  const auto open = connections_;
+  for (const auto& [id, connection] : open) {
+    connection->CheckTime(now);
+  }
+  ScheduleSweep();
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/peer_network.cc
@@ -0,0 +1,608 @@
+#include "peer_network.h"
+
+#include <libwebsockets.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <optional>
+#include <system_error>
+#include <unordered_map>
+#include <vector>
+
+#include "errors.h"
+#include "http_message.h"
+#include "peer_link.h"
+#include "seeded_random.h"
+#include "tcp_socket.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr char kSubprotocol[] = "endivecleat";
+constexpr size_t kReceiveBufferBytes = 8192;  // held by libwebsockets per link
+// libwebsockets copies whatever exceeds this size before it sends it, so it must hold one write.
+constexpr size_t kWriteBytes = 4 * kMaxPieceBytes;
+constexpr size_t kMaxDatagramBytes = 2048;
+constexpr int kDatagramsPerEvent = 64;
+constexpr int kPortAttempts = 20;
+// Datagrams are not authenticated here, so forged senders must not fill the memory; the traffic of
+// addresses beyond this number is counted under the empty address.
+constexpr size_t kMaxCountedPeers = 16384;
+
+int PeerCallback(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+
+const std::array<lws_protocols, 2> kProtocols = {
+    {{kSubprotocol, PeerCallback, 0, kReceiveBufferBytes, 0, nullptr, kWriteBytes}, {}}};
+
+}  // namespace
+
+class PeerNetwork::Impl {
+ public:
+  /// libwebsockets frees the vhost some time after the network is gone; this tells its callbacks.
+  struct Owner {
+    Impl* impl;
+  };
+
+  Impl(EventLoop& loop, const Address& listen, std::string token, PeerHandler handler,
+       uint64_t seed)
+      : loop_(loop), token_(std::move(token)), handler_(std::move(handler)), random_(seed) {
+    OpenSockets(listen);
+    OpenVhost();
+  }
+
+  ~Impl() {
+    for (const auto& [id, request] : requests_) {
+      loop_.Cancel(request.timer);
+    }
+    loop_.Unwatch(datagram_watch_);
+    close(datagram_socket_);
+    owner_->impl = nullptr;
+    lws_vhost_destroy(vhost_);
+    const auto links = std::move(links_);
+    for (const auto& [id, link] : links) {
+      CancelServing(*link);
+    }
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  const Address& address() const { return listener_->address(); }
+  const std::map<Address, PeerTraffic>& traffic() const { return traffic_; }
+  uint64_t dropped_answers() const { return dropped_answers_; }
+  uint64_t refused_handshakes() const { return refused_handshakes_; }
+  size_t outstanding() const { return requests_.size(); }
+
+  size_t open_links() const {
+    size_t count = 0;
+    for (const auto& [id, link] : links_) {
+      count += link->open ? 1 : 0;
+    }
+    return count;
+  }
+
+  bool Send(const Address& to, PeerFrame frame) {
+    PeerLink* link = LinkTo(to);
+    if (link == nullptr) {
+      return false;
+    }
+    frame.kind = PeerKind::kMessage;
+    frame.stream = link->next_stream++;
+    return Push(*link, std::move(frame));
+  }
+
+  PeerRequestId Request(const Address& to, PeerChannel channel, std::string payload,
+                        Duration timeout, Callback callback) {
+    const PeerRequestId id(next_id_++);
+    RequestEntry entry;
+    entry.channel = channel;
+    entry.callback = std::move(callback);
+    PeerLink* link = LinkTo(to);
+    if (link != nullptr) {
+      entry.link = link->id;
+      entry.stream = link->next_stream++;
+    }
+    if (link != nullptr &&
+        Push(*link, {channel, entry.stream, PeerKind::kRequest, std::move(payload)})) {
+      link->requests.emplace(entry.stream, id);
+      entry.timer = loop_.After(timeout, [this, id] { OnTimeout(id); });
+    } else {
+      entry.link = 0;
+      FinishLater(id, PeerOutcome::kNotSent);
+    }
+    requests_.emplace(id, std::move(entry));
+    return id;
+  }
+
+  void Cancel(PeerRequestId id) {
+    if (requests_.contains(id)) {
+      Withdraw(requests_.at(id));
+      Take(id);
+    }
+  }
+
+  bool SendDatagram(const Address& to, const std::string& datagram) {
+    if (!SendUdp(datagram_socket_, to, datagram)) {
+      return false;
+    }
+    TrafficOf(to).datagrams.sent += datagram.size();
+    return true;
+  }
+
+  /// One event of libwebsockets; nonzero closes the connection.
+  int OnEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length);
+
+ private:
+  struct RequestEntry {
+    uint64_t link = 0;  // 0: refused, its outcome is on the way
+    uint32_t stream = 0;
+    PeerChannel channel = PeerChannel::kConfigLog;
+    Callback callback;
+    TimerId timer;
+  };
+
+  /// The link that this process opened to an address, and when it may be tried again.
+  struct Outbound {
+    uint64_t link = 0;  // 0: none
+    unsigned failures = 0;
+    TimePoint retry_at;
+  };
+
+  void OpenSockets(const Address& listen);
+  void OpenVhost();
+
+  PeerLink* LinkTo(const Address& to);
+  PeerLink* OpenLink(const Address& to, Outbound& outbound);
+  PeerLink* FindLink(lws* wsi);
+  bool Push(PeerLink& link, PeerFrame frame);
+  void OnOpen(PeerLink& link, lws* wsi);
+  void OnClosed(uint64_t id);
+  void CancelServing(PeerLink& link);
+  int OnHandshake(lws* wsi);
+  int OnWritable(PeerLink& link);
+  int OnBytes(PeerLink& link, std::string_view bytes);
+  void OnFrame(PeerLink& link, PeerFrame frame);
+  void OnRequest(PeerLink& link, PeerFrame frame);
+  void OnResponse(PeerLink& link, PeerFrame frame);
+  void OnCancelFrame(PeerLink& link, uint32_t stream);
+  bool Reply(uint64_t link_id, PeerFrame frame);
+
+  bool Withdraw(const RequestEntry& entry);
+  void OnTimeout(PeerRequestId id);
+  std::optional<RequestEntry> Take(PeerRequestId id);
+  void Finish(PeerRequestId id, PeerOutcome outcome);
+  void FinishLater(PeerRequestId id, PeerOutcome::Kind kind);
+
+  void OnDatagrams();
+  PeerTraffic& TrafficOf(const Address& peer);
+
+  EventLoop& loop_;
+  std::string token_;
+  PeerHandler handler_;
+  SeededRandom random_;
+  std::unique_ptr<TcpListener> listener_;
+  int datagram_socket_ = -1;
+  WatchId datagram_watch_;
+  lws_vhost* vhost_ = nullptr;
+  Owner* owner_ = nullptr;  // freed with the vhost
+
+  uint64_t next_id_ = 1;
+  std::unordered_map<uint64_t, std::unique_ptr<PeerLink>> links_;
+  std::unordered_map<Address, Outbound> outbound_;
+  std::unordered_map<PeerRequestId, RequestEntry> requests_;
+  std::map<Address, PeerTraffic> traffic_;
+  uint64_t dropped_answers_ = 0;
+  uint64_t refused_handshakes_ = 0;
+  std::string write_buffer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+namespace {
+
+int PeerCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* in, size_t length) {
+  lws_vhost* vhost = lws_get_vhost(wsi);
+  auto* owner = vhost == nullptr
+                    ? nullptr
+                    : static_cast<PeerNetwork::Impl::Owner*>(lws_get_vhost_user(vhost));
+  if (owner == nullptr || owner->impl == nullptr) {
+    return 0;
+  }
+  return owner->impl->OnEvent(wsi, reason, in, length);
+}
+
+void FreeOwner(lws_vhost* /*vhost*/, void* owner) {
+  delete static_cast<PeerNetwork::Impl::Owner*>(owner);
+}
+
+}  // namespace
+
+void PeerNetwork::Impl::OpenSockets(const Address& listen) {
+  for (int attempt = 1; datagram_socket_ < 0; ++attempt) {
+    listener_ =
+        std::make_unique<TcpListener>(loop_, listen, [this](int descriptor, const Address&) {
+          lws_adopt_socket_vhost(vhost_, descriptor);  // closes the descriptor when it fails
+        });
+    try {
+      datagram_socket_ = BindUdp(listener_->address());
+    } catch (const std::system_error&) {
+      // The kernel chose a port that is free for TCP only.
+      if (listen.port != 0 || attempt == kPortAttempts) {
+        throw;
+      }
+    }
+  }
+  datagram_watch_ = loop_.Watch(datagram_socket_, EPOLLIN, [this](uint32_t) { OnDatagrams(); });
+}
+
+void PeerNetwork::Impl::OpenVhost() {
+  owner_ = new Owner{this};
+  const std::string name = "peers-" + address().text();
+  lws_context_creation_info info = {};
+  info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+  info.protocols = kProtocols.data();
+  info.vhost_name = name.c_str();
+  info.user = owner_;
+  info.finalize = FreeOwner;
+  info.finalize_arg = owner_;
+  vhost_ = lws_create_vhost(loop_.context(), &info);
+  ENDIVECLEAT_CHECK(vhost_ != nullptr, "libwebsockets refuses the vhost " + name);
+}
+
+int PeerNetwork::Impl::OnEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length) {
+  PeerLink* link = FindLink(wsi);
+  switch (reason) {
+    case LWS_CALLBACK_HTTP:
+      return -1;  // a plain HTTP request
+    case LWS_CALLBACK_HTTP_CONFIRM_UPGRADE:
+      return EqualIgnoringCase(static_cast<const char*>(in), "websocket") ? 0 : -1;
+    case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
+      return OnHandshake(wsi);
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
+      auto** position = static_cast<unsigned char**>(in);
+      return link != nullptr && WriteHandshake(wsi, {token_, link->epoch, address()}, position,
+                                               *position + length)
+                 ? 0
+                 : -1;
+    }
+    case LWS_CALLBACK_ESTABLISHED:
+    case LWS_CALLBACK_CLIENT_ESTABLISHED:
+      if (link == nullptr) {
+        return -1;
+      }
+      OnOpen(*link, wsi);
+      return 0;
+    case LWS_CALLBACK_RECEIVE:
+    case LWS_CALLBACK_CLIENT_RECEIVE:
+      return link == nullptr ? -1 : OnBytes(*link, {static_cast<const char*>(in), length});
+    case LWS_CALLBACK_SERVER_WRITEABLE:
+    case LWS_CALLBACK_CLIENT_WRITEABLE:
+      return link == nullptr ? -1 : OnWritable(*link);
+    case LWS_CALLBACK_CLOSED:
+    case LWS_CALLBACK_CLIENT_CLOSED:
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_WSI_DESTROY:
+      if (link != nullptr) {
+        loop_.Guard([&] { OnClosed(link->id); });
+      }
+      return 0;
+    default:
+      return 0;
+  }
+}
+
+PeerLink* PeerNetwork::Impl::FindLink(lws* wsi) {
+  const auto id = reinterpret_cast<uintptr_t>(lws_get_opaque_user_data(wsi));
+  const auto found = links_.find(id);
+  return found == links_.end() ? nullptr : found->second.get();
+}
+
+int PeerNetwork::Impl::OnHandshake(lws* wsi) {
+  const std::optional<PeerHandshake> handshake = ReadHandshake(wsi);
+  if (!handshake || !TokensEqual(handshake->token, token_)) {
+    ++refused_handshakes_;
+    return -1;
+  }
+  const uint64_t id = next_id_++;
+  links_.emplace(id, std::make_unique<PeerLink>(id, false, handshake->listen, handshake->epoch));
+  lws_set_opaque_user_data(wsi, reinterpret_cast<void*>(static_cast<uintptr_t>(id)));
+  return 0;
+}
+
+PeerLink* PeerNetwork::Impl::LinkTo(const Address& to) {
+  Outbound& outbound = outbound_[to];
+  if (outbound.link != 0) {
+    return links_.at(outbound.link).get();
+  }
+  return loop_.now() < outbound.retry_at ? nullptr : OpenLink(to, outbound);
+}
+
+PeerLink* PeerNetwork::Impl::OpenLink(const Address& to, Outbound& outbound) {
+  const uint64_t id = next_id_++;
+  const auto epoch = static_cast<uint32_t>(random_.Next());
+  links_.emplace(id, std::make_unique<PeerLink>(id, true, to, epoch));
+  outbound.link = id;
+  const std::string host = to.text();
+  lws_client_connect_info info = {};
+  info.context = loop_.context();
+  info.vhost = vhost_;
+  info.address = to.ip.c_str();
+  info.port = to.port;
+  info.path = "/";
+  info.host = host.c_str();
+  info.protocol = kSubprotocol;
+  info.local_protocol_name = kSubprotocol;
+  info.ietf_version_or_minus_one = -1;
+  info.opaque_user_data = reinterpret_cast<void*>(static_cast<uintptr_t>(id));
+  if (lws_client_connect_via_info(&info) == nullptr) {
+    OnClosed(id);
+  }
+  const auto found = links_.find(id);
+  return found == links_.end() ? nullptr : found->second.get();
+}
+
+void PeerNetwork::Impl::OnOpen(PeerLink& link, lws* wsi) {
+  SetStreamOptions(lws_get_socket_fd(wsi));
+  link.wsi = wsi;
+  link.open = true;
+  if (link.outbound) {
+    outbound_[link.peer].failures = 0;
+  }
+  if (!link.queue.empty()) {
+    lws_callback_on_writable(wsi);
+  }
+}
+
+void PeerNetwork::Impl::OnClosed(uint64_t id) {
+  auto node = links_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  PeerLink& link = *node.mapped();
+  if (link.outbound) {
+    Outbound& outbound = outbound_[link.peer];
+    outbound.link = 0;
+    if (!link.open) {
+      ++outbound.failures;
+      outbound.retry_at = loop_.now() + BackoffDelay(outbound.failures, random_);
+    }
+  }
+  for (const auto& [stream, request] : link.requests) {
+    const bool unsent = link.queue.Remove(PeerKind::kRequest, stream);
+    FinishLater(request, unsent ? PeerOutcome::kNotSent : PeerOutcome::kBroken);
+  }
+  CancelServing(link);
+}
+
+void PeerNetwork::Impl::CancelServing(PeerLink& link) {
+  const auto serving = std::move(link.serving);
+  for (const auto& [stream, state] : serving) {
+    CancelRequest(*state);
+  }
+}
+
+bool PeerNetwork::Impl::Push(PeerLink& link, PeerFrame frame) {
+  if (!link.queue.Push(std::move(frame))) {
+    return false;
+  }
+  if (link.open) {
+    lws_callback_on_writable(link.wsi);
+  }
+  return true;
+}
+
+int PeerNetwork::Impl::OnWritable(PeerLink& link) {
+  if (link.queue.empty()) {
+    return 0;
+  }
+  write_buffer_.assign(LWS_PRE, '\0');
+  std::array<uint64_t, kPeerChannels> counts = {};
+  link.queue.Take(link.epoch, kMaxPieceBytes, write_buffer_, counts);
+  PeerTraffic& traffic = TrafficOf(link.peer);
+  for (size_t i = 0; i < counts.size(); ++i) {
+    traffic.channels[i].sent += counts[i];
+  }
+  const size_t bytes = write_buffer_.size() - LWS_PRE;
+  auto* start = reinterpret_cast<unsigned char*>(write_buffer_.data()) + LWS_PRE;
+  if (lws_write(link.wsi, start, bytes, LWS_WRITE_BINARY) < 0) {
+    return -1;
+  }
+  if (!link.queue.empty()) {
+    lws_callback_on_writable(link.wsi);
+  }
+  return 0;
+}
+
+int PeerNetwork::Impl::OnBytes(PeerLink& link, std::string_view bytes) {
+  std::array<uint64_t, kPeerChannels> counts = {};
+  const uint64_t wrong_before = link.reader.wrong_epochs();
+  bool valid = false;
+  loop_.Guard([&] {
+    valid =
+        link.reader.Feed(bytes, counts, [&](PeerFrame frame) { OnFrame(link, std::move(frame)); });
+  });
+  dropped_answers_ += link.reader.wrong_epochs() - wrong_before;
+  PeerTraffic& traffic = TrafficOf(link.peer);
+  for (size_t i = 0; i < counts.size(); ++i) {
+    traffic.channels[i].received += counts[i];
+  }
+  return valid ? 0 : -1;
+}
+
+void PeerNetwork::Impl::OnFrame(PeerLink& link, PeerFrame frame) {
+  if (link.outbound != (frame.kind == PeerKind::kResponse)) {
+    ++dropped_answers_;  // only the opening side asks, and only the other side answers
+    return;
+  }
+  switch (frame.kind) {
+    case PeerKind::kMessage:
+      if (handler_.message) {
+        handler_.message(link.peer, frame.channel, std::move(frame.payload));
+      }
+      break;
+    case PeerKind::kRequest:
+      OnRequest(link, std::move(frame));
+      break;
+    case PeerKind::kResponse:
+      OnResponse(link, std::move(frame));
+      break;
+    case PeerKind::kCancel:
+      OnCancelFrame(link, frame.stream);
+      break;
+  }
+}
+
+void PeerNetwork::Impl::OnRequest(PeerLink& link, PeerFrame frame) {
+  if (!handler_.request || link.serving.contains(frame.stream)) {
+    return;
+  }
+  auto state = std::make_shared<PeerReplier::State>();
+  state->send = [this, alive = std::weak_ptr<bool>(alive_), id = link.id, channel = frame.channel,
+                 stream = frame.stream](std::string payload) {
+    return !alive.expired() &&
+           Reply(id, {channel, stream, PeerKind::kResponse, std::move(payload)});
+  };
+  link.serving.emplace(frame.stream, state);
+  handler_.request(link.peer, frame.channel, std::move(frame.payload), PeerReplier(state));
+}
+
+bool PeerNetwork::Impl::Reply(uint64_t link_id, PeerFrame frame) {
+  const auto found = links_.find(link_id);
+  if (found == links_.end()) {
+    return false;
+  }
+  found->second->serving.erase(frame.stream);
+  return Push(*found->second, std::move(frame));
+}
+
+void PeerNetwork::Impl::OnCancelFrame(PeerLink& link, uint32_t stream) {
+  const auto node = link.serving.extract(stream);
+  if (!node.empty()) {
+    CancelRequest(*node.mapped());
+  }
+}
+
+void PeerNetwork::Impl::OnResponse(PeerLink& link, PeerFrame frame) {
+  const auto found = link.requests.find(frame.stream);
+  if (found == link.requests.end() || requests_.at(found->second).channel != frame.channel) {
+    ++dropped_answers_;
+    return;
+  }
+  const PeerRequestId id = found->second;
+  link.requests.erase(found);
+  Finish(id, {PeerOutcome::kAnswered, std::move(frame.payload)});
+}
+
+/// Takes the request off its link. True when no byte of it was written; otherwise the peer is told.
+bool PeerNetwork::Impl::Withdraw(const RequestEntry& entry) {
+  const auto found = links_.find(entry.link);
+  if (found == links_.end()) {
+    return true;
+  }
+  PeerLink& link = *found->second;
+  link.requests.erase(entry.stream);
+  if (link.queue.Remove(PeerKind::kRequest, entry.stream)) {
+    return true;
+  }
+  Push(link, {entry.channel, entry.stream, PeerKind::kCancel, {}});
+  return false;
+}
+
+void PeerNetwork::Impl::OnTimeout(PeerRequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    return;
+  }
+  // Without its link the request has an outcome under way already.
+  if (links_.contains(found->second.link)) {
+    const bool unsent = Withdraw(found->second);
+    Finish(id, {unsent ? PeerOutcome::kNotSent : PeerOutcome::kTimedOut, {}});
+  }
+}
+
+std::optional<PeerNetwork::Impl::RequestEntry> PeerNetwork::Impl::Take(PeerRequestId id) {
+  auto node = requests_.extract(id);
+  if (node.empty()) {
+    return std::nullopt;
+  }
+  loop_.Cancel(node.mapped().timer);
+  return std::move(node.mapped());
+}
+
+void PeerNetwork::Impl::Finish(PeerRequestId id, PeerOutcome outcome) {
+  if (const std::optional<RequestEntry> entry = Take(id)) {
+    entry->callback(std::move(outcome));
+  }
+}
+
+void PeerNetwork::Impl::FinishLater(PeerRequestId id, PeerOutcome::Kind kind) {
+  loop_.Post([this, id, kind, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      Finish(id, {kind, {}});
+    }
+  });
+}
+
+void PeerNetwork::Impl::OnDatagrams() {
+  for (int i = 0; i < kDatagramsPerEvent; ++i) {
+    Address from;
+    std::optional<std::string> datagram = ReceiveUdp(datagram_socket_, kMaxDatagramBytes, from);
+    if (!datagram) {
+      return;
+    }
+    TrafficOf(from).datagrams.received += datagram->size();
+    if (handler_.datagram) {
+      handler_.datagram(from, std::move(*datagram));
+    }
+  }
+}
+
+PeerTraffic& PeerNetwork::Impl::TrafficOf(const Address& peer) {
+  const bool counted = traffic_.contains(peer) || traffic_.size() < kMaxCountedPeers;
+  return traffic_[counted ? peer : Address{}];
+}
+
+bool PeerReplier::Reply(std::string payload) const {
+  state_->on_cancel = nullptr;
+  const auto send = std::exchange(state_->send, nullptr);
+  return send && send(std::move(payload));
+}
+
+void PeerReplier::OnCancel(std::function<void()> task) const {
+  if (state_->cancelled) {
+    task();
+  } else if (state_->send) {
+    state_->on_cancel = std::move(task);
+  }
+}
+
+bool PeerReplier::cancelled() const { return state_->cancelled; }
+
+PeerNetwork::PeerNetwork(EventLoop& loop, const Address& listen, std::string token,
+                         PeerHandler handler, uint64_t seed)
+    : impl_(std::make_unique<Impl>(loop, listen, std::move(token), std::move(handler), seed)) {}
+
+PeerNetwork::~PeerNetwork() = default;
+
+const Address& PeerNetwork::address() const { return impl_->address(); }
+
+bool PeerNetwork::Send(const Address& to, PeerFrame frame) {
+  return impl_->Send(to, std::move(frame));
+}
+
+PeerRequestId PeerNetwork::Request(const Address& to, PeerChannel channel, std::string payload,
+                                   Duration timeout, Callback callback) {
+  return impl_->Request(to, channel, std::move(payload), timeout, std::move(callback));
+}
+
+void PeerNetwork::Cancel(PeerRequestId request) { impl_->Cancel(request); }
+
+bool PeerNetwork::SendDatagram(const Address& to, std::string datagram) {
+  return impl_->SendDatagram(to, datagram);
+}
+
+const std::map<Address, PeerTraffic>& PeerNetwork::traffic() const { return impl_->traffic(); }
+uint64_t PeerNetwork::dropped_answers() const { return impl_->dropped_answers(); }
+uint64_t PeerNetwork::refused_handshakes() const { return impl_->refused_handshakes(); }
+size_t PeerNetwork::outstanding() const { return impl_->outstanding(); }
+size_t PeerNetwork::open_links() const { return impl_->open_links(); }
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/tcp_socket.cc
@@ -0,0 +1,298 @@
+#include "tcp_socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cstring>
+#include <system_error>
+#include <utility>
+
+namespace endivecleat {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr size_t kReadBytes = 65536;
+constexpr int kReadsPerEvent = 4;
+constexpr size_t kMaxPiecesPerWrite = 16;
+constexpr int kAcceptsPerEvent = 64;
+// When descriptors run out, the listener would be ready forever; it pauses instead.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+// Unacknowledged data ends a connection after this time: a host that vanished sends no reset.
+constexpr unsigned kUserTimeoutMilliseconds = 10000;
+
+struct SocketAddress {
+  sockaddr_storage storage = {};
+  socklen_t size = sizeof(sockaddr_storage);
+
+  sockaddr* get() { return reinterpret_cast<sockaddr*>(&storage); }
+  int family() const { return storage.ss_family; }
+};
+
+std::optional<SocketAddress> ToSocketAddress(const Address& address) {
+  SocketAddress result;
+  auto* v4 = reinterpret_cast<sockaddr_in*>(&result.storage);
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(&result.storage);
+  if (inet_pton(AF_INET, address.ip.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(address.port);
+    result.size = sizeof(sockaddr_in);
+    return result;
+  }
+  if (inet_pton(AF_INET6, address.ip.c_str(), &v6->sin6_addr) == 1) {
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(address.port);
+    result.size = sizeof(sockaddr_in6);
+    return result;
+  }
+  return std::nullopt;
+}
+
+Address ToAddress(const SocketAddress& from) {
+  std::array<char, INET6_ADDRSTRLEN> text = {};
+  if (from.family() == AF_INET6) {
+    const auto* v6 = reinterpret_cast<const sockaddr_in6*>(&from.storage);
+    inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
+    return {text.data(), ntohs(v6->sin6_port)};
+  }
+  const auto* v4 = reinterpret_cast<const sockaddr_in*>(&from.storage);
+  inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
+  return {text.data(), ntohs(v4->sin_port)};
+}
+
+[[noreturn]] void Fail(int error, const std::string& what) {
+  throw std::system_error(error, std::generic_category(), what);
+}
+
+int OpenBound(const Address& address, int type) {
+  std::optional<SocketAddress> target = ToSocketAddress(address);
+  if (!target) {
+    Fail(EINVAL, address.ip + " is not an IP address");
+  }
+  const int descriptor = socket(target->family(), type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    Fail(errno, "socket");
+  }
+  const int one = 1;
+  if (type == SOCK_STREAM) {
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+  }
+  if (bind(descriptor, target->get(), target->size) != 0) {
+    const int error = errno;
+    close(descriptor);
+    Fail(error, "cannot bind " + address.text());
+  }
+  return descriptor;
+}
+
+bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
+
+}  // namespace
+
+void SetStreamOptions(int descriptor) {
+  const int one = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
+             sizeof(kUserTimeoutMilliseconds));
+}
+
+int ListenTcp(const Address& address) {
+  const int descriptor = OpenBound(address, SOCK_STREAM);
+  if (listen(descriptor, kBacklog) != 0) {
+    const int error = errno;
+    close(descriptor);
+    Fail(error, "cannot listen on " + address.text());
+  }
+  return descriptor;
+}
+
+int BindUdp(const Address& address) { return OpenBound(address, SOCK_DGRAM); }
+
+std::optional<int> ConnectTcp(const Address& address) {
+  std::optional<SocketAddress> target = ToSocketAddress(address);
+  if (!target) {
+    return std::nullopt;
+  }
+  const int descriptor = socket(target->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return std::nullopt;
+  }
+  SetStreamOptions(descriptor);
+  if (connect(descriptor, target->get(), target->size) != 0 && errno != EINPROGRESS) {
+    close(descriptor);
+    return std::nullopt;
+  }
+  return descriptor;
+}
+
+int ConnectError(int descriptor) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : errno;
+}
+
+Address LocalAddress(int descriptor) {
+  SocketAddress local;
+  if (getsockname(descriptor, local.get(), &local.size) != 0) {
+    Fail(errno, "getsockname");
+  }
+  return ToAddress(local);
+}
+
+Address RemoteAddress(int descriptor) {
+  SocketAddress remote;
+  return getpeername(descriptor, remote.get(), &remote.size) == 0 ? ToAddress(remote) : Address{};
+}
+
+bool SendUdp(int descriptor, const Address& to, std::string_view datagram) {
+  std::optional<SocketAddress> target = ToSocketAddress(to);
+  return target && sendto(descriptor, datagram.data(), datagram.size(), MSG_NOSIGNAL, target->get(),
+                          target->size) == static_cast<ssize_t>(datagram.size());
+}
+
+std::optional<std::string> ReceiveUdp(int descriptor, size_t capacity, Address& from) {
+  std::string datagram(capacity, '\0');
+  SocketAddress sender;
+  const ssize_t count =
+      recvfrom(descriptor, datagram.data(), datagram.size(), 0, sender.get(), &sender.size);
+  if (count < 0) {
+    return std::nullopt;
+  }
+  datagram.resize(static_cast<size_t>(count));
+  from = ToAddress(sender);
+  return datagram;
+}
+
+SocketStatus ReadAvailable(int descriptor, std::string& input) {
+  static thread_local std::array<char, kReadBytes> buffer;
+  for (int i = 0; i < kReadsPerEvent; ++i) {
+    const ssize_t count = recv(descriptor, buffer.data(), buffer.size(), 0);
+    if (count == 0 || (count < 0 && !WouldBlock(errno) && errno != EINTR)) {
+      return SocketStatus::kClosed;
+    }
+    if (count < 0) {
+      return SocketStatus::kBlocked;
+    }
+    input.append(buffer.data(), static_cast<size_t>(count));
+    if (static_cast<size_t>(count) < buffer.size()) {
+      return SocketStatus::kOpen;  // a close that follows is reported as the next event
+    }
+  }
+  return SocketStatus::kOpen;
+}
+
+void OutputQueue::Append(std::string bytes) {
+  if (bytes.empty()) {
+    return;
+  }
+  size_ += bytes.size();
+  pieces_.push_back(std::move(bytes));
+}
+
+void OutputQueue::Clear() {
+  pieces_.clear();
+  offset_ = 0;
+  size_ = 0;
+  written_ = 0;
+}
+
+std::string OutputQueue::TakeLast() {
+  std::string last = std::move(pieces_.back());
+  pieces_.pop_back();
+  size_ -= last.size();
+  return last;
+}
+
+SocketStatus OutputQueue::Flush(int descriptor) {
+  while (!pieces_.empty()) {
+    std::array<iovec, kMaxPiecesPerWrite> parts = {};
+    size_t count = 0;
+    for (std::string& piece : pieces_) {
+      if (count == parts.size()) {
+        break;
+      }
+      const size_t skip = count == 0 ? offset_ : 0;
+      parts[count++] = {piece.data() + skip, piece.size() - skip};
+    }
+    msghdr message = {};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = count;
+    const ssize_t sent = sendmsg(descriptor, &message, MSG_NOSIGNAL);
+    if (sent < 0 && errno == EINTR) {
+      continue;
+    }
+    if (sent < 0) {
+      return WouldBlock(errno) ? SocketStatus::kBlocked : SocketStatus::kClosed;
+    }
+    Drop(static_cast<size_t>(sent));
+  }
+  return SocketStatus::kOpen;
+}
+
+void OutputQueue::Drop(size_t count) {
+  written_ += count;
+  size_ -= count;
+  offset_ += count;
+  while (!pieces_.empty() && offset_ >= pieces_.front().size()) {
+    offset_ -= pieces_.front().size();
+    pieces_.pop_front();
+  }
+}
+
+TcpListener::TcpListener(EventLoop& loop, const Address& address, AcceptHandler handler)
+    : loop_(loop),
+      handler_(std::move(handler)),
+      descriptor_(ListenTcp(address)),
+      address_(LocalAddress(descriptor_)) {
+  Resume();
+}
+
+TcpListener::~TcpListener() { Close(); }
+
+void TcpListener::Close() {
+  if (descriptor_ < 0) {
+    return;
+  }
+  if (watch_) {
+    loop_.Unwatch(*watch_);
+  }
+  if (pause_) {
+    loop_.Cancel(*pause_);
+  }
+  close(std::exchange(descriptor_, -1));
+}
+
+void TcpListener::Resume() {
+  pause_.reset();
+  watch_ = loop_.Watch(descriptor_, EPOLLIN, [this](uint32_t) { Accept(); });
+}
+
+void TcpListener::Accept() {
+  for (int i = 0; i < kAcceptsPerEvent && descriptor_ >= 0; ++i) {
+    SocketAddress peer;
+    const int accepted = accept4(descriptor_, peer.get(), &peer.size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted >= 0) {
+      SetStreamOptions(accepted);
+      handler_(accepted, ToAddress(peer));
+      continue;
+    }
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+      loop_.Unwatch(*watch_);
+      watch_.reset();
+      pause_ = loop_.After(kAcceptPause, [this] { Resume(); });
+    }
+    if (errno != ECONNABORTED && errno != EINTR) {
+      return;
+    }
+  }
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/test/correctness/http_client_test.cc
@@ -0,0 +1,208 @@
+// Guards against requests sent twice or on a busy connection, a pool that outgrows its limit, and
+// outcomes that call a request unsent although bytes of it left.
+#include "http_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "network_fixture.h"
+
+using endivecleat::Address;
+using endivecleat::CallId;
+using endivecleat::EventLoop;
+using endivecleat::HttpClient;
+using endivecleat::HttpOutcome;
+using endivecleat::HttpRequest;
+using endivecleat::HttpServer;
+using endivecleat::HttpServerLimits;
+using endivecleat::ResponseSink;
+using endivecleat::test::Call;
+using endivecleat::test::kAnyLocalPort;
+using endivecleat::test::kLongTimeout;
+using endivecleat::test::RawListener;
+using endivecleat::test::RunFor;
+using endivecleat::test::RunUntil;
+
+namespace {
+
+HttpRequest Get(const std::string& path) { return {"GET", path, "", {}, "", ""}; }
+
+HttpRequest Post(const std::string& path, const std::string& body) {
+  return {"POST", path, "", {}, body, ""};
+}
+
+}  // namespace
+
+TEST_GROUP(HttpClientPooling) {
+  EventLoop loop;
+  std::deque<HttpRequest> requests;
+  std::deque<ResponseSink> sinks;
+  size_t most_connections = 0;
+  HttpServer server{loop, kAnyLocalPort, HttpServerLimits{},
+                    [this](HttpRequest request, const ResponseSink& sink) {
+                      most_connections = std::max(most_connections, server.connections());
+                      requests.push_back(std::move(request));
+                      sinks.push_back(sink);
+                    }};
+  HttpClient client{loop, server.address(), 3};
+  std::vector<HttpOutcome> outcomes;
+
+  CallId Send(HttpRequest request, endivecleat::Duration timeout = kLongTimeout) {
+    return client.Send(std::move(request), timeout,
+                       [this](HttpOutcome outcome) { outcomes.push_back(std::move(outcome)); });
+  }
+
+  void WaitForRequests(size_t count) {
+    CHECK(RunUntil(loop, [&] { return requests.size() >= count; }));
+  }
+};
+
+TEST(HttpClientPooling, KeepsToItsConnectionsAndAnswersEveryCallItsOwn) {
+  std::vector<std::string> answers(40);
+  size_t done = 0;
+  for (size_t i = 0; i < answers.size(); ++i) {
+    client.Send(Post("/" + std::to_string(i), std::string(i * 1000, 'b')), kLongTimeout,
+                [&, i](HttpOutcome outcome) {
+                  answers[i] = outcome.response.body;
+                  ++done;
+                });
+  }
+  LONGS_EQUAL(37, client.waiting());
+  size_t answered = 0;
+  CHECK(RunUntil(loop, [&] {
+    CHECK(client.connections() <= 3);
+    for (; answered < sinks.size(); ++answered) {
+      sinks[answered].Send({200, {}, requests[answered].path});
+    }
+    return done == answers.size();
+  }));
+  for (size_t i = 0; i < answers.size(); ++i) {
+    STRCMP_EQUAL(("/" + std::to_string(i)).c_str(), answers[i].c_str());
+    LONGS_EQUAL(std::stoul(requests[i].path.substr(1)) * 1000, requests[i].body.size());
+  }
+  LONGS_EQUAL(3, most_connections);
+  LONGS_EQUAL(40, requests.size());
+}
+
+TEST(HttpClientPooling, ReusesAConnectionAfterAPostWithBody) {
+  for (size_t i = 0; i < 5; ++i) {
+    Send(Post("/p", "body"));
+    WaitForRequests(i + 1);
+    sinks[i].Send({201, {}, ""});
+    CHECK(RunUntil(loop, [&] { return outcomes.size() == i + 1; }));
+    LONGS_EQUAL(HttpOutcome::kAnswered, outcomes[i].kind);
+    LONGS_EQUAL(201, outcomes[i].response.status);
+  }
+  LONGS_EQUAL(1, most_connections);
+}
+
+TEST(HttpClientPooling, PassesCustomFieldsBothWays) {
+  HttpRequest request = Get("/x");
+  request.query = "a=%2F";
+  request.headers.Add("Endivecleat-Timeout-Ms", "250");
+  request.headers.Add("traceparent", "00-1-2-01");
+  Send(std::move(request));
+  WaitForRequests(1);
+  STRCMP_EQUAL("a=%2F", requests[0].query.c_str());
+  STRCMP_EQUAL("250", requests[0].headers.ValueOr("endivecleat-timeout-ms", "").c_str());
+  STRCMP_EQUAL("00-1-2-01", requests[0].headers.ValueOr("traceparent", "").c_str());
+  STRCMP_EQUAL(server.address().text().c_str(), requests[0].headers.ValueOr("host", "").c_str());
+  sinks[0].Send({503, {{"Endivecleat-Result", "503"}}, ""});
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 1; }));
+  STRCMP_EQUAL("503", outcomes[0].response.headers.ValueOr("endivecleat-result", "").c_str());
+}
+
+TEST(HttpClientPooling, ReadsAnAnswerToHead) {
+  Send({"HEAD", "/h", "", {}, "", ""});
+  WaitForRequests(1);
+  sinks[0].Send({200, {{"Content-Length", "99"}}, ""});
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 1; }));
+  LONGS_EQUAL(HttpOutcome::kAnswered, outcomes[0].kind);
+  STRCMP_EQUAL("99", outcomes[0].response.headers.ValueOr("content-length", "").c_str());
+}
+
+TEST(HttpClientPooling, ReportsACallThatTimedOutInTheQueueAsNotSent) {
+  for (int i = 0; i < 3; ++i) {
+    Send(Get("/busy"));
+  }
+  Send(Get("/waiting"), std::chrono::milliseconds(20));
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 1; }));
+  LONGS_EQUAL(HttpOutcome::kNotSent, outcomes[0].kind);
+  LONGS_EQUAL(0, client.waiting());
+  RunFor(loop, std::chrono::milliseconds(50));
+  LONGS_EQUAL(3, requests.size());
+}
+
+TEST(HttpClientPooling, ReportsACallThatTimedOutAfterSendingAsTimedOut) {
+  Send(Get("/slow"), std::chrono::milliseconds(50));
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 1; }));
+  LONGS_EQUAL(HttpOutcome::kTimedOut, outcomes[0].kind);
+  LONGS_EQUAL(0, client.connections());
+}
+
+TEST(HttpClientPooling, CancelTellsTheTargetAndRunsNoCallback) {
+  bool gone = false;
+  const CallId call = Send(Get("/cancelled"));
+  WaitForRequests(1);
+  sinks[0].OnGone([&] { gone = true; });
+  client.Cancel(call);
+  CHECK(RunUntil(loop, [&] { return gone; }));
+  CHECK(outcomes.empty());
+  LONGS_EQUAL(0, client.outstanding());
+}
+
+TEST(HttpClientPooling, CancelOfAWaitingCallSendsNothing) {
+  for (int i = 0; i < 3; ++i) {
+    Send(Get("/busy"));
+  }
+  client.Cancel(Send(Get("/cancelled")));
+  WaitForRequests(3);
+  for (const ResponseSink& sink : sinks) {
+    sink.Send({200, {}, ""});
+  }
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 3; }));
+  RunFor(loop, std::chrono::milliseconds(20));
+  LONGS_EQUAL(3, requests.size());
+}
+
+TEST(HttpClientPooling, ReplacesAConnectionThatTheTargetClosedWhileIdle) {
+  Send(Get("/1"));
+  WaitForRequests(1);
+  sinks[0].Send({200, {}, ""});
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 1; }));
+  const Address address = server.address();
+  server.StopAccepting();  // closes the idle connection; the client has not seen it yet
+  HttpServer successor(loop, address, HttpServerLimits{},
+                       [](const HttpRequest&, const ResponseSink& sink) {
+                         sink.Send({200, {}, "successor"});
+                       });
+  Send(Get("/2"));
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 2; }));
+  LONGS_EQUAL(HttpOutcome::kAnswered, outcomes[1].kind);
+  STRCMP_EQUAL("successor", outcomes[1].response.body.c_str());
+}
+
+TEST(HttpClientPooling, RefusesARequestThatWouldBeReadAsAnother) {
+  Send(Get("/a HTTP/1.1\r\nX: y"));
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 1; }));
+  LONGS_EQUAL(HttpOutcome::kNotSent, outcomes[0].kind);
+  LONGS_EQUAL(0, requests.size());
+}
+
+TEST_GROUP(HttpClientWithoutTarget) { EventLoop loop; };
+
+TEST(HttpClientWithoutTarget, ReportsRefusedConnectionsAsNotSent) {
+  Address address;
+  {
+    const RawListener closed(loop);
+    address = closed.address();
+  }
+  HttpClient client(loop, address, 2);
+  for (int i = 0; i < 3; ++i) {
+    LONGS_EQUAL(HttpOutcome::kNotSent, Call(loop, client, Get("/")).kind);
+  }
+  LONGS_EQUAL(0, client.connections());
+}
--- /dev/null
+++ b/test/network_fixture.h
@@ -0,0 +1,146 @@
+// Helpers for tests over real sockets on 127.0.0.1: a loop with an overall limit, and connections
+// and listeners that send and record raw bytes.
+#ifndef ENDIVECLEAT_TEST_NETWORK_FIXTURE_H_
+#define ENDIVECLEAT_TEST_NETWORK_FIXTURE_H_
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "event_loop.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "tcp_socket.h"
+
+namespace endivecleat::test {
+
+const Address kAnyLocalPort = {"127.0.0.1", 0};
+constexpr Duration kTestLimit = std::chrono::seconds(20);
+constexpr Duration kLongTimeout = std::chrono::seconds(15);
+
+/// Runs the loop until the condition holds. False when the limit passed first.
+inline bool RunUntil(EventLoop& loop, std::function<bool()> condition) {
+  bool held = false;
+  loop.SetAfterBatch([&] {
+    if (condition()) {
+      held = true;
+      loop.Stop();
+    }
+  });
+  const TimerId limit = loop.After(kTestLimit, [&] { loop.Stop(); });
+  loop.Run();
+  loop.Cancel(limit);
+  loop.SetAfterBatch(nullptr);
+  return held;
+}
+
+/// Lets the loop serve what is ready, for checks that something does not happen.
+inline void RunFor(EventLoop& loop, Duration time) {
+  bool passed = false;
+  loop.After(time, [&] { passed = true; });
+  RunUntil(loop, [&] { return passed; });
+}
+
+/// One end of a TCP connection that sends and records bytes as they are.
+class RawConnection {
+ public:
+  RawConnection(EventLoop& loop, int descriptor) : loop_(loop), descriptor_(descriptor) {
+    watch_ = loop_.Watch(descriptor_, EPOLLIN | EPOLLOUT, [this](uint32_t) { Serve(); });
+  }
+  RawConnection(EventLoop& loop, const Address& to) : RawConnection(loop, *ConnectTcp(to)) {}
+  ~RawConnection() { Close(); }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  void Send(std::string bytes) {
+    output_.Append(std::move(bytes));
+    if (descriptor_ >= 0) {
+      loop_.ChangeWatch(watch_, EPOLLIN | EPOLLOUT);
+    }
+  }
+
+  /// Closes once everything sent so far has been written.
+  void CloseAfterSending() {
+    closing_ = true;
+    Send("");
+  }
+
+  void Close() {
+    if (descriptor_ >= 0) {
+      loop_.Unwatch(watch_);
+      close(std::exchange(descriptor_, -1));
+    }
+  }
+
+  std::string received;
+  bool ended = false;  // the other end has closed
+
+ private:
+  void Serve() {
+    if (output_.Flush(descriptor_) == SocketStatus::kOpen) {
+      loop_.ChangeWatch(watch_, EPOLLIN);
+      if (closing_) {
+        Close();
+        return;
+      }
+    }
+    if (ReadAvailable(descriptor_, received) == SocketStatus::kClosed) {
+      ended = true;
+      Close();
+    }
+  }
+
+  EventLoop& loop_;
+  int descriptor_;
+  WatchId watch_;
+  OutputQueue output_;
+  bool closing_ = false;
+};
+
+/// Accepts raw connections and keeps them in order.
+class RawListener {
+ public:
+  explicit RawListener(EventLoop& loop, const Address& address = kAnyLocalPort)
+      : listener(loop, address, [this, &loop](int descriptor, const Address&) {
+          connections.push_back(std::make_unique<RawConnection>(loop, descriptor));
+        }) {}
+
+  const Address& address() const { return listener.address(); }
+  size_t size() const { return connections.size(); }
+  bool Received(size_t index, const std::string& text) const {
+    return index < size() && connections[index]->received.find(text) != std::string::npos;
+  }
+
+  TcpListener listener;
+  std::vector<std::unique_ptr<RawConnection>> connections;
+};
+
+inline size_t CountOf(const std::string& text, const std::string& part) {
+  size_t count = 0;
+  for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+/// Sends one request and waits for its outcome.
+inline HttpOutcome Call(EventLoop& loop, HttpClient& client, HttpRequest request) {
+  HttpOutcome result;
+  bool done = false;
+  client.Send(std::move(request), kLongTimeout, [&](HttpOutcome outcome) {
+    result = std::move(outcome);
+    done = true;
+  });
+  RunUntil(loop, [&] { return done; });
+  return result;
+}
+
+}  // namespace endivecleat::test
+
+#endif  // ENDIVECLEAT_TEST_NETWORK_FIXTURE_H_
