--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "errors.h"
+#include "target_pattern.h"
 
 namespace endivecleat {
 namespace {
@@ -16,23 +17,6 @@
 // A target that answers errors fast has free slots and would draw most calls.
 constexpr double kMostErrorShare = 0.5;
 
-bool Matches(std::string_view pattern, std::string_view text) {
-  const size_t star = pattern.find('*');
-  if (star == std::string_view::npos) {
-    return pattern == text;
-  }
-  if (text.substr(0, star) != pattern.substr(0, star)) {
-    return false;
-  }
-  const std::string_view rest = pattern.substr(star + 1);
-  for (size_t from = star; from <= text.size(); ++from) {
-    if (Matches(rest, text.substr(from))) {
-      return true;
-    }
-  }
-  return false;
-}
-
 double Score(uint64_t in_flight, const TargetLoad& load) {
   const auto work = static_cast<double>(in_flight + load.busy);
   return work / static_cast<double>(std::max<uint64_t>(load.slots, 1));
@@ -40,11 +24,6 @@
 
 }  // namespace
 
-bool MatchesAnyPattern(const std::vector<std::string>& patterns, const TargetId& target) {
-  return std::any_of(patterns.begin(), patterns.end(),
-                     [&](const std::string& pattern) { return Matches(pattern, target.value()); });
-}
-
 void Balancer::SetCandidates(TimePoint now, const std::vector<Candidate>& candidates,
                              const std::vector<std::string>& patterns) {
   for (auto& [instance, target] : targets_) {
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -50,9 +50,6 @@
   kAbandoned,      // cancelled by the caller; says nothing about the target
 };
 
-/// Whether the target id matches one of the patterns, in which * stands for any text.
-bool MatchesAnyPattern(const std::vector<std::string>& patterns, const TargetId& target);
-
 class Balancer {
  public:
   explicit Balancer(uint64_t seed) : random_(seed) {}
--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -105,8 +105,8 @@
   AttemptMessage message;
   reader.ExpectNumber(kAttemptFormat);
   message.service = ServiceName(reader.Text());
-  message.kind = static_cast<CallKind>(
-      reader.NumberUpTo(static_cast<uint64_t>(CallKind::kAtMostOnce)));
+  message.kind =
+      static_cast<CallKind>(reader.NumberUpTo(static_cast<uint64_t>(CallKind::kAtMostOnce)));
   message.key = IdempotencyKey(reader.Text());
   message.digest = reader.Text();
   message.attempt = AttemptId(reader.Text());
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -18,8 +18,8 @@
 struct AttemptMessage {
   ServiceName service;
   CallKind kind = CallKind::kOther;
-  IdempotencyKey key;   // of an at-most-once call
-  std::string digest;   // of an at-most-once call
+  IdempotencyKey key;  // of an at-most-once call
+  std::string digest;  // of an at-most-once call
   AttemptId attempt;
   Duration time_left{};  // until the deadline
   HttpRequest request;
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -103,8 +103,8 @@
     }
   });
   const TimePoint now = context_.loop.now();
-  const bool stopped = context_.guard.Check(DaemonContext::wall_now(), exchange->fingerprint) ==
-                       CrashVerdict::kStop;
+  const bool stopped =
+      context_.guard.Check(DaemonContext::wall_now(), exchange->fingerprint) == CrashVerdict::kStop;
   Carry(exchange, stopped ? exchange->call->StartStopped(now) : exchange->call->Start(now));
 }
 
@@ -150,7 +150,9 @@
   if (request.body.size() > policy.body_limit.value()) {
     return ResultCode::kBodyTooLarge;
   }
+  const std::string digest = RequestDigest(request.method, Target(request), request.body);
   CallRequest& call = exchange.call_request;
+  call.digest = digest;
   call.kind = KindOf(*exchange.route);
   call.id = context_.run_id + "-" + std::to_string(exchange.number.value());
   call.max_attempts = policy.max_attempts;
@@ -159,7 +161,7 @@
       return fault;
     }
   }
-  exchange.fingerprint = FingerprintOf(request.method, Target(request), request.body);
+  exchange.fingerprint = FingerprintOf(digest);
   call.deadline = context_.calls.Join(exchange.number, exchange.span.context().trace,
                                       OwnDeadline(exchange, policy));
   exchange.state = &StateOf(*exchange.service);
@@ -178,8 +180,6 @@
   }
   // A key is the caller's; two services may get the same one without meaning the same request.
   exchange.call_request.key = IdempotencyKey(exchange.service->name.value() + "/" + key);
-  exchange.call_request.digest =
-      FingerprintOf(request.method, Target(request), request.body).value();
   return std::nullopt;
 }
 
@@ -195,9 +195,9 @@
 CallerTask::ServiceState& CallerTask::StateOf(const CompiledService& service) {
   std::unique_ptr<ServiceState>& state = services_[service.name];
   if (!state) {
-    state = std::make_unique<ServiceState>(std::hash<std::string>()(context_.run_id) ^
-                                               std::hash<ServiceName>()(service.name),
-                                           service.policy.retry_percent);
+    state = std::make_unique<ServiceState>(
+        std::hash<std::string>()(context_.run_id) ^ std::hash<ServiceName>()(service.name),
+        service.policy.retry_percent);
     state->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service), {"*"});
   }
   return *state;
@@ -237,8 +237,8 @@
   for (const CallEffect& effect : effects) {
     if (const auto* choose = std::get_if<ChooseCandidate>(&effect)) {
       const TimePoint now = context_.loop.now();
-      Carry(exchange, exchange->call->Chosen(
-                          now, exchange->state->balancer.Choose(now, choose->tried)));
+      Carry(exchange,
+            exchange->call->Chosen(now, exchange->state->balancer.Choose(now, choose->tried)));
     } else if (const auto* send = std::get_if<SendAttempt>(&effect)) {
       Send(exchange, *send);
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
@@ -296,15 +296,14 @@
   const auto* answer = std::get_if<TargetAnswer>(&reply.outcome);
   if (!sent.finished) {
     sent.finished = true;
-    const AttemptResult result = answer == nullptr        ? AttemptResult::kRefused
+    const AttemptResult result = answer == nullptr       ? AttemptResult::kRefused
                                  : answer->status >= 500 ? AttemptResult::kErrorAnswered
                                                          : AttemptResult::kAnswered;
     exchange->state->balancer.Finished(now, sent.instance, result, reply.load);
   }
-  Carry(exchange, answer != nullptr
-                      ? exchange->call->Answered(now, effect.attempt, *answer)
-                      : exchange->call->Refused(now, effect.attempt,
-                                                std::get<Refusal>(reply.outcome)));
+  Carry(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
+                                    : exchange->call->Refused(now, effect.attempt,
+                                                              std::get<Refusal>(reply.outcome)));
 }
 
 void CallerTask::OnLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
@@ -315,10 +314,9 @@
     sent.finished = true;
     exchange->state->balancer.Finished(now, sent.instance, AttemptResult::kFailed, std::nullopt);
   }
-  Carry(exchange, was_sent
-                      ? exchange->call->LinkBroken(now, effect.attempt)
-                      : exchange->call->Refused(now, effect.attempt,
-                                                {ResultCode::kTargetUnreachable, false}));
+  Carry(exchange, was_sent ? exchange->call->LinkBroken(now, effect.attempt)
+                           : exchange->call->Refused(now, effect.attempt,
+                                                     {ResultCode::kTargetUnreachable, false}));
 }
 
 void CallerTask::CancelSent(Exchange& exchange, const CancelAttempt& effect) {
@@ -330,8 +328,8 @@
   }
   if (!sent.finished) {
     sent.finished = true;
-    exchange.state->balancer.Finished(context_.loop.now(), sent.instance,
-                                      AttemptResult::kAbandoned, std::nullopt);
+    exchange.state->balancer.Finished(context_.loop.now(), sent.instance, AttemptResult::kAbandoned,
+                                      std::nullopt);
   }
 }
 
@@ -386,7 +384,8 @@
     context_.loop.Cancel(*exchange->timer);
     exchange->timer.reset();
   }
-  const TimePoint due = exchange->call->finished() ? TimePoint::max() : exchange->call->next_timer();
+  const TimePoint due =
+      exchange->call->finished() ? TimePoint::max() : exchange->call->next_timer();
   if (due == TimePoint::max()) {
     return;
   }
@@ -400,8 +399,8 @@
 HttpResponse ErrorResponse(ResultCode code, const std::string& detail) {
   const ResultCodeInfo& info = Describe(code);
   HttpResponse response;
-  response.status = info.http_status == 0 ? Describe(ResultCode::kInternal).http_status
-                                          : info.http_status;
+  response.status =
+      info.http_status == 0 ? Describe(ResultCode::kInternal).http_status : info.http_status;
   response.headers.Add("content-type", "application/json");
   response.headers.Add(kResultHeader, std::to_string(static_cast<int>(code)));
   if (response.status == 503) {
--- /dev/null
+++ b/src/command_line.cc
@@ -0,0 +1,182 @@
+#include "command_line.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+
+#include "command_options.h"
+#include "configuration.h"
+#include "control_process.h"
+#include "daemon_process.h"
+#include "errors.h"
+#include "event_loop.h"
+#include "json_reader.h"
+#include "log.h"
+#include "operator_commands.h"
+#include "settings.h"
+#include "signal_watch.h"
+
+namespace endivecleat {
+namespace {
+
+using Command = int (*)(const CommandOptions&);
+
+struct Subcommand {
+  CommandUsage usage;
+  Command run;
+};
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+const std::string& RequiredSettings(const CommandOptions& options) {
+  if (options.settings.empty()) {
+    throw UserError(ResultCode::kUsage, "--settings is missing");
+  }
+  return options.settings;
+}
+
+// Only the level of the log is taken up at run time; everything else needs a restart.
+template <class Settings>
+void ReloadLog(const std::string& path, Settings (*load)(const std::string&)) {
+  try {
+    const Settings settings = load(path);
+    StartLog(settings.common.instance, settings.common.log);
+    Log(LogLevel::kInfo, "settings_reloaded");
+  } catch (const UserError& error) {
+    Log(LogLevel::kError, "settings_not_reloaded", {{"reason", std::string(error.what())}});
+  }
+}
+
+template <class Process, class Settings>
+int RunProcess(const CommandOptions& options, Settings (*load)(const std::string&)) {
+  const std::string path = RequiredSettings(options);
+  const Settings settings = load(path);
+  StartLog(settings.common.instance, settings.common.log);
+  EventLoop loop;
+  std::unique_ptr<Process> process;
+  bool draining = false;
+  const SignalWatch signals(loop, {SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
+    if (signal == SIGHUP) {
+      ReloadLog(path, load);
+    } else if (!draining) {
+      draining = true;
+      process->Drain();
+    }
+  });
+  process = std::make_unique<Process>(loop, settings, RandomSeed());
+  loop.Run();
+  Log(LogLevel::kInfo, "stopped");
+  return 0;
+}
+
+int RunControl(const CommandOptions& options) {
+  return RunProcess<ControlProcess, ControlSettings>(options, LoadControlSettings);
+}
+
+int RunDaemon(const CommandOptions& options) {
+  return RunProcess<DaemonProcess, DaemonSettings>(options, LoadDaemonSettings);
+}
+
+int RunInit(const CommandOptions& options) {
+  const ControlSettings settings = LoadControlSettings(RequiredSettings(options));
+  InitializeControl(settings);
+  std::cout << "initialised " << settings.data_folder << "\n";
+  return 0;
+}
+
+const std::vector<Subcommand>& Subcommands() {
+  static const std::vector<Subcommand> commands = {
+      {{"control", "", "Runs a control instance.", "s"}, RunControl},
+      {{"daemon", "", "Runs the daemon beside a target.", "s"}, RunDaemon},
+      {{"init", "", "Writes the data folder of a control instance of a new cluster, once.", "s"},
+       RunInit},
+      {{"check", "FILE", "Checks a configuration or a settings file; prints every problem.", "gj"},
+       RunCheck},
+      {{"submit", "FILE", "Submits a configuration.", "cojs"}, RunSubmit},
+      {{"preset", "NAME", "Switches the preset in force.", "cojs"}, RunPreset},
+      {{"show", "", "Shows version, preset, services, targets and who lacks the version.", "cjs"},
+       RunShow},
+      {{"get", "", "Prints the configuration in force or a kept version.", "cvjs"}, RunGet},
+      {{"diff", "VERSION [VERSION|FILE]", "Shows what differs between two versions.", "cjs"},
+       RunDiff},
+      {{"history", "", "Lists the accepted changes.", "cajs"}, RunHistory},
+      {{"watch", "", "Prints each change as it is accepted.", "cajs"}, RunWatch},
+      {{"drain", "TARGET", "Takes a target out of service; its requests are finished.", "cjs"},
+       RunDrain},
+  };
+  return commands;
+}
+
+int PrintHelp(std::ostream& out) {
+  out << "Usage: endivecleat COMMAND [OPTION...]\n\nCommands:\n";
+  for (const Subcommand& command : Subcommands()) {
+    std::string head = command.usage.name + " " + command.usage.arguments;
+    head.resize(std::max<size_t>(head.size(), 32), ' ');
+    out << "  " << head << command.usage.summary << "\n";
+  }
+  out << "\nendivecleat COMMAND --help lists the options of a command.\n"
+      << "Exit status: 0 done, 1 refused or failed, 2 wrong input, 3 conflict, 4 unreachable.\n";
+  return 0;
+}
+
+int Report(const UserError& error, bool json) {
+  const ResultCodeInfo& info = Describe(error.code());
+  if (json) {
+    nlohmann::json problems = nlohmann::json::array();
+    for (const Problem& problem : error.problems()) {
+      problems.push_back({{"path", problem.json_path}, {"message", problem.message}});
+    }
+    const nlohmann::json report = {{"code", static_cast<int>(error.code())},
+                                   {"name", info.name},
+                                   {"message", error.what()},
+                                   {"problems", problems}};
+    std::cout << report.dump() << "\n";
+    return info.exit_status;
+  }
+  std::cerr << "endivecleat: " << error.what() << " (" << static_cast<int>(error.code()) << " "
+            << info.name << ")\n";
+  for (const Problem& problem : error.problems()) {
+    std::cerr << "  " << problem.json_path << ": " << problem.message << "\n";
+  }
+  return info.exit_status;
+}
+
+}  // namespace
+
+int RunCommandLine(int argc, const char** argv) {
+  const std::string name = argc > 1 ? argv[1] : "";
+  if (name == "--help" || name == "help" || name == "-?") {
+    return PrintHelp(std::cout);
+  }
+  const auto& commands = Subcommands();
+  const auto command = std::find_if(commands.begin(), commands.end(), [&](const Subcommand& each) {
+    return each.usage.name == name;
+  });
+  if (command == commands.end()) {
+    PrintHelp(std::cerr);
+    return Describe(ResultCode::kUsage).exit_status;
+  }
+  bool json = false;
+  try {
+    const CommandOptions options = ReadOptions(command->usage, argc - 1, argv + 1);
+    json = options.json;
+    return command->run(options);
+  } catch (const UserError& error) {
+    return Report(error, json);
+  } catch (const std::exception& error) {
+    std::cerr << "endivecleat: " << error.what() << "\n";
+    return 1;
+  }
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/command_line.h
@@ -0,0 +1,14 @@
+// The command line of the binary: subcommands, their options by popt, their output as text or JSON
+// and their exit statuses.
+#ifndef ENDIVECLEAT_COMMAND_LINE_H_
+#define ENDIVECLEAT_COMMAND_LINE_H_
+
+namespace endivecleat {
+
+/// Runs the subcommand that the arguments name and returns the exit status of the process: 0 done,
+/// 1 refused or failed, 2 wrong input, 3 conflict, 4 unreachable or unconfirmed.
+int RunCommandLine(int argc, const char** argv);
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_COMMAND_LINE_H_
--- /dev/null
+++ b/src/command_options.cc
@@ -0,0 +1,118 @@
+#include "command_options.h"
+
+#include <popt.h>
+
+#include <array>
+#include <cstdlib>
+#include <memory>
+
+#include "errors.h"
+
+namespace endivecleat {
+namespace {
+
+// Where popt stores what it reads: it knows only C types.
+struct RawOptions {
+  char* settings = nullptr;
+  char* control = nullptr;
+  char* token_file = nullptr;
+  char* operation = nullptr;
+  char* author = nullptr;
+  char* stage = nullptr;
+  long long base = -1;     // NOLINT(google-runtime-int): popt's type
+  long long version = -1;  // NOLINT(google-runtime-int)
+  long long after = -1;    // NOLINT(google-runtime-int)
+  int timeout = 15;
+  int json = 0;
+};
+
+std::vector<poptOption> OptionTable(const std::string& set, RawOptions& raw) {
+  struct Choice {
+    char letter;  // in CommandUsage::option_set
+    poptOption option;
+  };
+  const std::array choices = std::to_array<Choice>({
+      {'s', {"settings", 's', POPT_ARG_STRING, &raw.settings, 0, "settings file", "FILE"}},
+      {'c',
+       {"control", 'c', POPT_ARG_STRING, &raw.control, 0,
+        "operators' addresses of control instances", "ADDRESS[,ADDRESS...]"}},
+      {'c',
+       {"token-file", 't', POPT_ARG_STRING, &raw.token_file, 0, "file with the operators' token",
+        "FILE"}},
+      {'c',
+       {"timeout", 0, POPT_ARG_INT, &raw.timeout, 0, "give up after this time (15)", "SECONDS"}},
+      {'o',
+       {"operation", 0, POPT_ARG_STRING, &raw.operation, 0,
+        "id of the change; repeat it to ask for the first answer again", "ID"}},
+      {'o',
+       {"base", 'b', POPT_ARG_LONGLONG, &raw.base, 0,
+        "version that the change is made against (the newest)", "VERSION"}},
+      {'o', {"author", 0, POPT_ARG_STRING, &raw.author, 0, "who makes the change ($USER)", "NAME"}},
+      {'g', {"stage", 0, POPT_ARG_STRING, &raw.stage, 0, "print this stage", "NAME"}},
+      {'v', {"version", 0, POPT_ARG_LONGLONG, &raw.version, 0, "this version", "VERSION"}},
+      {'a', {"after", 0, POPT_ARG_LONGLONG, &raw.after, 0, "only later versions", "VERSION"}},
+      {'j', {"json", 'j', POPT_ARG_NONE, &raw.json, 0, "print JSON", nullptr}},
+  });
+  std::vector<poptOption> table;
+  for (const Choice& choice : choices) {
+    if (set.find(choice.letter) != std::string::npos) {
+      table.push_back(choice.option);
+    }
+  }
+  table.push_back({nullptr, 0, POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help:", nullptr});
+  table.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
+  return table;
+}
+
+std::string TakeText(char* text) {
+  std::string result = text == nullptr ? "" : text;
+  std::free(text);  // NOLINT: popt allocates with malloc
+  return result;
+}
+
+std::optional<uint64_t> TakeNumber(int64_t number, const char* option) {
+  if (number == -1) {
+    return std::nullopt;
+  }
+  if (number < 0) {
+    throw UserError(ResultCode::kUsage, std::string(option) + " must not be negative");
+  }
+  return static_cast<uint64_t>(number);
+}
+
+}  // namespace
+
+CommandOptions ReadOptions(const CommandUsage& usage, int argc, const char** argv) {
+  RawOptions raw;
+  const std::vector<poptOption> table = OptionTable(usage.option_set, raw);
+  const std::string name = "endivecleat " + usage.name;
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+      poptGetContext(name.c_str(), argc, argv, table.data(), 0), &poptFreeContext);
+  const std::string help = "[OPTION...] " + usage.arguments + "\n" + usage.summary;
+  poptSetOtherOptionHelp(context.get(), help.c_str());
+  const int end = poptGetNextOpt(context.get());
+  if (end < -1) {
+    throw UserError(ResultCode::kUsage,
+                    std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
+                        poptStrerror(end));
+  }
+  CommandOptions options;
+  for (const char* argument = poptGetArg(context.get()); argument != nullptr;
+       argument = poptGetArg(context.get())) {
+    options.arguments.emplace_back(argument);
+  }
+  options.settings = TakeText(raw.settings);
+  options.control = TakeText(raw.control);
+  options.token_file = TakeText(raw.token_file);
+  options.operation = TakeText(raw.operation);
+  options.author = TakeText(raw.author);
+  options.stage = TakeText(raw.stage);
+  options.base = TakeNumber(raw.base, "--base");
+  options.version = TakeNumber(raw.version, "--version");
+  options.after = TakeNumber(raw.after, "--after");
+  options.timeout = std::chrono::seconds(raw.timeout);
+  options.json = raw.json != 0;
+  return options;
+}
+
+}  // namespace endivecleat
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -16,6 +16,7 @@
 
 #include "errors.h"
 #include "route_table.h"
+#include "service_policy.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -58,20 +59,6 @@
   std::string presets_text;  // canonical JSON of "presets"
 };
 
-struct ServicePolicy {
-  uint32_t slots = 9;
-  uint32_t connections = 130;
-  uint32_t queue_length = 9;
-  Duration queue_wait = std::chrono::milliseconds(100);
-  Duration warm_up = std::chrono::seconds(5);
-  Duration timeout = std::chrono::seconds(2);
-  uint32_t retry_percent = 10;
-  uint32_t max_attempts = 2;
-  ByteCount body_limit{uint64_t{4} << 20};
-
-  bool operator==(const ServicePolicy&) const = default;
-};
-
 struct CompiledService {
   ServiceName name;
   std::vector<std::string> target_patterns;
--- a/src/configuration_check.cc
+++ b/src/configuration_check.cc
@@ -34,18 +34,20 @@
 
 const std::array<PolicyFigure, 9> kPolicyFigures = {{
     {"slots", 1, 10'000,
-     [](ServicePolicy& policy, int64_t value) { policy.slots = static_cast<uint32_t>(value); },
-     [](const ServicePolicy& policy) { return int64_t{policy.slots}; }},
+     [](ServicePolicy& policy, int64_t value) {
+       policy.slots = SlotCount(static_cast<uint64_t>(value));
+     },
+     [](const ServicePolicy& policy) { return static_cast<int64_t>(policy.slots.value()); }},
     {"connections", 1, 100'000,
      [](ServicePolicy& policy, int64_t value) {
-       policy.connections = static_cast<uint32_t>(value);
+       policy.connections = ConnectionCount(static_cast<uint64_t>(value));
      },
-     [](const ServicePolicy& policy) { return int64_t{policy.connections}; }},
+     [](const ServicePolicy& policy) { return static_cast<int64_t>(policy.connections.value()); }},
     {"queue_length", 0, 100'000,
      [](ServicePolicy& policy, int64_t value) {
-       policy.queue_length = static_cast<uint32_t>(value);
+       policy.queue_length = QueueLength(static_cast<uint64_t>(value));
      },
-     [](const ServicePolicy& policy) { return int64_t{policy.queue_length}; }},
+     [](const ServicePolicy& policy) { return static_cast<int64_t>(policy.queue_length.value()); }},
     {"queue_wait_ms", 0, kMaxTimeoutMs,
      [](ServicePolicy& policy, int64_t value) { policy.queue_wait = Milliseconds(value); },
      [](const ServicePolicy& policy) { return ToMilliseconds(policy.queue_wait); }},
@@ -57,14 +59,16 @@
      [](const ServicePolicy& policy) { return ToMilliseconds(policy.timeout); }},
     {"retry_percent", 0, 100,
      [](ServicePolicy& policy, int64_t value) {
-       policy.retry_percent = static_cast<uint32_t>(value);
+       policy.retry_percent = Percent(static_cast<uint64_t>(value));
      },
-     [](const ServicePolicy& policy) { return int64_t{policy.retry_percent}; }},
+     [](const ServicePolicy& policy) {
+       return static_cast<int64_t>(policy.retry_percent.value());
+     }},
     {"max_attempts", 1, 10,
      [](ServicePolicy& policy, int64_t value) {
-       policy.max_attempts = static_cast<uint32_t>(value);
+       policy.max_attempts = AttemptCount(static_cast<uint64_t>(value));
      },
-     [](const ServicePolicy& policy) { return int64_t{policy.max_attempts}; }},
+     [](const ServicePolicy& policy) { return static_cast<int64_t>(policy.max_attempts.value()); }},
     {"body_limit_bytes", 1, kMaxBodyBytes,
      [](ServicePolicy& policy, int64_t value) {
        policy.body_limit = ByteCount(static_cast<uint64_t>(value));
@@ -151,10 +155,10 @@
       }
     }
     if (checked.policy.slots > checked.policy.connections) {
-      Report(path + "/connections", "connections (" + std::to_string(checked.policy.connections) +
-                                        ") must not be fewer than slots (" +
-                                        std::to_string(checked.policy.slots) +
-                                        "), since each request in a slot holds a connection");
+      Report(path + "/connections",
+             "connections (" + std::to_string(checked.policy.connections.value()) +
+                 ") must not be fewer than slots (" + std::to_string(checked.policy.slots.value()) +
+                 "), since each request in a slot holds a connection");
     }
     return checked;
   }
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -20,8 +20,8 @@
 
 WallTime Now() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return WallTime(static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+  return WallTime(
+      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
 }
 
 std::filesystem::path LogFolder(const ControlSettings& settings, const std::string& log) {
@@ -51,15 +51,12 @@
     : loop_(loop),
       settings_(std::move(settings)),
       node_(loop, settings_.common, settings_.peers,
-            MeshHandlers{.message = [this](const InstanceId& from, PeerChannel channel,
-                                           const std::string& bytes) {
-                           OnMessage(from, channel, bytes);
-                         },
-                         .request =
-                             [this](PeerChannel channel, const std::string& payload,
-                                    const PeerReplier& replier) {
-                               OnRequest(channel, payload, replier);
-                             }},
+            MeshHandlers{
+                .message = [this](const InstanceId& from, PeerChannel channel,
+                                  const std::string& bytes) { OnMessage(from, channel, bytes); },
+                .request =
+                    [this](PeerChannel channel, const std::string& payload,
+                           const PeerReplier& replier) { OnRequest(channel, payload, replier); }},
             seed),
       config_(settings_.common.instance, LogSettingsOf(seed), OpenFolder(settings_, "config"),
               loop.now(),
@@ -135,12 +132,11 @@
   LedgerRequest request = DecodeLedgerRequest(payload);
   request.command.at = Now();
   ++ledger_requests_;
-  const bool proposed =
-      once_.Propose(loop_.now(), EncodeLedgerCommand(request.command),
-                    [this, replier](const std::optional<LedgerAnswer>& answer) {
-                      --ledger_requests_;
-                      replier.Reply(EncodeLedgerReply(answer));
-                    });
+  const bool proposed = once_.Propose(loop_.now(), EncodeLedgerCommand(request.command),
+                                      [this, replier](const std::optional<LedgerAnswer>& answer) {
+                                        --ledger_requests_;
+                                        replier.Reply(EncodeLedgerReply(answer));
+                                      });
   if (proposed) {
     return;
   }
@@ -160,14 +156,13 @@
     return;
   }
   ++ledger_requests_;
-  node_.network().Request(*address, PeerChannel::kLedger,
-                          EncodeLedgerRequest({true, std::move(command)}), kLedgerForwardTimeout,
-                          [this, replier](const PeerOutcome& outcome) {
-                            --ledger_requests_;
-                            const bool answered = outcome.kind == PeerOutcome::kAnswered;
-                            replier.Reply(answered ? outcome.payload
-                                                   : EncodeLedgerReply(std::nullopt));
-                          });
+  node_.network().Request(
+      *address, PeerChannel::kLedger, EncodeLedgerRequest({true, std::move(command)}),
+      kLedgerForwardTimeout, [this, replier](const PeerOutcome& outcome) {
+        --ledger_requests_;
+        const bool answered = outcome.kind == PeerOutcome::kAnswered;
+        replier.Reply(answered ? outcome.payload : EncodeLedgerReply(std::nullopt));
+      });
 }
 
 void ControlProcess::Tick() {
--- a/src/crash_guard.cc
+++ b/src/crash_guard.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <string>
 
@@ -14,6 +15,7 @@
 
 constexpr uint64_t kBlockedMilliseconds = 10ULL * 60 * 1000;
 constexpr size_t kCrashesToBlock = 2;
+constexpr size_t kFingerprintDigits = 16;
 
 bool Expired(WallTime now, WallTime crash) {
   return crash.value() + kBlockedMilliseconds <= now.value();
@@ -26,21 +28,37 @@
   text += field;
 }
 
+std::string HexDigits(uint64_t number) {
+  std::array<char, kFingerprintDigits + 1> hex{};
+  std::snprintf(hex.data(), hex.size(), "%016llx",
+                static_cast<unsigned long long>(number));  // NOLINT(google-runtime-int)
+  return hex.data();
+}
+
 }  // namespace
 
-Fingerprint FingerprintOf(std::string_view method, std::string_view path, std::string_view body) {
+std::string RequestDigest(std::string_view method, std::string_view path, std::string_view body) {
   std::string text;
   AppendField(text, method);
   AppendField(text, path);
   AppendField(text, body);
   const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
-  std::array<char, 33> hex{};
-  std::snprintf(hex.data(), hex.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(hash.high64),  // NOLINT(google-runtime-int)
-                static_cast<unsigned long long>(hash.low64));  // NOLINT(google-runtime-int)
-  return Fingerprint(hex.data());
+  return HexDigits(hash.high64) + HexDigits(hash.low64);
+}
+
+Fingerprint FingerprintOf(std::string_view digest) {
+  return Fingerprint(std::string(digest.substr(0, kFingerprintDigits)));
 }
 
+uint64_t FingerprintNumber(const Fingerprint& fingerprint) {
+  uint64_t number = 0;
+  const std::string& text = fingerprint.value();
+  std::from_chars(text.data(), text.data() + text.size(), number, 16);
+  return number;
+}
+
+Fingerprint FingerprintOfNumber(uint64_t number) { return Fingerprint(HexDigits(number)); }
+
 CrashVerdict CrashGuard::Check(WallTime now, const Fingerprint& fingerprint) const {
   const size_t count = crashes(now, fingerprint);
   if (count >= kCrashesToBlock) {
--- a/src/crash_guard.h
+++ b/src/crash_guard.h
@@ -3,7 +3,9 @@
 #ifndef ENDIVECLEAT_CRASH_GUARD_H_
 #define ENDIVECLEAT_CRASH_GUARD_H_
 
+#include <cstdint>
 #include <map>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -12,8 +14,13 @@
 
 namespace endivecleat {
 
-/// XXH3-128 in hexadecimal. The path includes the query.
-Fingerprint FingerprintOf(std::string_view method, std::string_view path, std::string_view body);
+/// XXH3-128 of a request as 32 hexadecimal digits. The path includes the query.
+std::string RequestDigest(std::string_view method, std::string_view path, std::string_view body);
+
+/// The first half of a request's digest: gossip carries fingerprints as 64-bit numbers.
+Fingerprint FingerprintOf(std::string_view digest);
+uint64_t FingerprintNumber(const Fingerprint& fingerprint);
+Fingerprint FingerprintOfNumber(uint64_t number);
 
 /// What one daemon reports of one fingerprint. Times are wall times, since monotonic times of two
 /// processes cannot be compared.
--- a/src/daemon_context.h
+++ b/src/daemon_context.h
@@ -36,8 +36,8 @@
 
   static WallTime wall_now() {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return WallTime(static_cast<uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+    return WallTime(
+        static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
   }
 };
 
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -40,15 +40,12 @@
       settings_(std::move(settings)),
       tracer_(settings_.common.instance, settings_.common.trace_file, seed),
       node_(loop, settings_.common, settings_.peers,
-            MeshHandlers{.message = [this](const InstanceId& from, PeerChannel channel,
-                                           const std::string& bytes) {
-                           OnMessage(from, channel, bytes);
-                         },
-                         .request =
-                             [this](PeerChannel channel, const std::string& payload,
-                                    const PeerReplier& replier) {
-                               OnRequest(channel, payload, replier);
-                             }},
+            MeshHandlers{
+                .message = [this](const InstanceId& from, PeerChannel channel,
+                                  const std::string& bytes) { OnMessage(from, channel, bytes); },
+                .request =
+                    [this](PeerChannel channel, const std::string& payload,
+                           const PeerReplier& replier) { OnRequest(channel, payload, replier); }},
             seed),
       ledger_(node_.network(), settings_.common),
       context_{.loop = loop_,
@@ -61,11 +58,10 @@
                .run_id = RunId(settings_.common, seed)},
       target_(context_),
       callers_(context_, target_),
-      replica_(settings_.common.instance, ReplicaSettings(), MakeTransferCodec(),
-               [this](ConfigVersion version, const std::string& text) {
-                 return Install(version, text);
-               },
-               seed, loop.now()),
+      replica_(
+          settings_.common.instance, ReplicaSettings(), MakeTransferCodec(),
+          [this](ConfigVersion version, const std::string& text) { return Install(version, text); },
+          seed, loop.now()),
       caller_server_(loop, settings_.callers, CallerLimits(),
                      [this](HttpRequest request, const ResponseSink& sink) {
                        callers_.Handle(std::move(request), sink);
@@ -155,12 +151,11 @@
 
 HttpResponse DaemonProcess::Health() const {
   const auto configuration = context_.configuration;
-  const nlohmann::json body = {
-      {"instance", settings_.common.instance.value()},
-      {"version", configuration ? configuration->version().value() : 0},
-      {"preset", configuration ? configuration->preset().value() : ""},
-      {"target", TargetStateName(target_.target().state())},
-      {"running", target_.running()}};
+  const nlohmann::json body = {{"instance", settings_.common.instance.value()},
+                               {"version", configuration ? configuration->version().value() : 0},
+                               {"preset", configuration ? configuration->preset().value() : ""},
+                               {"target", TargetStateName(target_.target().state())},
+                               {"running", target_.running()}};
   HttpResponse response{.status = configuration ? 200 : 503, .headers = {}, .body = body.dump()};
   response.headers.Add("content-type", "application/json");
   return response;
@@ -258,8 +253,8 @@
 
 void DaemonProcess::FinishDrain(TimePoint not_before, TimePoint limit) {
   const TimePoint now = loop_.now();
-  const bool idle = callers_.in_flight() == 0 && target_.in_flight() == 0 &&
-                    caller_server_.in_flight() == 0;
+  const bool idle =
+      callers_.in_flight() == 0 && target_.in_flight() == 0 && caller_server_.in_flight() == 0;
   if (now < not_before || (!idle && now < limit)) {
     if (now >= not_before) {
       caller_server_.StopAccepting();
@@ -305,8 +300,7 @@
   announcement.address.ip = reader.Text("address", Presence::kRequired);
   announcement.address.port = static_cast<uint16_t>(reader.Number("port", 1, 65535, 0));
   announcement.slots = static_cast<uint32_t>(reader.Number("slots", 1, kMostSlots, 0));
-  announcement.connections =
-      static_cast<uint32_t>(reader.Number("connections", 1, kMostSlots, 0));
+  announcement.connections = static_cast<uint32_t>(reader.Number("connections", 1, kMostSlots, 0));
   reader.RejectUnknownKeys();
   if (!ParseAddress(announcement.address.ip + ":1")) {
     reader.Report("address", "must be an IP number");
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -63,7 +63,8 @@
   TimerId timer_;
 };
 
-/// The announcement in the body of POST /announce. Throws UserError (kBadRequest) with each problem.
+/// The announcement in the body of POST /announce. Throws UserError (kBadRequest) with each
+/// problem.
 Announcement ReadAnnouncement(const std::string& body);
 
 }  // namespace endivecleat
--- a/src/ledger_client.cc
+++ b/src/ledger_client.cc
@@ -86,16 +86,16 @@
     return;
   }
   const Address& control = controls_[pending->next++];
-  network_.Request(control, PeerChannel::kLedger, pending->request, kCommandTimeout,
-                   [this, pending](const PeerOutcome& outcome) {
-                     const std::optional<LedgerAnswer> answer = AnswerOf(outcome);
-                     if (!answer) {
-                       TryNext(pending);
-                       return;
-                     }
-                     pending->callback(
-                         {pending->attempt, OutcomeOf(answer->kind), FromStored(answer->answer)});
-                   });
+  network_.Request(
+      control, PeerChannel::kLedger, pending->request, kCommandTimeout,
+      [this, pending](const PeerOutcome& outcome) {
+        const std::optional<LedgerAnswer> answer = AnswerOf(outcome);
+        if (!answer) {
+          TryNext(pending);
+          return;
+        }
+        pending->callback({pending->attempt, OutcomeOf(answer->kind), FromStored(answer->answer)});
+      });
 }
 
 StoredAnswer ToStored(const TargetAnswer& answer) {
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,4 +1,6 @@
 // Entry point of the endivecleat binary.
-#include "endivecleat_io.h"
+#include "command_line.h"
 
-int main() { return 0; }
+int main(int argc, char** argv) {
+  return endivecleat::RunCommandLine(argc, const_cast<const char**>(argv));
+}
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -15,8 +15,8 @@
 
 WallTime Now() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return WallTime(static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+  return WallTime(
+      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
 }
 
 MemberRecord SelfRecord(const CommonSettings& settings, const Address& listen) {
@@ -60,21 +60,21 @@
       handlers_(std::move(handlers)),
       membership_(SelfRecord(settings, listen), GossipSettings(settings), LocalSeeds(settings),
                   seed, loop.now()),
-      network_(loop, listen, settings.mesh_token,
-               PeerHandler{
-                   .message =
-                       [this](const Address& from, PeerChannel channel,
-                              const std::string& payload) { OnMessage(from, channel, payload); },
-                   .request =
-                       [this](const Address&, PeerChannel channel, const std::string& payload,
-                              PeerReplier replier) {
-                         handlers_.request(channel, payload, std::move(replier));
-                       },
-                   .datagram =
-                       [this](const Address& from, const std::string& datagram) {
-                         SendDatagrams(membership_.Receive(loop_.now(), from, datagram));
-                       }},
-               seed) {
+      network_(
+          loop, listen, settings.mesh_token,
+          PeerHandler{
+              .message = [this](const Address& from, PeerChannel channel,
+                                const std::string& payload) { OnMessage(from, channel, payload); },
+              .request =
+                  [this](const Address&, PeerChannel channel, const std::string& payload,
+                         PeerReplier replier) {
+                    handlers_.request(channel, payload, std::move(replier));
+                  },
+              .datagram =
+                  [this](const Address& from, const std::string& datagram) {
+                    SendDatagrams(membership_.Receive(loop_.now(), from, datagram));
+                  }},
+          seed) {
   for (const ControlPeer& peer : settings.control) {
     addresses_[peer.instance] = peer.peers;
   }
--- /dev/null
+++ b/src/operator_commands.cc
@@ -0,0 +1,377 @@
+#include "operator_commands.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "configuration.h"
+#include "configuration_diff.h"
+#include "errors.h"
+#include "json_reader.h"
+#include "operator_client.h"
+#include "settings.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr auto kWatchPause = std::chrono::seconds(1);
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    throw UserError(ResultCode::kSettingsUnreadable, "cannot read the file " + path);
+  }
+  return text.str();
+}
+
+const std::string& Argument(const CommandOptions& options, size_t index, const char* what) {
+  if (options.arguments.size() <= index) {
+    throw UserError(ResultCode::kUsage, std::string(what) + " is missing");
+  }
+  return options.arguments[index];
+}
+
+std::vector<Address> ParseAddressList(const std::string& list) {
+  std::vector<Address> addresses;
+  std::stringstream parts(list);
+  for (std::string part; std::getline(parts, part, ',');) {
+    const std::optional<Address> address = ParseAddress(part);
+    if (!address) {
+      throw UserError(ResultCode::kUsage,
+                      "--control must list IP numbers with ports, such as 127.0.0.1:7001");
+    }
+    addresses.push_back(*address);
+  }
+  return addresses;
+}
+
+// {"control": ["127.0.0.1:7001", ...], "operator_token_file": "operator.token"}
+OperatorClientSettings ReadClientSettings(const std::string& path) {
+  const nlohmann::json document = nlohmann::json::parse(ReadFile(path), nullptr, false);
+  std::vector<Problem> problems;
+  JsonReader reader(document, "", problems);
+  OperatorClientSettings settings;
+  for (const std::string& text : reader.Texts("control", Presence::kRequired)) {
+    if (const auto address = ParseAddress(text)) {
+      settings.control.push_back(*address);
+    } else {
+      reader.Report("control", "has an entry that is not an IP number and a port: " + text);
+    }
+  }
+  const std::string token_file = reader.Text("operator_token_file", Presence::kRequired);
+  reader.RejectUnknownKeys();
+  if (!problems.empty()) {
+    throw UserError(ResultCode::kSettingsInvalid, "the settings are not valid", problems);
+  }
+  settings.token =
+      ReadTokenFile((std::filesystem::absolute(path).parent_path() / token_file).string());
+  return settings;
+}
+
+OperatorClient MakeClient(const CommandOptions& options) {
+  OperatorClientSettings settings;
+  if (!options.settings.empty()) {
+    settings = ReadClientSettings(options.settings);
+  }
+  if (!options.control.empty()) {
+    settings.control = ParseAddressList(options.control);
+  }
+  if (!options.token_file.empty()) {
+    settings.token = ReadTokenFile(options.token_file);
+  }
+  if (settings.control.empty() || settings.token.empty()) {
+    throw UserError(ResultCode::kUsage,
+                    "name the control instances and the token: --settings FILE, or --control and "
+                    "--token-file");
+  }
+  settings.timeout = options.timeout;
+  return OperatorClient(settings);
+}
+
+uint64_t BaseVersion(const CommandOptions& options, OperatorClient& client) {
+  if (options.base) {
+    return *options.base;
+  }
+  return client.Call("version", {{"version", 0}}).at("version").get<uint64_t>();
+}
+
+nlohmann::json ChangeParameters(const CommandOptions& options) {
+  const char* user = std::getenv("USER");  // NOLINT(concurrency-mt-unsafe)
+  const std::string author = user == nullptr ? "operator" : user;
+  const std::string operation =
+      options.operation.empty() ? NewOperationId().value() : options.operation;
+  return {{"operation", operation}, {"author", options.author.empty() ? author : options.author}};
+}
+
+// The base of the first configuration is version 0, which no control instance keeps.
+uint64_t BaseOrZero(const CommandOptions& options, OperatorClient& client) {
+  try {
+    return BaseVersion(options, client);
+  } catch (const UserError& error) {
+    if (error.code() == ResultCode::kUnknownVersion) {
+      return 0;
+    }
+    throw;
+  }
+}
+
+int SendChange(const CommandOptions& options, const std::string& method,
+               const nlohmann::json& extra) {
+  OperatorClient client = MakeClient(options);
+  nlohmann::json parameters = ChangeParameters(options);
+  parameters.update(extra);
+  parameters["base"] = BaseOrZero(options, client);
+  const nlohmann::json result = client.Call(method, parameters);
+  const uint64_t version = result.at("version").get<uint64_t>();
+  if (options.json) {
+    std::cout << nlohmann::json{{"version", version}, {"operation", parameters["operation"]}}.dump()
+              << "\n";
+  } else {
+    std::cout << "accepted as version " << version << " (operation "
+              << parameters["operation"].get<std::string>() << ")\n";
+  }
+  return 0;
+}
+
+int CheckConfiguration(const CommandOptions& options, const std::string& text) {
+  const SubmittedConfiguration submitted{text};
+  const CheckedConfiguration checked = ParseAndCheck(submitted);
+  if (options.stage.empty()) {
+    std::cout << (options.json ? "{\"valid\":true}" : "valid") << "\n";
+    return 0;
+  }
+  if (options.stage == "submitted") {
+    std::cout << ToJson(submitted) << "\n";
+  } else if (options.stage == "parsed") {
+    std::cout << ToJson(Parse(submitted)) << "\n";
+  } else if (options.stage == "checked") {
+    std::cout << ToJson(checked) << "\n";
+  } else if (options.stage == "compiled") {
+    const PresetName preset = checked.preset_in_force.value_or(checked.presets.front().name);
+    std::cout << ToJson(*Compile(checked, ConfigVersion(1), preset)) << "\n";
+  } else {
+    throw UserError(ResultCode::kUsage, "--stage must be submitted, parsed, checked or compiled");
+  }
+  return 0;
+}
+
+struct MemberLine {
+  std::string data_centre;
+  nlohmann::json member;
+};
+
+std::vector<MemberLine> CollectMembers(const std::vector<nlohmann::json>& views) {
+  std::vector<MemberLine> lines;
+  std::set<std::string> seen;
+  for (const nlohmann::json& view : views) {
+    for (const nlohmann::json& member : view.at("members")) {
+      if (seen.insert(member.at("instance").get<std::string>()).second) {
+        lines.push_back({view.at("data_centre").get<std::string>(), member});
+      }
+    }
+  }
+  return lines;
+}
+
+nlohmann::json NewestView(const std::vector<nlohmann::json>& views) {
+  nlohmann::json newest;
+  for (const nlohmann::json& view : views) {
+    const auto rank = [](const nlohmann::json& each) {
+      return std::pair(each.at("confirmed").get<bool>(), each.at("version").get<uint64_t>());
+    };
+    if (newest.is_null() || rank(view) > rank(newest)) {
+      newest = view;
+    }
+  }
+  return newest;
+}
+
+std::vector<std::string> Lagging(const std::vector<MemberLine>& lines, uint64_t version) {
+  std::vector<std::string> names;
+  for (const MemberLine& line : lines) {
+    if (line.member.at("version").get<uint64_t>() < version) {
+      names.push_back(line.member.at("instance").get<std::string>());
+    }
+  }
+  return names;
+}
+
+void PrintShow(const nlohmann::json& newest, const std::vector<MemberLine>& lines,
+               const std::vector<std::string>& lagging) {
+  std::cout << "version   " << newest.at("version")
+            << (newest.at("confirmed") ? "" : " (unconfirmed: no majority answered)")
+            << "\npreset    " << newest.at("preset").get<std::string>() << "\nleader    "
+            << newest.at("leader").get<std::string>() << " (term " << newest.at("term") << ")"
+            << "\nservices  ";
+  for (const auto& service : newest.at("services")) {
+    std::cout << service.get<std::string>() << " ";
+  }
+  std::cout << "\nlacking the version: " << lagging.size() << "\n";
+  for (const std::string& name : lagging) {
+    std::cout << "  " << name << "\n";
+  }
+  std::cout << "members\n";
+  for (const MemberLine& line : lines) {
+    const nlohmann::json& member = line.member;
+    std::cout << "  " << line.data_centre << " " << member.at("instance").get<std::string>() << " "
+              << member.at("state").get<std::string>() << " version " << member.at("version");
+    if (!member.at("service").get<std::string>().empty()) {
+      std::cout << " " << member.at("service").get<std::string>() << "/"
+                << member.at("target").get<std::string>() << " free " << member.at("free_slots")
+                << " of " << member.at("slots");
+    }
+    std::cout << "\n";
+  }
+}
+
+std::string VersionText(OperatorClient& client, uint64_t version) {
+  return client.Call("version", {{"version", version}}).at("text").get<std::string>();
+}
+
+std::optional<uint64_t> AsVersion(const std::string& argument) {
+  if (argument.empty() || argument.find_first_not_of("0123456789") != std::string::npos) {
+    return std::nullopt;
+  }
+  return std::stoull(argument);
+}
+
+// A file may leave out the preset in force; the stored text always has it.
+std::string TextOf(OperatorClient& client, const std::string& argument) {
+  const std::optional<uint64_t> version = AsVersion(argument);
+  return version ? VersionText(client, *version) : ReadFile(argument);
+}
+
+void PrintHistory(const nlohmann::json& entries, bool json) {
+  for (const nlohmann::json& entry : entries) {
+    if (json) {
+      std::cout << entry.dump() << std::endl;
+      continue;
+    }
+    std::cout << entry.at("version") << "  " << entry.at("kind").get<std::string>() << "  preset "
+              << entry.at("preset").get<std::string>() << "  by "
+              << entry.at("author").get<std::string>() << "  operation "
+              << entry.at("operation").get<std::string>() << std::endl;
+  }
+}
+
+}  // namespace
+
+int RunCheck(const CommandOptions& options) {
+  const std::string& path = Argument(options, 0, "FILE");
+  const std::string text = ReadFile(path);
+  const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+  const std::string folder = std::filesystem::absolute(path).parent_path().string();
+  if (document.is_object() && document.contains("data_folder")) {
+    ParseControlSettings(text, folder);
+  } else if (document.is_object() && document.contains("listen")) {
+    ParseDaemonSettings(text, folder);
+  } else {
+    return CheckConfiguration(options, text);
+  }
+  std::cout << (options.json ? "{\"valid\":true}" : "valid") << "\n";
+  return 0;
+}
+
+int RunSubmit(const CommandOptions& options) {
+  const std::string document = ReadFile(Argument(options, 0, "FILE"));
+  return SendChange(options, "submit", {{"document", document}});
+}
+
+int RunPreset(const CommandOptions& options) {
+  return SendChange(options, "switch_preset", {{"preset", Argument(options, 0, "NAME")}});
+}
+
+int RunShow(const CommandOptions& options) {
+  OperatorClient client = MakeClient(options);
+  const std::vector<nlohmann::json> views = client.CallEach("show", nlohmann::json::object());
+  if (views.empty()) {
+    throw UserError(ResultCode::kControlUnreachable, "no control instance answers");
+  }
+  const nlohmann::json newest = NewestView(views);
+  const std::vector<MemberLine> lines = CollectMembers(views);
+  const std::vector<std::string> lagging = Lagging(lines, newest.at("version").get<uint64_t>());
+  if (options.json) {
+    nlohmann::json members = nlohmann::json::array();
+    for (const MemberLine& line : lines) {
+      members.push_back(line.member);
+      members.back()["data_centre"] = line.data_centre;
+    }
+    nlohmann::json report = newest;
+    report["members"] = members;
+    report["lacking_the_version"] = lagging;
+    std::cout << report.dump() << "\n";
+  } else {
+    PrintShow(newest, lines, lagging);
+  }
+  const bool confirmed = newest.at("confirmed").get<bool>();
+  return confirmed ? 0 : Describe(ResultCode::kNoMajority).exit_status;
+}
+
+int RunGet(const CommandOptions& options) {
+  OperatorClient client = MakeClient(options);
+  const std::string text = VersionText(client, options.version.value_or(0));
+  std::cout << (options.json ? text : nlohmann::json::parse(text).dump(2)) << "\n";
+  return 0;
+}
+
+int RunDiff(const CommandOptions& options) {
+  OperatorClient client = MakeClient(options);
+  const std::string before = TextOf(client, Argument(options, 0, "VERSION"));
+  const std::string after =
+      options.arguments.size() > 1 ? TextOf(client, options.arguments[1]) : VersionText(client, 0);
+  const std::vector<Difference> differences = DiffDocuments(before, after);
+  if (!options.json) {
+    std::cout << FormatDifferences(differences);
+    return 0;
+  }
+  nlohmann::json list = nlohmann::json::array();
+  for (const Difference& difference : differences) {
+    list.push_back({{"path", difference.json_path},
+                    {"before", difference.before},
+                    {"after", difference.after}});
+  }
+  std::cout << list.dump() << "\n";
+  return 0;
+}
+
+int RunHistory(const CommandOptions& options) {
+  OperatorClient client = MakeClient(options);
+  const nlohmann::json answer = client.Call("history", {{"after", options.after.value_or(0)}});
+  PrintHistory(answer.at("history"), options.json);
+  return 0;
+}
+
+int RunWatch(const CommandOptions& options) {
+  OperatorClient client = MakeClient(options);
+  uint64_t after = options.after ? *options.after : BaseOrZero(options, client);
+  while (true) {
+    const nlohmann::json entries = client.Call("history", {{"after", after}}).at("history");
+    PrintHistory(entries, options.json);
+    if (!entries.empty()) {
+      after = entries.back().at("version").get<uint64_t>();
+    }
+    std::this_thread::sleep_for(kWatchPause);
+  }
+}
+
+int RunDrain(const CommandOptions& options) {
+  OperatorClient client = MakeClient(options);
+  const std::string& target = Argument(options, 0, "TARGET");
+  // Only the control instances of the target's data centre know it.
+  const std::vector<nlohmann::json> views = client.CallEach("drain", {{"target", target}});
+  if (views.empty()) {
+    throw UserError(ResultCode::kUnknownTarget, "no control instance knows the target " + target);
+  }
+  std::cout << (options.json ? views.front().dump() : "draining " + target) << "\n";
+  return 0;
+}
+
+}  // namespace endivecleat
--- a/src/operator_service.cc
+++ b/src/operator_service.cc
@@ -18,8 +18,8 @@
 
 WallTime Now() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return WallTime(static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+  return WallTime(
+      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
 }
 
 HttpResponse PlainResponse(int status, const std::string& type, std::string body) {
@@ -82,10 +82,9 @@
       replica_(replica),
       node_(node),
       metrics_(metrics),
-      server_(loop, settings.operators, HttpServerLimits{},
-              [this](const HttpRequest& request, const ResponseSink& sink) {
-                Handle(request, sink);
-              }) {
+      server_(
+          loop, settings.operators, HttpServerLimits{},
+          [this](const HttpRequest& request, const ResponseSink& sink) { Handle(request, sink); }) {
   AddMethods();
 }
 
@@ -106,9 +105,8 @@
   if (!EqualTokens(request.headers.ValueOr("authorization", ""), expected)) {
     Log(LogLevel::kWarning, "operator_refused", {{"from", request.peer_ip}});
     const ResultCodeInfo& info = Describe(ResultCode::kUnauthorized);
-    const nlohmann::json body = {{"code", static_cast<int>(info.code)},
-                                 {"name", info.name},
-                                 {"message", info.meaning}};
+    const nlohmann::json body = {
+        {"code", static_cast<int>(info.code)}, {"name", info.name}, {"message", info.meaning}};
     sink.Send(PlainResponse(info.http_status, "application/json", body.dump()));
     return;
   }
@@ -232,9 +230,9 @@
   }
   const ChangeResult& change = *outcome_.change;
   if (change.code != ResultCode::kOk) {
-    throw UserError(change.code, change.message,
-                    {{"/version", std::to_string(change.version.value())},
-                     {"/winner", change.winner.value()}});
+    throw UserError(
+        change.code, change.message,
+        {{"/version", std::to_string(change.version.value())}, {"/winner", change.winner.value()}});
   }
   return {{"version", change.version.value()}};
 }
--- a/src/peer_frame.h
+++ b/src/peer_frame.h
@@ -22,8 +22,9 @@
   kCall,
   kLedger,
   kSummary,
+  kOperations,  // what operators ask of a daemon
 };
-constexpr size_t kPeerChannels = 6;
+constexpr size_t kPeerChannels = 7;
 
 enum class PeerKind : uint8_t { kMessage, kRequest, kResponse, kCancel };
 
--- a/src/replica_task.h
+++ b/src/replica_task.h
@@ -88,8 +88,7 @@
     AppliedCallback callback;
   };
 
-  ReplicatedLog Open(const InstanceId& self, const ReplicatedLogSettings& settings,
-                     TimePoint now) {
+  ReplicatedLog Open(const InstanceId& self, const ReplicatedLogSettings& settings, TimePoint now) {
     StoredLog stored = store_.Load();
     if (!stored.snapshot.state.empty()) {
       state_ = State::Restore(stored.snapshot.state);
--- a/src/rpc_client.cc
+++ b/src/rpc_client.cc
@@ -44,9 +44,9 @@
   TransportConnector connector(transport);
   jsonrpc::Client client(connector);
   try {
-    return {true, 0, Print(client.CallMethod(method, ParseJson(parameters)))};
+    return {true, 0, "", Print(client.CallMethod(method, ParseJson(parameters)))};
   } catch (const jsonrpc::JsonRpcException& error) {
-    return {false, error.GetCode(), error.GetMessage()};
+    return {false, error.GetCode(), error.GetMessage(), Print(error.GetData())};
   }
 }
 
--- a/src/rpc_client.h
+++ b/src/rpc_client.h
@@ -11,11 +11,12 @@
 /// Sends the text of a request and returns the text of the answer. May throw what it likes.
 using RpcTransport = std::function<std::string(const std::string& request)>;
 
-/// The outcome of a call: either a result or an error of the protocol, both as JSON text.
+/// The outcome of a call.
 struct RpcOutcome {
   bool succeeded;
-  int error_code;  // of JSON-RPC; 0 when the call succeeded
-  std::string text;
+  int error_code;       // of JSON-RPC; 0 when the call succeeded
+  std::string message;  // of an error
+  std::string json;     // the result, or the data of an error
 };
 
 /// Calls a method with its parameters, an object as JSON text.
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -159,7 +159,7 @@
   request.key = message.key;
   request.attempt = AttemptId(context_.run_id + "-t" + std::to_string(number.value()));
   request.digest = message.digest;
-  request.fingerprint = FingerprintOf(http.method, target, http.body);
+  request.fingerprint = FingerprintOf(RequestDigest(http.method, target, http.body));
   request.deadline = context_.loop.now() + message.time_left;
   const std::optional<TraceContext> parent =
       ParseTraceparent(http.headers.ValueOr(kTraceparentHeader, ""));
@@ -172,8 +172,8 @@
   exchanges_[number] = exchange;
   *started = exchange;
   context_.calls.Begin(number, exchange->span.context().trace, exchange->deadline);
-  Decide(admission_.Arrive(context_.loop.now(), {number, message.kind == CallKind::kAtMostOnce,
-                                                 exchange->deadline}));
+  Decide(admission_.Arrive(context_.loop.now(),
+                           {number, message.kind == CallKind::kAtMostOnce, exchange->deadline}));
   ArmTimer(exchange);
 }
 
@@ -284,11 +284,10 @@
   HttpRequest request = exchange->message.request;
   AddForwardedFor(request);
   request.headers.Set(std::string(kTimeoutHeader), FormatTimeout(now, effect.deadline));
-  request.headers.Set(std::string(kTraceparentHeader),
-                      FormatTraceparent(exchange->span.context()));
-  exchange->target_call = client_->Send(
-      std::move(request), std::max(effect.limit - now, Duration(1)),
-      [this, exchange](const HttpOutcome& outcome) { OnOutcome(exchange, outcome); });
+  request.headers.Set(std::string(kTraceparentHeader), FormatTraceparent(exchange->span.context()));
+  exchange->target_call =
+      client_->Send(std::move(request), std::max(effect.limit - now, Duration(1)),
+                    [this, exchange](const HttpOutcome& outcome) { OnOutcome(exchange, outcome); });
 }
 
 void TargetTask::OnOutcome(const ExchangePtr& exchange, const HttpOutcome& outcome) {
--- a/src/trace.cc
+++ b/src/trace.cc
@@ -80,7 +80,8 @@
 
 TraceSpan Tracer::Start(const std::string& operation, const std::optional<TraceContext>& parent) {
   TraceContext context;
-  context.trace = parent ? parent->trace : TraceId(HexDigits(random_.Next()) + HexDigits(random_.Next()));
+  context.trace =
+      parent ? parent->trace : TraceId(HexDigits(random_.Next()) + HexDigits(random_.Next()));
   context.parent = SpanId(HexDigits(random_.Next()));
   context.sampled = parent ? parent->sampled : tracer_ != nullptr;
   std::unique_ptr<opentracing::Span> span = tracer_ ? tracer_->StartSpan(operation) : nullptr;
--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 
 #include "retry_budget.h"
+#include "target_pattern.h"
 
 using namespace endivecleat;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
--- a/test/correctness/configuration_test.cc
+++ b/test/correctness/configuration_test.cc
@@ -46,14 +46,14 @@
       {"queue_wait_ms", 4}, {"warm_up_ms", 5},      {"timeout_ms", 6},  {"retry_percent", 7},
       {"max_attempts", 8},  {"body_limit_bytes", 9}};
   const ServicePolicy policy = Compiled()->FindService(kPortal)->policy;
-  const ServicePolicy expected{1,
-                               2,
-                               3,
+  const ServicePolicy expected{endivecleat::SlotCount(1),
+                               endivecleat::ConnectionCount(2),
+                               endivecleat::QueueLength(3),
                                std::chrono::milliseconds(4),
                                std::chrono::milliseconds(5),
                                std::chrono::milliseconds(6),
-                               7,
-                               8,
+                               endivecleat::Percent(7),
+                               endivecleat::AttemptCount(8),
                                endivecleat::ByteCount(9)};
   CHECK(policy == expected);
 }
