Add the replicated log, its store and their basic tests

Cause: configuration changes and at-most-once records need one order that a majority has stored. Ruled out: swapping a lost voter in a single step, since a majority with the old voter and one with the new voter need not intersect. Change: Raft with pre-vote, check-quorum, read confirmation, batched appends,

with one synced record a batch; a linearizability checker. A learner answers a candidate that names its incarnation: with the refusal, a run of three voters stayed without a leader once the second instance was lost after the repair.

--- /dev/null
+++ b/src/log_record.cc
@@ -0,0 +1,164 @@
+#include "log_record.h"
+
+#include <xxhash.h>
+
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "errors.h"
+#include "replicated_log_message.h"
+
+namespace endivecleat {
+namespace {
+
+using Json = nlohmann::json;
+
+struct RecordHeader {
+  uint32_t length;        // of the payload in bytes
+  uint32_t length_check;  // tells a damaged length from a torn payload
+  uint64_t payload_check;
+};
+static_assert(sizeof(RecordHeader) == 16);
+
+uint32_t CheckLength(uint32_t length) {
+  return static_cast<uint32_t>(XXH3_64bits(&length, sizeof(length)));
+}
+
+std::string Frame(const Json& json) {
+  std::string payload;
+  Json::to_cbor(json, payload);
+  const auto length = static_cast<uint32_t>(payload.size());
+  ENDIVECLEAT_CHECK(length == payload.size(), "a log record exceeds 4 GiB");
+  const RecordHeader header{length, CheckLength(length),
+                            XXH3_64bits(payload.data(), payload.size())};
+  std::string record(sizeof(header), '\0');
+  std::memcpy(record.data(), &header, sizeof(header));
+  return record + payload;
+}
+
+// The payload of the good record at the start of `bytes`; nullopt when there is none.
+std::optional<std::string_view> PayloadAt(std::string_view bytes) {
+  RecordHeader header;
+  if (bytes.size() < sizeof(header)) {
+    return std::nullopt;
+  }
+  std::memcpy(&header, bytes.data(), sizeof(header));
+  const std::string_view rest = bytes.substr(sizeof(header));
+  if (header.length_check != CheckLength(header.length) || header.length > rest.size()) {
+    return std::nullopt;
+  }
+  const std::string_view payload = rest.substr(0, header.length);
+  const bool good = XXH3_64bits(payload.data(), payload.size()) == header.payload_check;
+  return good ? std::optional(payload) : std::nullopt;
+}
+
+bool HoldsGoodRecord(std::string_view bytes) {
+  for (size_t start = 0; start < bytes.size(); ++start) {
+    if (PayloadAt(bytes.substr(start))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+Json Binary(const std::string& text) {
+  return Json::binary(std::vector<uint8_t>(text.begin(), text.end()));
+}
+
+std::string Text(const Json& json) {
+  const auto& bytes = json.get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+Json HardStateToJson(const HardState& state) {
+  return {state.term.value(), state.voted_for ? Json(state.voted_for->value()) : Json(nullptr)};
+}
+
+HardState HardStateFromJson(const Json& json) {
+  HardState state{Term(json.at(0).get<uint64_t>()), std::nullopt};
+  if (!json.at(1).is_null()) {
+    state.voted_for = InstanceId(json.at(1).get<std::string>());
+  }
+  return state;
+}
+
+void AppendEntries(std::vector<LogEntry> entries, StoredLog& stored) {
+  if (entries.empty()) {
+    return;
+  }
+  const LogIndex first = entries.front().index;
+  while (!stored.entries.empty() && stored.entries.back().index >= first) {
+    stored.entries.pop_back();
+  }
+  const LogIndex last =
+      stored.entries.empty() ? stored.snapshot.index : stored.entries.back().index;
+  if (first != last.next()) {
+    throw UserError(ResultCode::kDataCorrupt,
+                    "the log lacks the entries before index " + std::to_string(first.value()));
+  }
+  std::move(entries.begin(), entries.end(), std::back_inserter(stored.entries));
+}
+
+// Keys: i incarnation, s snapshot, h hard state, e entries.
+void ApplyRecord(const Json& json, StoredLog& stored) {
+  if (json.contains("s")) {
+    stored = StoredLog{};
+    stored.incarnation = Incarnation(json.at("i").get<uint64_t>());
+    const Json& snapshot = json.at("s");
+    stored.snapshot = {LogIndex(snapshot.at(0).get<uint64_t>()),
+                       Term(snapshot.at(1).get<uint64_t>()), DecodeVoters(Text(snapshot.at(2))),
+                       Text(snapshot.at(3))};
+  }
+  if (json.contains("h")) {
+    stored.hard_state = HardStateFromJson(json.at("h"));
+  }
+  if (json.contains("e")) {
+    AppendEntries(DecodeEntries(Text(json.at("e"))), stored);
+  }
+}
+
+}  // namespace
+
+std::string EncodeWholeRecord(const StoredLog& stored) {
+  const LogSnapshot& snapshot = stored.snapshot;
+  return Frame({{"i", stored.incarnation.value()},
+                {"h", HardStateToJson(stored.hard_state)},
+                {"s",
+                 {snapshot.index.value(), snapshot.term.value(),
+                  Binary(EncodeVoters(snapshot.voters)), Binary(snapshot.state)}},
+                {"e", Binary(EncodeEntries(stored.entries))}});
+}
+
+std::string EncodeBatchRecord(const Ready& ready) {
+  Json json = Json::object();
+  if (ready.hard_state) {
+    json["h"] = HardStateToJson(*ready.hard_state);
+  }
+  if (!ready.entries.empty()) {
+    json["e"] = Binary(EncodeEntries(ready.entries));
+  }
+  return Frame(json);
+}
+
+DecodedFile DecodeLogFile(std::string_view bytes) {
+  DecodedFile file;
+  try {
+    while (const auto payload = PayloadAt(bytes.substr(file.good_bytes))) {
+      ApplyRecord(Json::from_cbor(*payload), file.stored);
+      file.good_bytes += sizeof(RecordHeader) + payload->size();
+    }
+  } catch (const Json::exception& error) {
+    throw UserError(ResultCode::kDataCorrupt,
+                    std::string("a log record cannot be decoded: ") + error.what());
+  }
+  const std::string_view rest = bytes.substr(file.good_bytes);
+  if (file.good_bytes == 0 || (!rest.empty() && HoldsGoodRecord(rest.substr(1)))) {
+    throw UserError(ResultCode::kDataCorrupt,
+                    "the log is damaged at byte " + std::to_string(file.good_bytes));
+  }
+  return file;
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/replicated_log.cc
@@ -0,0 +1,420 @@
+#include "replicated_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "errors.h"
+
+namespace endivecleat {
+
+ReplicatedLog::ReplicatedLog(InstanceId self, ReplicatedLogSettings settings, StoredLog stored,
+                             TimePoint now)
+    : self_(std::move(self)),
+      settings_(std::move(settings)),
+      incarnation_(stored.incarnation),
+      random_(settings_.seed),
+      now_(now),
+      hard_state_(std::move(stored.hard_state)),
+      log_(std::move(stored.snapshot), std::move(stored.entries)),
+      commit_(log_.snapshot()->index),
+      applied_(commit_),
+      hello_due_(now) {
+  ResetElectionTimer();
+}
+
+void ReplicatedLog::ResetElectionTimer() {
+  const Duration spread = settings_.election_timeout_max - settings_.election_timeout_min;
+  const uint64_t extra = random_.Below(static_cast<uint64_t>(spread.count()) + 1);
+  election_due_ = now_ + settings_.election_timeout_min + Duration(static_cast<int64_t>(extra));
+}
+
+void ReplicatedLog::Tick(TimePoint now) {
+  now_ = std::max(now_, now);
+  if (role_ == ReplicaRole::kLeader) {
+    LeaderTick();
+    return;
+  }
+  if (!is_voter()) {
+    if (now_ >= hello_due_) {
+      SendHello();
+    }
+    return;
+  }
+  if (now_ >= election_due_) {
+    StartPreVote();
+  }
+}
+
+TimePoint ReplicatedLog::next_timer() const {
+  if (role_ == ReplicaRole::kLeader) {
+    return heartbeat_due_;
+  }
+  return is_voter() ? election_due_ : hello_due_;
+}
+
+bool ReplicatedLog::HeardFromLeader() const {
+  return role_ == ReplicaRole::kLeader ||
+         (leader_heard_ && now_ - *leader_heard_ < settings_.election_timeout_min);
+}
+
+void ReplicatedLog::BecomeFollower(Term term, std::optional<InstanceId> leader) {
+  if (term > hard_state_.term) {
+    hard_state_ = {term, std::nullopt};
+    hard_state_changed_ = true;
+  }
+  if (role_ == ReplicaRole::kLeader) {
+    ResetElectionTimer();
+  }
+  role_ = ReplicaRole::kFollower;
+  leader_ = std::move(leader);
+  votes_.clear();
+  progress_.clear();
+  for (const PendingRead& read : reads_) {
+    read_results_.push_back({.token = read.token});
+  }
+  reads_.clear();
+}
+
+void ReplicatedLog::StartPreVote() {
+  ResetElectionTimer();
+  role_ = ReplicaRole::kPreCandidate;
+  leader_.reset();
+  votes_.clear();
+  AskForVotes(LogMessageKind::kPreVote, hard_state_.term.next());
+  CountVote(identity());
+}
+
+void ReplicatedLog::StartElection() {
+  ResetElectionTimer();
+  role_ = ReplicaRole::kCandidate;
+  hard_state_ = {hard_state_.term.next(), self_};
+  hard_state_changed_ = true;
+  votes_.clear();
+  AskForVotes(LogMessageKind::kVote, hard_state_.term);
+  CountVote(identity());
+}
+
+void ReplicatedLog::AskForVotes(LogMessageKind kind, Term term) {
+  for (const Voter& voter : voters()) {
+    Send(voter,
+         {.kind = kind, .term = term, .index = log_.last_index(), .log_term = log_.last_term()});
+  }
+}
+
+void ReplicatedLog::CountVote(const Voter& sender) {
+  votes_.insert(sender);
+  const auto granted = std::count_if(voters().begin(), voters().end(),
+                                     [&](const Voter& voter) { return votes_.contains(voter); });
+  if (static_cast<size_t>(granted) < MajorityOf(voters())) {
+    return;
+  }
+  if (role_ == ReplicaRole::kPreCandidate) {
+    StartElection();
+  } else if (role_ == ReplicaRole::kCandidate) {
+    BecomeLeader();
+  }
+}
+
+void ReplicatedLog::Receive(TimePoint now, const InstanceId& from, std::string_view bytes) {
+  const LogMessage message = DecodeLogMessage(bytes);
+  now_ = std::max(now_, now);
+  const bool for_this_incarnation = !message.to || *message.to == incarnation_;
+  if (!for_this_incarnation || from == self_) {
+    return;
+  }
+  const Voter sender{from, message.from};
+  if (AcceptTerm(sender, message)) {
+    Dispatch(sender, message);
+  }
+}
+
+// Follows a newer term and refuses an older one; false when the message is done with.
+bool ReplicatedLog::AcceptTerm(const Voter& sender, const LogMessage& message) {
+  const LogMessageKind kind = message.kind;
+  const bool names_future_term = kind == LogMessageKind::kPreVote ||
+                                 (kind == LogMessageKind::kPreVoteReply && message.accepted);
+  if (kind == LogMessageKind::kHello || names_future_term) {
+    return true;
+  }
+  if (message.term < hard_state_.term) {
+    RefuseOldTerm(sender, message);
+    return false;
+  }
+  if (message.term > hard_state_.term) {
+    // A candidate that was cut off must not depose a leader that the others still hear.
+    if (kind == LogMessageKind::kVote && HeardFromLeader()) {
+      return false;
+    }
+    BecomeFollower(message.term, std::nullopt);
+  }
+  return true;
+}
+
+// Tells a deposed leader or a late candidate the newer term.
+void ReplicatedLog::RefuseOldTerm(const Voter& sender, const LogMessage& message) {
+  if (message.kind == LogMessageKind::kVote) {
+    Send(sender, {.kind = LogMessageKind::kVoteReply, .term = hard_state_.term});
+  } else if (message.kind == LogMessageKind::kAppend || message.kind == LogMessageKind::kSnapshot) {
+    Send(sender, {.kind = LogMessageKind::kAppendReply, .term = hard_state_.term});
+  }
+}
+
+void ReplicatedLog::Dispatch(const Voter& sender, const LogMessage& message) {
+  switch (message.kind) {
+    case LogMessageKind::kPreVote:
+      return ReceivePreVote(sender, message);
+    case LogMessageKind::kVote:
+      return ReceiveVote(sender, message);
+    case LogMessageKind::kPreVoteReply:
+      if (role_ == ReplicaRole::kPreCandidate && message.accepted &&
+          message.term == hard_state_.term.next()) {
+        CountVote(sender);
+      }
+      return;
+    case LogMessageKind::kVoteReply:
+      if (role_ == ReplicaRole::kCandidate && message.accepted) {
+        CountVote(sender);
+      }
+      return;
+    case LogMessageKind::kAppend:
+      return ReceiveAppend(sender, message);
+    case LogMessageKind::kSnapshot:
+      return ReceiveSnapshot(sender, message);
+    case LogMessageKind::kAppendReply:
+      return ReceiveAppendReply(sender, message);
+    case LogMessageKind::kSnapshotReply:
+      return ReceiveSnapshotReply(sender, message);
+    case LogMessageKind::kHello:
+      return ReceiveHello(sender);
+  }
+}
+
+bool ReplicatedLog::IsUpToDate(const LogMessage& request) const {
+  return std::pair(request.log_term, request.index) >=
+         std::pair(log_.last_term(), log_.last_index());
+}
+
+void ReplicatedLog::ReceivePreVote(const Voter& sender, const LogMessage& message) {
+  // A voter that was removed while it could not hear it takes itself for a voter still.
+  if (role_ == ReplicaRole::kLeader && !Contains(voters(), sender)) {
+    ReceiveHello(sender);
+  }
+  if (!message.to) {
+    return;
+  }
+  const bool granted = message.term > hard_state_.term && !HeardFromLeader() && IsUpToDate(message);
+  Send(sender, {.kind = LogMessageKind::kPreVoteReply,
+                .term = granted ? message.term : hard_state_.term,
+                .accepted = granted});
+}
+
+// A candidate asks only the voters of its own log, by incarnation. A learner that is asked has
+// therefore been admitted, and it must answer though it may not hold the entry that admitted it:
+// the instance that would have sent the entry may be lost.
+void ReplicatedLog::ReceiveVote(const Voter& sender, const LogMessage& message) {
+  if (!message.to) {
+    return;
+  }
+  const bool free = !hard_state_.voted_for || *hard_state_.voted_for == sender.instance;
+  const bool granted = free && IsUpToDate(message);
+  if (granted) {
+    role_ = ReplicaRole::kFollower;
+    hard_state_.voted_for = sender.instance;
+    hard_state_changed_ = true;
+    ResetElectionTimer();
+  }
+  Send(sender, {.kind = LogMessageKind::kVoteReply, .term = hard_state_.term, .accepted = granted});
+}
+
+void ReplicatedLog::FollowLeader(const Voter& sender) {
+  ENDIVECLEAT_CHECK(role_ != ReplicaRole::kLeader,
+                    "two leaders in term " + std::to_string(hard_state_.term.value()));
+  BecomeFollower(hard_state_.term, sender.instance);
+  leader_heard_ = now_;
+  hello_due_ = now_ + 2 * settings_.heartbeat_interval;
+  ResetElectionTimer();
+}
+
+void ReplicatedLog::ReceiveAppend(const Voter& sender, const LogMessage& message) {
+  FollowLeader(sender);
+  LogMessage reply{.kind = LogMessageKind::kAppendReply,
+                   .term = hard_state_.term,
+                   .index = message.index,
+                   .round = message.round};
+  // What is committed here matches every leader's log, even where it is compacted away.
+  const bool matches = message.index <= commit_ || log_.TermAt(message.index) == message.log_term;
+  if (!matches) {
+    reply.hint = ConflictHint(message.index);
+    Send(sender, std::move(reply));
+    return;
+  }
+  StoreEntries(message.entries);
+  const LogIndex end(message.index.value() + message.entries.size());
+  commit_ = std::max(commit_, std::min(message.commit, end));
+  reply.accepted = true;
+  reply.index = std::max(end, commit_);
+  Send(sender, std::move(reply));
+}
+
+// Skips the whole conflicting term, so that a long wrong suffix takes few round trips.
+LogIndex ReplicatedLog::ConflictHint(LogIndex rejected) const {
+  const std::optional<Term> conflicting = log_.TermAt(rejected);
+  if (!conflicting) {
+    return log_.last_index();
+  }
+  LogIndex hint(rejected.value() - 1);
+  while (hint > commit_ && log_.TermAt(hint) == conflicting) {
+    hint = LogIndex(hint.value() - 1);
+  }
+  return hint;
+}
+
+void ReplicatedLog::StoreEntries(const std::vector<LogEntry>& entries) {
+  for (const LogEntry& entry : entries) {
+    if (entry.index <= commit_ || log_.TermAt(entry.index) == entry.term) {
+      continue;
+    }
+    if (entry.index <= log_.last_index()) {
+      log_.TruncateFrom(entry.index);
+    }
+    log_.Append(entry);
+    MarkUnstable(entry.index);
+  }
+}
+
+void ReplicatedLog::ReceiveSnapshot(const Voter& sender, const LogMessage& message) {
+  FollowLeader(sender);
+  LogMessage reply{.kind = LogMessageKind::kSnapshotReply,
+                   .term = hard_state_.term,
+                   .index = message.index,
+                   .round = message.round};
+  if (message.index > commit_) {
+    if (incoming_term_ != message.term || incoming_index_ != message.index) {
+      incoming_term_ = message.term;
+      incoming_index_ = message.index;
+      incoming_state_.clear();
+    }
+    if (message.offset == incoming_state_.size()) {
+      incoming_state_ += message.data;
+    }
+    if (incoming_state_.size() < message.total) {
+      reply.offset = incoming_state_.size();
+      Send(sender, std::move(reply));
+      return;
+    }
+    InstallSnapshot(message);
+  }
+  reply.kind = LogMessageKind::kAppendReply;
+  reply.accepted = true;
+  reply.index = commit_;
+  Send(sender, std::move(reply));
+}
+
+void ReplicatedLog::InstallSnapshot(const LogMessage& last_part) {
+  log_.Install(
+      {last_part.index, last_part.log_term, last_part.voters, std::exchange(incoming_state_, {})});
+  incoming_index_ = LogIndex();
+  commit_ = last_part.index;
+  applied_ = last_part.index;
+  snapshot_changed_ = true;
+  restore_ = true;
+  unstable_from_ = last_part.index.next();
+}
+
+void ReplicatedLog::SendHello() {
+  hello_due_ = now_ + 2 * settings_.heartbeat_interval;
+  for (const InstanceId& member : settings_.members) {
+    if (member != self_) {
+      const LogMessage hello{.kind = LogMessageKind::kHello, .from = incarnation_};
+      outbox_.push_back({member, EncodeLogMessage(hello)});
+    }
+  }
+}
+
+void ReplicatedLog::Send(const Voter& to, LogMessage message) {
+  if (to.instance == self_) {
+    return;
+  }
+  message.from = incarnation_;
+  message.to = to.incarnation;
+  outbox_.push_back({to.instance, EncodeLogMessage(message)});
+}
+
+void ReplicatedLog::MarkUnstable(LogIndex from) {
+  unstable_from_ = unstable_from_ ? std::min(*unstable_from_, from) : from;
+}
+
+void ReplicatedLog::AppendLocal(EntryKind kind, std::string payload) {
+  const LogIndex index = log_.last_index().next();
+  log_.Append({index, hard_state_.term, kind, std::move(payload)});
+  MarkUnstable(index);
+}
+
+std::optional<LogIndex> ReplicatedLog::Propose(TimePoint now, std::string command) {
+  now_ = std::max(now_, now);
+  if (role_ != ReplicaRole::kLeader) {
+    return std::nullopt;
+  }
+  AppendLocal(EntryKind::kCommand, std::move(command));
+  AdvanceCommit();
+  return log_.last_index();
+}
+
+void ReplicatedLog::RequestRead(TimePoint now, uint64_t token) {
+  now_ = std::max(now_, now);
+  if (role_ != ReplicaRole::kLeader) {
+    read_results_.push_back({.token = token});
+    return;
+  }
+  if (!round_open_) {
+    ++round_;
+    round_open_ = true;
+    heartbeat_wanted_ = true;
+  }
+  reads_.push_back({token, round_});
+}
+
+Ready ReplicatedLog::TakeReady() {
+  if (role_ == ReplicaRole::kLeader) {
+    ConfirmReads();
+    FlushToPeers();
+  }
+  Ready ready;
+  if (std::exchange(hard_state_changed_, false)) {
+    ready.hard_state = hard_state_;
+  }
+  if (std::exchange(snapshot_changed_, false)) {
+    ready.snapshot = *log_.snapshot();
+  }
+  ready.restore = std::exchange(restore_, false);
+  if (unstable_from_) {
+    ready.entries = log_.Slice(*unstable_from_, log_.last_index(), ByteCount(UINT64_MAX));
+    unstable_from_.reset();
+  }
+  ready.messages = std::exchange(outbox_, {});
+  ready.reads = std::exchange(read_results_, {});
+  FillCommitted(ready);
+  return ready;
+}
+
+void ReplicatedLog::FillCommitted(Ready& ready) {
+  if (applied_ < commit_) {
+    ready.committed = log_.Slice(applied_.next(), commit_, ByteCount(UINT64_MAX));
+    applied_ = commit_;
+  }
+}
+
+void ReplicatedLog::Compact(LogIndex through, std::string state) {
+  ENDIVECLEAT_CHECK(through <= applied_, "an entry that was not applied cannot be compacted");
+  log_.Compact(through, std::move(state));
+  snapshot_changed_ = true;
+  unstable_from_ = through.next();
+}
+
+bool ReplicatedLog::wants_compaction() const {
+  const LogIndex start = log_.snapshot()->index;
+  return applied_.value() - start.value() >= kCompactionEntries ||
+         log_.BytesSinceSnapshot(applied_).value() >= kCompactionBytes;
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/replicated_log_leader.cc
@@ -0,0 +1,294 @@
+// The leader's part of a replicated log: replication, commitment, read confirmation and changes of
+// the voter set.
+#include <algorithm>
+#include <utility>
+
+#include "errors.h"
+#include "replicated_log.h"
+
+namespace endivecleat {
+namespace {
+
+// Unacknowledged appends to one follower; four of 256 KiB fill 30 Mbit/s at a 60 ms round trip.
+constexpr int kMaxBatchesInFlight = 4;
+
+}  // namespace
+
+void ReplicatedLog::BecomeLeader() {
+  role_ = ReplicaRole::kLeader;
+  leader_ = self_;
+  votes_.clear();
+  heartbeat_due_ = now_ + settings_.heartbeat_interval;
+  heartbeat_wanted_ = true;
+  AppendLocal(EntryKind::kNoop, "");
+  TrackVoters();
+  AdvanceCommit();
+}
+
+// Starts tracking voters that are not tracked yet.
+void ReplicatedLog::TrackVoters() {
+  for (const Voter& voter : voters()) {
+    if (voter != identity()) {
+      progress_.try_emplace(voter, Progress{.next = log_.last_index(), .last_heard = now_});
+    }
+  }
+}
+
+void ReplicatedLog::LeaderTick() {
+  if (!HeardFromMajority()) {
+    BecomeFollower(hard_state_.term, std::nullopt);
+    return;
+  }
+  if (now_ < heartbeat_due_) {
+    return;
+  }
+  heartbeat_due_ = now_ + settings_.heartbeat_interval;
+  heartbeat_wanted_ = true;
+  std::erase_if(progress_, [&](const auto& item) {
+    const bool silent = now_ - item.second.last_heard > 2 * settings_.election_timeout_max;
+    return silent && !Contains(voters(), item.first);
+  });
+  for (auto& [peer, progress] : progress_) {
+    progress.batches_in_flight = 0;
+    const bool lost = progress.snapshot_sent &&
+                      now_ - *progress.snapshot_sent >= 2 * settings_.heartbeat_interval;
+    if (lost) {
+      progress.snapshot_sent.reset();
+    }
+  }
+}
+
+bool ReplicatedLog::HeardFromMajority() const {
+  const auto heard = std::count_if(voters().begin(), voters().end(), [&](const Voter& voter) {
+    const auto found = progress_.find(voter);
+    return voter == identity() || (found != progress_.end() && now_ - found->second.last_heard <
+                                                                   settings_.election_timeout_min);
+  });
+  return static_cast<size_t>(heard) >= MajorityOf(voters());
+}
+
+void ReplicatedLog::ReceiveHello(const Voter& sender) {
+  const auto& members = settings_.members;
+  const bool known = std::find(members.begin(), members.end(), sender.instance) != members.end();
+  if (role_ != ReplicaRole::kLeader || !known || progress_.contains(sender)) {
+    return;
+  }
+  std::erase_if(progress_, [&](const auto& item) {
+    return item.first.instance == sender.instance && !Contains(voters(), item.first);
+  });
+  // The next round starts after the learner joined, so only a live learner can answer it.
+  ++round_;
+  progress_[sender] = Progress{.next = log_.last_index(),
+                               .last_heard = now_,
+                               .joined_round = round_,
+                               .round_target = log_.last_index(),
+                               .round_start = now_};
+  heartbeat_wanted_ = true;
+}
+
+void ReplicatedLog::ReceiveAppendReply(const Voter& sender, const LogMessage& message) {
+  const auto found = progress_.find(sender);
+  if (found == progress_.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  progress.last_heard = now_;
+  progress.acked_round = std::max(progress.acked_round, message.round);
+  if (message.accepted) {
+    HandleMatch(progress, message.index);
+    UpdateCatchUp(progress, message.round);
+    AdvanceCommit();
+  } else {
+    HandleMismatch(progress, message);
+  }
+}
+
+void ReplicatedLog::HandleMatch(Progress& progress, LogIndex match) {
+  progress.match = std::max(progress.match, std::min(match, log_.last_index()));
+  progress.next = std::max(progress.next, progress.match.next());
+  progress.replicating = true;
+  progress.batches_in_flight = std::max(0, progress.batches_in_flight - 1);
+  if (progress.snapshot && progress.match >= progress.snapshot->index) {
+    progress.snapshot.reset();
+    progress.next = progress.match.next();
+  }
+}
+
+void ReplicatedLog::HandleMismatch(Progress& progress, const LogMessage& message) {
+  const bool late = message.index <= progress.match || message.index >= progress.next;
+  if (progress.snapshot || late) {
+    return;
+  }
+  const LogIndex before = std::min(message.hint, LogIndex(message.index.value() - 1));
+  progress.next = std::max(progress.match, before).next();
+  progress.replicating = false;
+  progress.batches_in_flight = 0;
+}
+
+void ReplicatedLog::ReceiveSnapshotReply(const Voter& sender, const LogMessage& message) {
+  const auto found = progress_.find(sender);
+  if (found == progress_.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  progress.last_heard = now_;
+  progress.acked_round = std::max(progress.acked_round, message.round);
+  const bool current = progress.snapshot && progress.snapshot->index == message.index;
+  // The offset also goes back, when the receiver lost the parts before it in a crash.
+  if (current && message.offset != progress.snapshot_offset) {
+    progress.snapshot_offset = message.offset;
+    progress.snapshot_sent.reset();
+  }
+}
+
+// A learner has caught up when it fetched all that the log held at the start of a round within one
+// election timeout; then the change of voters delays commitment by less than that.
+void ReplicatedLog::UpdateCatchUp(Progress& progress, uint64_t round) {
+  if (round < progress.joined_round || progress.match < progress.round_target) {
+    return;
+  }
+  progress.caught_up = now_ - progress.round_start < settings_.election_timeout_min;
+  progress.round_target = log_.last_index();
+  progress.round_start = now_;
+}
+
+void ReplicatedLog::AdvanceCommit() {
+  const LogIndex reached = MajorityValue<LogIndex>(voters(), [&](const Voter& voter) {
+    const auto found = progress_.find(voter);
+    return voter == identity()        ? log_.last_index()
+           : found == progress_.end() ? LogIndex()
+                                      : found->second.match;
+  });
+  // An entry of an older term may be overwritten by another leader though a majority stores it.
+  if (reached > commit_ && log_.TermAt(reached) == hard_state_.term) {
+    commit_ = reached;
+    heartbeat_wanted_ = true;
+  }
+  ChangeVoters();
+}
+
+// Replaces a lost voter by its new incarnation: first removes the old one, then adds the new one.
+void ReplicatedLog::ChangeVoters() {
+  const bool settled = log_.voters_index() <= commit_ && log_.TermAt(commit_) == hard_state_.term;
+  if (!settled) {
+    return;
+  }
+  for (const auto& [peer, progress] : progress_) {
+    const bool silent = now_ - progress.last_heard >= settings_.election_timeout_min;
+    if (!progress.caught_up || silent || Contains(voters(), peer)) {
+      continue;
+    }
+    std::vector<Voter> changed = voters();
+    if (FindInstance(changed, peer.instance) != nullptr) {
+      std::erase(changed, *FindInstance(voters(), peer.instance));
+    } else {
+      changed.push_back(peer);
+    }
+    AppendLocal(EntryKind::kVoters, EncodeVoters(changed));
+    return;
+  }
+}
+
+void ReplicatedLog::FlushToPeers() {
+  TrackVoters();
+  for (auto& [peer, progress] : progress_) {
+    FlushTo(peer, progress);
+  }
+  heartbeat_wanted_ = false;
+  round_open_ = false;
+  const bool removed = !is_voter() && log_.voters_index() <= commit_;
+  if (removed) {
+    BecomeFollower(hard_state_.term, std::nullopt);
+  }
+}
+
+void ReplicatedLog::FlushTo(const Voter& peer, Progress& progress) {
+  const size_t sent_before = outbox_.size();
+  // A silent peer gets heartbeats only; entries would fill a link that leads nowhere.
+  const bool silent = now_ - progress.last_heard >= settings_.election_timeout_min;
+  if (!silent) {
+    const bool compacted = !log_.TermAt(LogIndex(progress.next.value() - 1)).has_value();
+    if (!progress.snapshot && compacted) {
+      progress.snapshot = log_.snapshot();
+      progress.snapshot_offset = 0;
+      progress.snapshot_sent.reset();
+    }
+    if (progress.snapshot) {
+      SendSnapshotPart(peer, progress);
+    } else {
+      SendEntries(peer, progress);
+    }
+  }
+  if (heartbeat_wanted_ && outbox_.size() == sent_before) {
+    SendHeartbeat(peer, progress);
+  }
+}
+
+void ReplicatedLog::SendHeartbeat(const Voter& peer, Progress& progress) {
+  LogIndex before(progress.next.value() - 1);
+  if (progress.snapshot || !log_.TermAt(before)) {
+    before = log_.last_index();
+  }
+  Send(peer, {.kind = LogMessageKind::kAppend,
+              .term = hard_state_.term,
+              .index = before,
+              .log_term = *log_.TermAt(before),
+              .commit = commit_,
+              .round = round_});
+}
+
+void ReplicatedLog::SendEntries(const Voter& peer, Progress& progress) {
+  const int limit = progress.replicating ? kMaxBatchesInFlight : 1;
+  while (progress.next <= log_.last_index() && progress.batches_in_flight < limit) {
+    const LogIndex before(progress.next.value() - 1);
+    std::vector<LogEntry> batch =
+        log_.Slice(progress.next, log_.last_index(), settings_.batch_bytes);
+    progress.next = batch.back().index.next();
+    ++progress.batches_in_flight;
+    Send(peer, {.kind = LogMessageKind::kAppend,
+                .term = hard_state_.term,
+                .index = before,
+                .log_term = *log_.TermAt(before),
+                .commit = commit_,
+                .round = round_,
+                .entries = std::move(batch)});
+  }
+}
+
+void ReplicatedLog::SendSnapshotPart(const Voter& peer, Progress& progress) {
+  if (progress.snapshot_sent) {
+    return;
+  }
+  progress.snapshot_sent = now_;
+  const LogSnapshot& snapshot = *progress.snapshot;
+  Send(peer,
+       {.kind = LogMessageKind::kSnapshot,
+        .term = hard_state_.term,
+        .index = snapshot.index,
+        .log_term = snapshot.term,
+        .round = round_,
+        .voters = snapshot.voters,
+        .offset = progress.snapshot_offset,
+        .total = snapshot.state.size(),
+        .data = snapshot.state.substr(progress.snapshot_offset, settings_.batch_bytes.value())});
+}
+
+void ReplicatedLog::ConfirmReads() {
+  // Before an entry of this term is committed, the commit index may lag behind earlier leaders'.
+  if (reads_.empty() || log_.TermAt(commit_) != hard_state_.term) {
+    return;
+  }
+  const uint64_t confirmed = MajorityValue<uint64_t>(voters(), [&](const Voter& voter) {
+    const auto found = progress_.find(voter);
+    return voter == identity() ? round_ : found == progress_.end() ? 0 : found->second.acked_round;
+  });
+  std::erase_if(reads_, [&](const PendingRead& read) {
+    if (read.round > confirmed) {
+      return false;
+    }
+    read_results_.push_back({.token = read.token, .confirmed = true, .wait_for = commit_});
+    return true;
+  });
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/test/correctness/linearizability_test.cc
@@ -0,0 +1,70 @@
+// Guards against a checker that accepts a wrong history, or refuses a right one, and so makes every
+// test that relies on it worthless.
+#include "linearizability.h"
+
+#include <CppUTest/TestHarness.h>
+
+using endivecleat::test::IsLinearizable;
+using endivecleat::test::kNeverReturned;
+using endivecleat::test::RegisterOperation;
+
+namespace {
+
+RegisterOperation Read(int64_t value, uint64_t invoked, uint64_t returned) {
+  return {.result = value, .invoked = invoked, .returned = returned};
+}
+
+RegisterOperation Set(const char* id, int64_t expected, int64_t desired,
+                      std::optional<int64_t> result, uint64_t invoked, uint64_t returned) {
+  return {
+      RegisterOperation::Kind::kCompareAndSet, id, expected, desired, result, invoked, returned};
+}
+
+}  // namespace
+
+TEST_GROUP(HistoryGood){};
+
+TEST(HistoryGood, SequentialIsAccepted) {
+  CHECK(IsLinearizable({Read(0, 1, 2), Set("a", 0, 5, 1, 3, 4), Read(5, 5, 6)}));
+}
+
+TEST(HistoryGood, OverlappingReadMaySeeEitherValue) {
+  CHECK(IsLinearizable({Set("a", 0, 5, 1, 1, 9), Read(0, 2, 3), Read(5, 4, 5)}));
+}
+
+TEST(HistoryGood, UnknownOutcomeMayHaveRunLate) {
+  CHECK(IsLinearizable(
+      {Set("a", 0, 5, std::nullopt, 1, kNeverReturned), Read(0, 2, 3), Read(5, 4, 5)}));
+}
+
+TEST(HistoryGood, UnknownOutcomeMayNeverHaveRun) {
+  CHECK(IsLinearizable({Set("a", 0, 5, std::nullopt, 1, kNeverReturned), Read(0, 8, 9)}));
+}
+
+TEST(HistoryGood, ResentOperationReturnsItsFirstResult) {
+  CHECK(IsLinearizable(
+      {Set("a", 0, 5, 1, 1, 2), Set("b", 5, 0, 1, 3, 4), Set("a", 0, 5, 1, 5, 6), Read(0, 7, 8)}));
+}
+
+TEST_GROUP(HistoryBad){};
+
+TEST(HistoryBad, StaleReadIsRefused) {
+  CHECK_FALSE(IsLinearizable({Set("a", 0, 5, 1, 1, 2), Read(0, 3, 4)}));
+}
+
+TEST(HistoryBad, ReadsGoingBackAreRefused) {
+  CHECK_FALSE(IsLinearizable({Set("a", 0, 5, 1, 1, 9), Read(5, 2, 3), Read(0, 4, 5)}));
+}
+
+TEST(HistoryBad, TwoWinnersOfOneBaseAreRefused) {
+  CHECK_FALSE(IsLinearizable({Set("a", 0, 5, 1, 1, 4), Set("b", 0, 6, 1, 2, 3)}));
+}
+
+TEST(HistoryBad, LostWriteIsRefused) {
+  CHECK_FALSE(IsLinearizable({Set("a", 0, 5, 1, 1, 2), Set("b", 5, 6, 0, 3, 4)}));
+}
+
+TEST(HistoryBad, ResentOperationThatRunsTwiceIsRefused) {
+  CHECK_FALSE(IsLinearizable(
+      {Set("a", 0, 5, 1, 1, 2), Set("b", 5, 0, 1, 3, 4), Set("a", 0, 5, 1, 5, 6), Read(5, 7, 8)}));
+}
--- /dev/null
+++ b/test/correctness/replicated_log_test.cc
@@ -0,0 +1,135 @@
+// Guards against a replicated log that does not elect, commit, confirm reads, compact or repair a
+// voter even when little goes wrong.
+#include "replicated_log.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "log_cluster.h"
+
+using endivecleat::Incarnation;
+using endivecleat::test::LogCluster;
+using endivecleat::test::LogNode;
+using endivecleat::test::NetworkFaults;
+
+namespace {
+
+constexpr auto kElection = std::chrono::seconds(15);
+
+LogNode& AwaitLeader(LogCluster& cluster) {
+  CHECK(cluster.RunUntil(kElection, [&] { return cluster.Leader() != nullptr; }));
+  return *cluster.Leader();
+}
+
+// Sets the register from `from` to `to` in steps of one, each committed before the next.
+void SetInSteps(LogCluster& cluster, int64_t from, int64_t to) {
+  for (int64_t value = from; value < to; ++value) {
+    LogNode& leader = AwaitLeader(cluster);
+    cluster.CompareAndSet(leader, "op" + std::to_string(value), value, value + 1);
+    CHECK(cluster.RunUntil(kElection, [&] { return leader.machine.value == value + 1; }));
+  }
+}
+
+bool AllHaveValue(LogCluster& cluster, int64_t value) {
+  for (size_t i = 0; i < cluster.size(); ++i) {
+    const LogNode& node = cluster.node(i);
+    if (node.log && node.machine.value != value) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+TEST_GROUP(ReplicatedLogHealthy){};
+
+TEST(ReplicatedLogHealthy, AppliesACommandEverywhere) {
+  LogCluster cluster(1, 5, NetworkFaults{});
+  SetInSteps(cluster, 0, 1);
+  CHECK(cluster.RunUntil(kElection, [&] { return AllHaveValue(cluster, 1); }));
+  STRCMP_EQUAL("", cluster.failure().c_str());
+}
+
+TEST(ReplicatedLogHealthy, ConfirmsAReadOfTheLeader) {
+  LogCluster cluster(2, 3, NetworkFaults{});
+  SetInSteps(cluster, 0, 2);
+  cluster.Read(AwaitLeader(cluster));
+  CHECK(cluster.RunUntil(kElection, [&] { return cluster.history().back().result == 2; }));
+}
+
+TEST(ReplicatedLogHealthy, KeepsItsLeader) {
+  LogCluster cluster(3, 5, NetworkFaults{});
+  LogNode& leader = AwaitLeader(cluster);
+  const auto term = leader.log->term();
+  cluster.Run(std::chrono::seconds(60));
+  CHECK(cluster.Leader() == &leader);
+  CHECK(leader.log->term() == term);
+}
+
+TEST_GROUP(ReplicatedLogSingleVoter){};
+
+TEST(ReplicatedLogSingleVoter, CommitsAndReadsAfterARestart) {
+  LogCluster cluster(4, 1, NetworkFaults{});
+  SetInSteps(cluster, 0, 30);
+  cluster.Crash(cluster.node(0), std::chrono::seconds(1));
+  cluster.Run(std::chrono::seconds(2));
+  LogNode& leader = AwaitLeader(cluster);
+  cluster.Read(leader);
+  CHECK(cluster.RunUntil(kElection, [&] { return cluster.history().back().result == 30; }));
+  STRCMP_EQUAL("", cluster.failure().c_str());
+}
+
+TEST_GROUP(ReplicatedLogFollower){};
+
+TEST(ReplicatedLogFollower, RefusesProposalsAndReads) {
+  LogCluster cluster(5, 3, NetworkFaults{});
+  LogNode& leader = AwaitLeader(cluster);
+  LogNode& other = cluster.node(&leader == &cluster.node(0) ? 1 : 0);
+  CHECK_FALSE(other.log->Propose(cluster.now(), "x").has_value());
+  other.log->RequestRead(cluster.now(), 7);
+  const auto ready = other.log->TakeReady();
+  LONGS_EQUAL(1, ready.reads.size());
+  CHECK_FALSE(ready.reads[0].confirmed);
+}
+
+TEST(ReplicatedLogFollower, FarBehindIsBroughtUpBySnapshot) {
+  LogCluster cluster(6, 3, NetworkFaults{});
+  SetInSteps(cluster, 0, 1);
+  LogNode& late = cluster.node(&AwaitLeader(cluster) == &cluster.node(0) ? 1 : 0);
+  cluster.Crash(late, std::chrono::hours(1));
+  SetInSteps(cluster, 1, 40);
+  for (size_t i = 0; i < 3; ++i) {  // a restart drops the entries kept before the snapshot
+    cluster.Crash(cluster.node(i), std::chrono::seconds(0));
+  }
+  CHECK(cluster.RunUntil(kElection, [&] { return late.log && late.machine.value == 40; }));
+  STRCMP_EQUAL("", cluster.failure().c_str());
+}
+
+TEST_GROUP(ReplicatedLogLostDisk){};
+
+TEST(ReplicatedLogLostDisk, IsALearnerAndThenAVoterAgain) {
+  LogCluster cluster(7, 3, NetworkFaults{});
+  SetInSteps(cluster, 0, 20);
+  LogNode& lost = cluster.node(0);
+  cluster.LoseDisk(lost, std::chrono::seconds(1));
+  cluster.Run(std::chrono::milliseconds(1020));
+  CHECK(lost.log != nullptr);
+  CHECK_FALSE(lost.log->is_voter());
+  CHECK(cluster.RunUntil(2 * kElection, [&] { return lost.log->is_voter(); }));
+  CHECK(lost.log->incarnation() != Incarnation(0));
+  LONGS_EQUAL(3, lost.log->voters().size());
+  LONGS_EQUAL(20, lost.machine.value);
+  STRCMP_EQUAL("", cluster.failure().c_str());
+}
+
+TEST(ReplicatedLogLostDisk, AnotherInstanceMayBeLostRightAfterTheRepair) {
+  LogCluster cluster(8, 3, NetworkFaults{});
+  SetInSteps(cluster, 0, 20);
+  LogNode& lost = cluster.node(0);
+  cluster.LoseDisk(lost, std::chrono::seconds(1));
+  CHECK(cluster.RunUntil(2 * kElection, [&] { return lost.log && lost.log->is_voter(); }));
+  cluster.LoseForever(cluster.node(1));
+  SetInSteps(cluster, 20, 25);
+  CHECK(cluster.RunUntil(kElection, [&] { return lost.machine.value == 25; }));
+  STRCMP_EQUAL("", cluster.failure().c_str());
+}
--- /dev/null
+++ b/test/linearizability.h
@@ -0,0 +1,118 @@
+// Decides whether a history of a compare-and-set register is linearizable: Wing and Gong's search
+// for an order of the operations that fits their times and results, with memoisation of the states
+// that failed. An operation sent again under the same id runs once and returns its first result.
+#ifndef ENDIVECLEAT_TEST_LINEARIZABILITY_H_
+#define ENDIVECLEAT_TEST_LINEARIZABILITY_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "errors.h"
+
+namespace endivecleat::test {
+
+constexpr uint64_t kNeverReturned = UINT64_MAX;
+
+/// One operation as its client saw it. Times are positions in one global order of events.
+struct RegisterOperation {
+  enum class Kind { kRead, kCompareAndSet };
+  Kind kind = Kind::kRead;
+  std::string id;  // of a compare-and-set; the same for each time that it is sent
+  int64_t expected = 0;
+  int64_t desired = 0;
+  // The value read, or 1 or 0 for a compare-and-set that did or did not set; unset when the
+  // outcome is unknown.
+  std::optional<int64_t> result;
+  uint64_t invoked = 0;
+  uint64_t returned = kNeverReturned;  // an operation of unknown outcome may run at any later time
+};
+
+class LinearizabilityChecker {
+ public:
+  static constexpr size_t kMaxOperations = 64;  // one bit each in the memo
+
+  LinearizabilityChecker(std::vector<RegisterOperation> history, int64_t initial)
+      : history_(std::move(history)), state_{initial, {}} {
+    std::erase_if(history_, [](const RegisterOperation& operation) {
+      return operation.kind == RegisterOperation::Kind::kRead && !operation.result;
+    });
+    for (const RegisterOperation& operation : history_) {
+      ++times_sent_[operation.id];
+    }
+    ENDIVECLEAT_CHECK(history_.size() <= kMaxOperations, "the history is too long");
+  }
+
+  bool Check() { return Search(0); }
+
+ private:
+  struct State {
+    int64_t value;
+    std::map<std::string, int64_t> results;  // by id, of operations that were sent several times
+    auto operator<=>(const State&) const = default;
+  };
+
+  bool Done(uint64_t ran, size_t i) const { return ((ran >> i) & 1U) != 0; }
+
+  // Runs an operation on the state; false when its result contradicts the history.
+  bool Run(const RegisterOperation& operation) {
+    if (operation.kind == RegisterOperation::Kind::kRead) {
+      return !operation.result || *operation.result == state_.value;
+    }
+    const int64_t sets = operation.expected == state_.value ? 1 : 0;
+    if (times_sent_.at(operation.id) == 1) {
+      state_.value = sets == 1 ? operation.desired : state_.value;
+      // Without a known result, running it to no effect is the same as not running it.
+      return operation.result ? *operation.result == sets : sets == 1;
+    }
+    const auto [stored, first] = state_.results.try_emplace(operation.id, sets);
+    if (first && sets == 1) {
+      state_.value = operation.desired;
+    }
+    return !operation.result || *operation.result == stored->second;
+  }
+
+  bool Search(uint64_t ran) {
+    uint64_t earliest_return = kNeverReturned;
+    for (size_t i = 0; i < history_.size(); ++i) {
+      if (!Done(ran, i)) {
+        earliest_return = std::min(earliest_return, history_[i].returned);
+      }
+    }
+    if (earliest_return == kNeverReturned) {
+      return true;  // what never returned need not have run
+    }
+    if (!failed_.emplace(ran, state_).second) {
+      return false;
+    }
+    for (size_t i = 0; i < history_.size(); ++i) {
+      if (Done(ran, i) || history_[i].invoked > earliest_return) {
+        continue;
+      }
+      const State before = state_;
+      if (Run(history_[i]) && Search(ran | (uint64_t{1} << i))) {
+        return true;
+      }
+      state_ = before;
+    }
+    return false;
+  }
+
+  std::vector<RegisterOperation> history_;
+  std::map<std::string, int> times_sent_;  // by operation id
+  State state_;
+  std::set<std::pair<uint64_t, State>> failed_;
+};
+
+inline bool IsLinearizable(std::vector<RegisterOperation> history, int64_t initial = 0) {
+  return LinearizabilityChecker(std::move(history), initial).Check();
+}
+
+}  // namespace endivecleat::test
+
+#endif  // ENDIVECLEAT_TEST_LINEARIZABILITY_H_
--- /dev/null
+++ b/test/log_cluster.h
@@ -0,0 +1,141 @@
+// A cluster of replicated logs on a fake network, with disks that lose unsynced writes, a register
+// as the state machine, and checks after every event. The first broken rule ends up in failure().
+#ifndef ENDIVECLEAT_TEST_LOG_CLUSTER_H_
+#define ENDIVECLEAT_TEST_LOG_CLUSTER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fake_network.h"
+#include "linearizability.h"
+#include "replicated_log.h"
+
+namespace endivecleat::test {
+
+constexpr Duration kStep = std::chrono::milliseconds(20);
+
+/// A compare-and-set register; a command is "id expected desired".
+struct RegisterMachine {
+  int64_t value = 0;
+  std::map<std::string, int64_t> results;  // by operation id: 1 when it set the value
+  LogIndex applied{1};
+  uint64_t chain = 0;  // hash over all entries applied, equal on every replica at an index
+
+  void Apply(const LogEntry& entry);
+  std::string Snapshot() const;
+  static RegisterMachine Restore(const LogSnapshot& snapshot);
+};
+
+struct LogNode {
+  InstanceId id;
+  Incarnation incarnation;
+  std::unique_ptr<ReplicatedLog> log;  // null while down
+  RegisterMachine machine;
+  TimePoint frozen_until;
+  TimePoint down_until;
+  bool lost = false;  // never comes back
+  std::optional<TimePoint> isolated_since;
+  LogIndex isolated_commit;
+  LogIndex checked_commit;
+  std::vector<Voter> checked_voters;
+};
+
+class LogCluster {
+ public:
+  LogCluster(uint64_t seed, size_t size, NetworkFaults faults);
+
+  void Step();
+  void Run(Duration time);
+  /// Steps until the condition holds; false when it does not within the time.
+  template <class Condition>
+  bool RunUntil(Duration limit, Condition condition) {
+    const TimePoint end = now_ + limit;
+    while (!condition()) {
+      if (now_ >= end || !failure_.empty()) {
+        return false;
+      }
+      Step();
+    }
+    return true;
+  }
+
+  void CompareAndSet(LogNode& node, const std::string& id, int64_t expected, int64_t desired);
+  void Read(LogNode& node);
+
+  void Crash(LogNode& node, Duration down);
+  void LoseDisk(LogNode& node, Duration down);
+  void LoseForever(LogNode& node);
+  void Freeze(LogNode& node, Duration time) { node.frozen_until = now_ + time; }
+  void Isolate(LogNode& node);
+  void HealAll();
+
+  /// The replica that leads in the highest term; null when none leads.
+  LogNode* Leader();
+  LogNode& node(size_t i) { return *nodes_.at(i); }
+  size_t size() const { return nodes_.size(); }
+  FakeNetwork<std::string>& network() { return network_; }
+  TimePoint now() const { return now_; }
+  LogIndex max_committed() const {
+    return committed_.empty() ? LogIndex(1) : committed_.rbegin()->first;
+  }
+  const std::vector<RegisterOperation>& history() const { return history_; }
+  const std::string& failure() const { return failure_; }
+  void Fail(const std::string& message);
+
+  void set_crash_chance(uint64_t per_ten_thousand) { crash_chance_ = per_ten_thousand; }
+  void set_compaction_entries(uint64_t entries) { compaction_entries_ = entries; }
+
+ private:
+  struct PendingChange {
+    LogNode* node;
+    LogIndex index;
+    Term term;
+    size_t operation;  // position in history_
+  };
+
+  void Start(LogNode& node);
+  void StepNode(LogNode& node);
+  void Process(LogNode& node);
+  void Persist(LogNode& node, const Ready& ready);
+  void ApplyReady(LogNode& node, const Ready& ready);
+  void AnswerChanges(LogNode& node, const LogEntry& entry);
+  void AnswerReads(LogNode& node, const Ready& ready);
+  void CompactSometimes(LogNode& node);
+  bool CrashesNow(LogNode& node);
+
+  void CheckAll(LogNode& node, const Ready& ready);
+  void CheckLeader(LogNode& node);
+  void CheckCommitStored(LogNode& node);
+  void CheckIsolated(LogNode& node, const Ready& ready);
+  void CheckVoterChange(LogNode& node, const LogEntry& entry);
+  void CheckVotes(LogNode& node, const Ready& ready);
+  void CheckCommitted(LogNode& node, const LogEntry& entry);
+  bool StoredByMajority(const std::vector<Voter>& voters, LogIndex index, Term term) const;
+
+  SeededRandom random_;
+  FakeNetwork<std::string> network_;
+  TimePoint now_{};
+  std::vector<std::unique_ptr<LogNode>> nodes_;
+  std::map<Voter, StoredLog> disks_;  // also of lost incarnations, as of their loss
+  std::map<LogIndex, LogEntry> committed_;
+  std::map<LogIndex, uint64_t> chains_;
+  std::map<Term, Voter> leaders_;
+  std::set<Voter> admitted_;
+  std::vector<RegisterOperation> history_;
+  std::vector<PendingChange> changes_;
+  std::map<uint64_t, LogNode*> reads_;  // by token, the position in history_
+  uint64_t events_ = 0;
+  uint64_t next_incarnation_ = 1;
+  uint64_t crash_chance_ = 0;
+  uint64_t compaction_entries_ = 12;
+  std::string failure_;
+};
+
+}  // namespace endivecleat::test
+
+#endif  // ENDIVECLEAT_TEST_LOG_CLUSTER_H_
