--- a/test/log_cluster.cc
+++ b/test/log_cluster.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
 
 #include "log_store.h"
 #include "replicated_log_message.h"
@@ -100,14 +101,8 @@
   now_ += kStep;
   for (auto& delivery : network_.TakeDue(now_)) {
     for (auto& node : nodes_) {
-      if (node->id != delivery.to || !node->log) {
-        continue;
-      }
-      if (node->frozen_until > now_) {
-        network_.Send(now_, delivery.from, delivery.to, delivery.message);
-      } else {
-        node->log->Receive(now_, delivery.from, delivery.message);
-        Process(*node);
+      if (node->id == delivery.to) {
+        Deliver(*node, delivery.from, delivery.message);
       }
     }
   }
@@ -116,6 +111,18 @@
   }
 }
 
+void LogCluster::Deliver(LogNode& node, const InstanceId& from, const std::string& message) {
+  if (!node.log) {
+    return;
+  }
+  if (node.frozen_until > now_) {
+    node.held.emplace_back(from, message);
+    return;
+  }
+  node.log->Receive(now_, from, message);
+  Process(node);
+}
+
 void LogCluster::StepNode(LogNode& node) {
   if (!node.log && !node.lost && node.down_until <= now_) {
     Start(node);
@@ -123,6 +130,12 @@
   if (!node.log || node.frozen_until > now_) {
     return;
   }
+  for (const auto& [from, message] : std::exchange(node.held, {})) {
+    Deliver(node, from, message);
+  }
+  if (!node.log) {
+    return;
+  }
   if (node.log->next_timer() <= now_) {
     node.log->Tick(now_);
   }
@@ -265,6 +278,7 @@
   node.log.reset();
   node.down_until = now_ + down;
   network_.DropTo(node.id);
+  node.held.clear();
   std::erase_if(changes_, [&](const PendingChange& change) { return change.node == &node; });
   std::erase_if(reads_, [&](const auto& read) { return read.second == &node; });
 }
@@ -280,7 +294,9 @@
   node.lost = true;
 }
 
+// Drops what has arrived unread too, so that anything committed from now on is a fault.
 void LogCluster::Isolate(LogNode& node) {
+  node.held.clear();
   for (auto& other : nodes_) {
     if (other->id != node.id) {
       network_.CutBothWays(node.id, other->id);
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fake_network.h"
@@ -37,6 +38,7 @@
   std::unique_ptr<ReplicatedLog> log;  // null while down
   RegisterMachine machine;
   TimePoint frozen_until;
+  std::vector<std::pair<InstanceId, std::string>> held;  // arrived while frozen
   TimePoint down_until;
   bool lost = false;  // never comes back
   std::optional<TimePoint> isolated_since;
@@ -99,6 +101,7 @@
   };
 
   void Start(LogNode& node);
+  void Deliver(LogNode& node, const InstanceId& from, const std::string& message);
   void StepNode(LogNode& node);
   void Process(LogNode& node);
   void Persist(LogNode& node, const Ready& ready);
