Add the stand-in target for tests and examples

Cause: the demo and the process tests need a target that announces itself and writes down what it ran. Change: apps/standin_target with announce, reads, keys and a crash path.

--- /dev/null
+++ b/apps/standin_target/standin_target.cc
@@ -0,0 +1,188 @@
+// A stand-in for a target: it announces itself to its daemon, answers reads and at-most-once
+// requests, and writes down each at-most-once request that it runs, so that a second run shows.
+// Paths: /healthz; /crash ends the process; /slow waits 300 ms; anything else is answered after the
+// service time with the path, or for POST with the number of runs of the Idempotency-Key.
+#include <popt.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "endivecleat_io.h"
+
+namespace {
+
+using endivecleat::Address;
+using endivecleat::Duration;
+using endivecleat::EventLoop;
+using endivecleat::HttpClient;
+using endivecleat::HttpOutcome;
+using endivecleat::HttpRequest;
+using endivecleat::HttpResponse;
+using endivecleat::HttpServer;
+using endivecleat::HttpServerLimits;
+using endivecleat::ParseAddress;
+using endivecleat::ReadTokenFile;
+using endivecleat::ResponseSink;
+using endivecleat::SignalWatch;
+
+constexpr Duration kRenewal = std::chrono::seconds(2);
+constexpr Duration kAnnounceTimeout = std::chrono::seconds(1);
+constexpr Duration kSlow = std::chrono::milliseconds(300);
+
+struct Options {
+  char* listen = nullptr;
+  char* daemon = nullptr;
+  char* service = nullptr;
+  char* target = nullptr;
+  char* token_file = nullptr;
+  char* journal = nullptr;
+  int slots = 9;
+  int connections = 130;
+  int service_time_us = 1000;
+};
+
+class StandinTarget {
+ public:
+  StandinTarget(EventLoop& loop, const Options& options)
+      : loop_(loop),
+        options_(options),
+        listen_(ParseAddress(options.listen).value()),
+        token_(ReadTokenFile(options.token_file)),
+        announcer_(loop, ParseAddress(options.daemon).value(), 1),
+        server_(loop, listen_, HttpServerLimits{},
+                [this](const HttpRequest& request, const ResponseSink& sink) {
+                  Handle(request, sink);
+                }) {
+    if (options.journal != nullptr) {
+      journal_.open(options.journal, std::ios::app);
+    }
+    Renew();
+  }
+
+  // Takes the announcement back and stops once the daemon has sent what it had admitted.
+  void Drain() {
+    leaving_ = true;
+    Announce("DELETE");
+    StopWhenIdle(20);
+  }
+
+ private:
+  void Handle(const HttpRequest& request, const ResponseSink& sink) {
+    if (request.path == "/healthz") {
+      sink.Send({200, {}, "ok\n"});
+      return;
+    }
+    if (request.path == "/crash") {
+      _exit(1);
+    }
+    const Duration time =
+        request.path == "/slow" ? kSlow : std::chrono::microseconds(options_.service_time_us);
+    loop_.After(time, [this, request, sink] { sink.Send(Answer(request)); });
+  }
+
+  HttpResponse Answer(const HttpRequest& request) {
+    HttpResponse response;
+    response.status = 200;
+    response.headers.Add("content-type", "application/json");
+    nlohmann::json body = {{"target", options_.target}, {"path", request.path}};
+    const std::string key = request.headers.ValueOr("idempotency-key", "");
+    if (request.method == "POST" && !key.empty()) {
+      body["key"] = key;
+      body["run"] = ++runs_[key];
+      journal_ << key << std::endl;
+    }
+    response.body = body.dump();
+    return response;
+  }
+
+  void Renew() {
+    if (!leaving_) {
+      Announce("POST");
+      loop_.After(kRenewal, [this] { Renew(); });
+    }
+  }
+
+  void Announce(const std::string& method) {
+    HttpRequest request;
+    request.method = method;
+    request.path = "/announce";
+    request.headers.Add("authorization", "Bearer " + token_);
+    if (method == "POST") {
+      request.body =
+          nlohmann::json{{"service", options_.service}, {"target", options_.target},
+                         {"address", listen_.ip},       {"port", listen_.port},
+                         {"slots", options_.slots},     {"connections", options_.connections}}
+              .dump();
+    }
+    announcer_.Send(std::move(request), kAnnounceTimeout, [this](const HttpOutcome& outcome) {
+      const bool taken = outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 300;
+      if (!taken && !leaving_) {
+        loop_.After(std::chrono::milliseconds(200), [this] { Announce("POST"); });
+      }
+    });
+  }
+
+  void StopWhenIdle(int rounds) {
+    if (rounds == 0 && server_.in_flight() == 0) {
+      loop_.Stop();
+      return;
+    }
+    loop_.After(std::chrono::milliseconds(100),
+                [this, rounds] { StopWhenIdle(rounds > 0 ? rounds - 1 : 0); });
+  }
+
+  EventLoop& loop_;
+  Options options_;
+  Address listen_;
+  std::string token_;
+  HttpClient announcer_;
+  std::map<std::string, int> runs_;
+  std::ofstream journal_;
+  bool leaving_ = false;
+  HttpServer server_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Options options;
+  const poptOption table[] = {
+      {"listen", 0, POPT_ARG_STRING, &options.listen, 0, "own address", "ADDRESS"},
+      {"daemon", 0, POPT_ARG_STRING, &options.daemon, 0, "local address of the daemon", "ADDRESS"},
+      {"service", 0, POPT_ARG_STRING, &options.service, 0, "service name", "NAME"},
+      {"target", 0, POPT_ARG_STRING, &options.target, 0, "target id", "ID"},
+      {"token-file", 0, POPT_ARG_STRING, &options.token_file, 0, "announce token", "FILE"},
+      {"journal", 0, POPT_ARG_STRING, &options.journal, 0, "keys that ran, a line each", "FILE"},
+      {"slots", 0, POPT_ARG_INT, &options.slots, 0, "slots", "N"},
+      {"connections", 0, POPT_ARG_INT, &options.connections, 0, "connections", "N"},
+      {"service-time", 0, POPT_ARG_INT, &options.service_time_us, 0, "time of a request", "US"},
+      POPT_AUTOHELP{nullptr, 0, 0, nullptr, 0, nullptr, nullptr}};
+  poptContext context =
+      poptGetContext("standin-target", argc, const_cast<const char**>(argv), table, 0);
+  const bool complete = poptGetNextOpt(context) == -1 && options.listen != nullptr &&
+                        options.daemon != nullptr && options.service != nullptr &&
+                        options.target != nullptr && options.token_file != nullptr;
+  if (!complete) {
+    poptPrintUsage(context, stderr, 0);
+    return 2;
+  }
+  try {
+    EventLoop loop;
+    StandinTarget target(loop, options);
+    const SignalWatch signals(loop, {SIGTERM, SIGINT}, [&](int) { target.Drain(); });
+    loop.Run();
+  } catch (const std::exception& error) {
+    std::cerr << "standin-target: " << error.what() << "\n";
+    return 1;
+  }
+  poptFreeContext(context);
+  return 0;
+}
--- a/src/configuration_check.cc
+++ b/src/configuration_check.cc
@@ -154,7 +154,7 @@
         CheckFigure(path, figure, found->second, checked.policy);
       }
     }
-    if (checked.policy.slots > checked.policy.connections) {
+    if (checked.policy.slots.value() > checked.policy.connections.value()) {
       Report(path + "/connections",
              "connections (" + std::to_string(checked.policy.connections.value()) +
                  ") must not be fewer than slots (" + std::to_string(checked.policy.slots.value()) +
