--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -71,6 +71,7 @@
       source_(ConfigSourceSettings{}, MakeTransferCodec(), seed) {
   operators_ = std::make_unique<OperatorService>(loop_, settings_, config_, node_, metrics_);
   loop_.SetAfterBatch([this] { Flush(); });
+  metrics_.SetCollector([this] { UpdateMetrics(); });
   PublishNewVersion();
   Tick();
   Log(LogLevel::kInfo, "control_started",
@@ -175,7 +176,6 @@
   }
   SendConfigMessages(source_.Tick(now));
   ExchangeSummaries();
-  UpdateMetrics();
 }
 
 void ControlProcess::Flush() {
@@ -230,6 +230,7 @@
 }
 
 void ControlProcess::UpdateMetrics() {
+  node_.ReportTraffic(metrics_);
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
   };
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -72,6 +72,7 @@
                     }) {
   target_.SetCancelOutgoing(
       [this](const std::vector<RequestNumber>& calls) { callers_.Cancel(calls); });
+  metrics_.SetCollector([this] { UpdateMetrics(); });
   Tick();
   Log(LogLevel::kInfo, "daemon_started",
       {{"callers", settings_.callers.text()}, {"peers", settings_.peers.text()}});
@@ -186,7 +187,6 @@
   SpreadCrashReports();
   context_.guard.Tick(DaemonContext::wall_now());
   callers_.RefreshCandidates();
-  UpdateMetrics();
 }
 
 void DaemonProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
@@ -238,6 +238,7 @@
 }
 
 void DaemonProcess::UpdateMetrics() {
+  node_.ReportTraffic(metrics_);
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
   };
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -1,7 +1,9 @@
 #include "mesh_node.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <map>
 #include <utility>
 
 #include "byte_codec.h"
@@ -13,6 +15,15 @@
 
 constexpr Duration kGossipTick = std::chrono::milliseconds(100);
 
+// In the order of PeerChannel.
+constexpr std::array<const char*, kPeerChannels> kChannelNames = {
+    "config_log", "once_log", "distribution", "call", "ledger", "summary", "operations"};
+
+void AddTo(ByteCounters& sum, const ByteCounters& more) {
+  sum.sent += more.sent;
+  sum.received += more.received;
+}
+
 WallTime Now() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return WallTime(
@@ -77,6 +88,9 @@
           seed) {
   for (const ControlPeer& peer : settings.control) {
     addresses_[peer.instance] = peer.peers;
+    if (peer.place.region != settings.place.region) {
+      other_regions_.insert(peer.peers);
+    }
   }
   timer_ = loop_.After(Duration(0), [this] { Tick(); });
 }
@@ -113,6 +127,30 @@
   return member == members.end() ? std::nullopt : std::optional(member->address);
 }
 
+void MeshNode::ReportTraffic(Metrics& metrics) const {
+  std::map<std::pair<std::string, bool>, ByteCounters> sums;
+  for (const auto& [address, traffic] : network_.traffic()) {
+    const bool crosses = other_regions_.contains(address);
+    for (size_t channel = 0; channel < kPeerChannels; ++channel) {
+      AddTo(sums[{kChannelNames[channel], crosses}], traffic.channels[channel]);
+    }
+    AddTo(sums[{"gossip", crosses}], traffic.datagrams);
+  }
+  for (const auto& [key, bytes] : sums) {
+    const auto set = [&, &channel = key.first, crosses = key.second](const char* direction,
+                                                                     uint64_t value) {
+      metrics
+          .Gauge("endivecleat_peer_bytes", "Bytes exchanged with peers since the start",
+                 {{"channel", channel},
+                  {"crosses_regions", crosses ? "true" : "false"},
+                  {"direction", direction}})
+          .Set(static_cast<double>(value));
+    };
+    set("sent", bytes.sent);
+    set("received", bytes.received);
+  }
+}
+
 void MeshNode::Tick() {
   SendDatagrams(membership_.Tick(loop_.now()));
   timer_ = loop_.After(kGossipTick, [this] { Tick(); });
--- a/src/mesh_node.h
+++ b/src/mesh_node.h
@@ -5,12 +5,14 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "event_loop.h"
 #include "membership.h"
+#include "metrics.h"
 #include "peer_network.h"
 #include "settings.h"
 #include "units.h"
@@ -39,6 +41,10 @@
   /// Tells the data centre that this instance leaves, and stops gossip.
   void Leave();
 
+  /// Sets the byte counters of the links, by channel and by whether they cross regions. Only links
+  /// between control instances are known to cross; calls across regions count as not crossing.
+  void ReportTraffic(Metrics& metrics) const;
+
   std::optional<Address> FindAddress(const InstanceId& instance) const;
   Membership& membership() { return membership_; }
   const Membership& membership() const { return membership_; }
@@ -55,6 +61,7 @@
   MeshHandlers handlers_;
   // Addresses of control instances by the settings, and of others as their messages come in.
   std::unordered_map<InstanceId, Address> addresses_;
+  std::set<Address> other_regions_;  // control instances of other regions
   Membership membership_;
   PeerNetwork network_;
   TimerId timer_;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -1,8 +1,5 @@
 #include "metrics.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
 #include <prometheus/text_serializer.h>
 
 #include <sstream>
@@ -44,6 +41,9 @@
 }
 
 std::string Metrics::Text() const {
+  if (collect_) {
+    collect_();
+  }
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, registry_.Collect());
   return out.str();
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -3,10 +3,15 @@
 #ifndef ENDIVECLEAT_METRICS_H_
 #define ENDIVECLEAT_METRICS_H_
 
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace endivecleat {
 
@@ -23,10 +28,14 @@
   prometheus::Histogram& Seconds(const std::string& name, const std::string& help,
                                  const Labels& labels = {});
 
+  /// Runs before each Text, to set the gauges that nobody updates as they change.
+  void SetCollector(std::function<void()> collect) { collect_ = std::move(collect); }
+
   /// All metrics in the text format of Prometheus.
   std::string Text() const;
 
  private:
+  std::function<void()> collect_;
   prometheus::Registry registry_;
   // prometheus-cpp refuses to build one family twice, so families are kept by name.
   std::map<std::string, prometheus::Family<prometheus::Counter>*> counters_;
--- a/src/rpc_client.cc
+++ b/src/rpc_client.cc
@@ -5,6 +5,7 @@
 #include <json/json.h>
 #include <jsonrpccpp/client/client.h>
 
+#include <exception>
 #include <memory>
 
 namespace endivecleat {
@@ -14,13 +15,26 @@
  public:
   explicit TransportConnector(const RpcTransport& transport) : transport_(transport) {}
 
+  // The library's exception specification would end the process for any other exception.
   void SendRPCMessage(const std::string& message,
                       std::string& result) throw(jsonrpc::JsonRpcException) override {
-    result = transport_(message);
+    try {
+      result = transport_(message);
+    } catch (...) {
+      failure_ = std::current_exception();
+      throw jsonrpc::JsonRpcException("the transport failed");
+    }
+  }
+
+  void RethrowFailure() const {
+    if (failure_) {
+      std::rethrow_exception(failure_);
+    }
   }
 
  private:
   const RpcTransport& transport_;
+  std::exception_ptr failure_;
 };
 
 Json::Value ParseJson(const std::string& text) {
@@ -46,6 +60,7 @@
   try {
     return {true, 0, "", Print(client.CallMethod(method, ParseJson(parameters)))};
   } catch (const jsonrpc::JsonRpcException& error) {
+    connector.RethrowFailure();
     return {false, error.GetCode(), error.GetMessage(), Print(error.GetData())};
   }
 }
--- a/src/rpc_client.h
+++ b/src/rpc_client.h
@@ -19,7 +19,7 @@
   std::string json;     // the result, or the data of an error
 };
 
-/// Calls a method with its parameters, an object as JSON text.
+/// Calls a method with its parameters, an object as JSON text. Throws what the transport throws.
 RpcOutcome CallRpc(const RpcTransport& transport, const std::string& method,
                    const std::string& parameters);
 
--- /dev/null
+++ b/test/error/rpc_test.cc
@@ -0,0 +1,82 @@
+// Guards against a command that ends with "terminate called": libjsonrpccpp calls the transport
+// through an exception specification, which lets no other exception pass. Also against a server
+// that dies on malformed requests.
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "errors.h"
+#include "rpc_client.h"
+#include "rpc_server.h"
+
+using endivecleat::CallRpc;
+using endivecleat::ResultCode;
+using endivecleat::RpcOutcome;
+using endivecleat::RpcParameter;
+using endivecleat::RpcServer;
+using endivecleat::UserError;
+
+namespace {
+
+RpcServer& Server() {
+  static RpcServer server;
+  static bool ready = false;
+  if (!ready) {
+    server.AddMethod("double", {{"number", RpcParameter::Type::kNumber}},
+                     [](const nlohmann::json& parameters) {
+                       return nlohmann::json{{"twice", 2 * parameters.at("number").get<int>()}};
+                     });
+    server.AddMethod("refuse", {}, [](const nlohmann::json&) -> nlohmann::json {
+      throw UserError(ResultCode::kVersionConflict, "lost", {{"/version", "7"}});
+    });
+    ready = true;
+  }
+  return server;
+}
+
+RpcOutcome CallServer(const std::string& method, const std::string& parameters) {
+  return CallRpc([](const std::string& request) { return Server().Handle(request); }, method,
+                 parameters);
+}
+
+}  // namespace
+
+TEST_GROUP(RpcTransportThatThrows){};
+
+TEST(RpcTransportThatThrows, PassesItsExceptionOn) {
+  const auto failing = [](const std::string&) -> std::string {
+    throw UserError(ResultCode::kUnauthorized, "wrong token");
+  };
+  CHECK_THROWS(UserError, CallRpc(failing, "show", "{}"));
+}
+
+TEST_GROUP(RpcCall){};
+
+TEST(RpcCall, ReturnsTheResult) {
+  const RpcOutcome outcome = CallServer("double", R"({"number":21})");
+  CHECK(outcome.succeeded);
+  STRCMP_EQUAL("{\"twice\":42}", outcome.json.c_str());
+}
+
+TEST(RpcCall, ThatIsRefusedCarriesCodeMessageAndProblems) {
+  const RpcOutcome outcome = CallServer("refuse", "{}");
+  CHECK_FALSE(outcome.succeeded);
+  LONGS_EQUAL(301, outcome.error_code);
+  CHECK(outcome.message.find("lost") != std::string::npos);
+  CHECK(outcome.json.find("/version") != std::string::npos);
+}
+
+TEST(RpcCall, WithMissingOrWrongParametersIsAnError) {
+  CHECK_FALSE(CallServer("double", "{}").succeeded);
+  CHECK_FALSE(CallServer("double", R"({"number":"x"})").succeeded);
+  CHECK_FALSE(CallServer("unknown", "{}").succeeded);
+}
+
+TEST_GROUP(RpcServerGivenMalformedText){};
+
+TEST(RpcServerGivenMalformedText, AnswersWithAnError) {
+  for (const char* text : {"", "{", "[]", "null", "{\"jsonrpc\":\"2.0\"}", "\xff\xfe"}) {
+    CHECK(Server().Handle(text).find("error") != std::string::npos);
+  }
+}
