--- /dev/null
+++ b/src/cbor_reader.cc
@@ -0,0 +1,130 @@
+#include "cbor_reader.h"
+
+#include <utility>
+
+namespace endivecleat {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kMaxDepth = 6;
+
+/// Builds arrays of scalars; refuses objects and deep nesting.
+class BoundedBuilder : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return false; }
+  bool boolean(bool value) override { return Add(value); }
+  bool number_integer(number_integer_t value) override { return Add(value); }
+  bool number_unsigned(number_unsigned_t value) override { return Add(value); }
+  bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return false; }
+  bool string(string_t& value) override { return Add(std::move(value)); }
+  bool binary(binary_t& value) override { return Add(Json::binary(std::move(value))); }
+  bool start_object(size_t /*elements*/) override { return false; }
+  bool key(string_t& /*value*/) override { return false; }
+  bool end_object() override { return false; }
+  bool start_array(size_t /*elements*/) override {
+    if (open_.size() >= kMaxDepth) {
+      return false;
+    }
+    open_.push_back(Json::array());
+    return true;
+  }
+  bool end_array() override {
+    Json done = std::move(open_.back());
+    open_.pop_back();
+    if (open_.empty()) {
+      result_ = std::move(done);
+      return true;
+    }
+    return Add(std::move(done));
+  }
+  bool parse_error(size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    return false;
+  }
+
+  Json& result() { return result_; }
+
+ private:
+  template <class Value>
+  bool Add(Value&& value) {
+    if (open_.empty()) {
+      return false;
+    }
+    open_.back().emplace_back(std::forward<Value>(value));
+    return true;
+  }
+
+  std::vector<Json> open_;
+  Json result_;
+};
+
+}  // namespace
+
+std::optional<Json> DecodeCborArray(std::string_view bytes) {
+  BoundedBuilder builder;
+  try {
+    if (!Json::sax_parse(bytes, &builder, Json::input_format_t::cbor)) {
+      return std::nullopt;
+    }
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+  if (!builder.result().is_array()) {
+    return std::nullopt;
+  }
+  return std::move(builder.result());
+}
+
+void AppendCbor(const Json& value, std::string* out) { Json::to_cbor(value, *out); }
+
+Json CborBytes(std::string_view bytes) {
+  return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+}
+
+CborReader::CborReader(const Json& array) : array_(&array) {
+  if (!array.is_array()) {
+    throw MalformedMessage("not an array");
+  }
+}
+
+const Json& CborReader::Take() {
+  if (at_end()) {
+    throw MalformedMessage("a field is missing");
+  }
+  return (*array_)[next_++];
+}
+
+uint64_t CborReader::Number(uint64_t maximum) {
+  const Json& field = Take();
+  if (!field.is_number_unsigned() || field.get<uint64_t>() > maximum) {
+    throw MalformedMessage("a number is missing or out of range");
+  }
+  return field.get<uint64_t>();
+}
+
+std::string CborReader::Text(size_t longest) {
+  const Json& field = Take();
+  if (!field.is_string() || field.get_ref<const std::string&>().size() > longest) {
+    throw MalformedMessage("a text is missing or too long");
+  }
+  return field.get<std::string>();
+}
+
+std::string CborReader::Bytes(size_t longest) {
+  const Json& field = Take();
+  if (!field.is_binary() || field.get_binary().size() > longest) {
+    throw MalformedMessage("a byte string is missing or too long");
+  }
+  return {field.get_binary().begin(), field.get_binary().end()};
+}
+
+const Json& CborReader::Array() {
+  const Json& field = Take();
+  if (!field.is_array()) {
+    throw MalformedMessage("an array is missing");
+  }
+  return field;
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/config_replica.cc
@@ -0,0 +1,294 @@
+#include "config_replica.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "errors.h"
+
+namespace endivecleat {
+namespace {
+
+using Kind = ConfigMessage::Kind;
+
+constexpr Duration kRelayCheck = std::chrono::milliseconds(500);
+
+bool Contains(const std::vector<InstanceId>& instances, const InstanceId& instance) {
+  return std::find(instances.begin(), instances.end(), instance) != instances.end();
+}
+
+}  // namespace
+
+ConfigReplica::ConfigReplica(InstanceId self, ConfigReplicaSettings settings, TransferCodec codec,
+                             Installer installer, uint64_t seed, TimePoint now)
+    : self_(std::move(self)),
+      settings_(std::move(settings)),
+      codec_(codec),
+      installer_(std::move(installer)),
+      random_(seed),
+      source_(settings_.source, std::move(codec), random_.Next()) {
+  const auto jitter = static_cast<uint64_t>(settings_.start_jitter.count());
+  hello_at_ = now + Duration(random_.Below(jitter + 1));
+  pull_from_ = hello_at_ + settings_.hello_wait;
+  next_remote_poll_ = pull_from_;
+}
+
+std::vector<PeerMessage> ConfigReplica::Receive(TimePoint now, const InstanceId& from,
+                                                const ConfigMessage& message) {
+  Messages out;
+  switch (message.kind) {
+    case Kind::kHello:
+    case Kind::kPull:
+      Learn(now, from, message.version, message.digest);
+      out = source_.Receive(now, from, message);
+      break;
+    case Kind::kNotice:
+      out = source_.Receive(now, from, message);
+      Learn(now, from, message.version, message.digest);
+      asked_.erase(from);
+      remote_answered_ = remote_answered_ || IsRemote(from);
+      if (pull_ && pull_->from == from && message.version <= own_version()) {
+        pull_.reset();  // it has nothing newer
+      }
+      if (message.version < own_version() && !IsRemote(from)) {
+        out.push_back({from, source_.Notice()});
+      }
+      break;
+    case Kind::kTransfer:
+      HandleTransfer(now, from, message, &out);
+      break;
+    case Kind::kBusy:
+      ++counters_.busy;
+      if (pull_ && pull_->from == from) {
+        pull_.reset();
+      }
+      candidates_[from].busy_until = now + message.retry_after;
+      break;
+  }
+  MaybePull(now, &out);
+  return out;
+}
+
+std::vector<PeerMessage> ConfigReplica::Tick(TimePoint now, const std::vector<PeerVersion>& peers) {
+  Messages out = source_.Tick(now);
+  SetPeers(now, peers);
+  Prune(now);
+  if (pull_ && now - pull_->sent_at >= settings_.pull_timeout) {
+    ++counters_.timeouts;
+    Avoid(now, pull_->from, settings_.avoid_after_timeout);
+    pull_.reset();
+  }
+  SayHello(now, &out);
+  PollRemote(now, &out);
+  MaybePull(now, &out);
+  return out;
+}
+
+ConfigMessage ConfigReplica::Own(Kind kind) const {
+  ConfigMessage message = source_.Notice();
+  message.kind = kind;
+  return message;
+}
+
+void ConfigReplica::Learn(TimePoint now, const InstanceId& from, ConfigVersion version,
+                          const std::string& digest) {
+  if (version <= own_version()) {
+    candidates_.erase(from);
+    return;
+  }
+  source_.Heard(now, version);
+  const auto [found, added] = candidates_.try_emplace(from);
+  Candidate& candidate = found->second;
+  if (added || candidate.version <= own_version()) {
+    candidate.since = now;
+  }
+  candidate.heard_at = now;
+  if (version >= candidate.version) {
+    candidate.version = version;
+    candidate.digest = digest;
+  }
+}
+
+void ConfigReplica::HandleTransfer(TimePoint now, const InstanceId& from,
+                                   const ConfigMessage& transfer, Messages* out) {
+  if (pull_ && pull_->from == from) {
+    pull_.reset();
+  }
+  ConfigTextPtr text = Accept(now, from, transfer);
+  if (!text) {
+    return;
+  }
+  ++counters_.installed;
+  *out = source_.Hold(now, std::move(text));
+  std::erase_if(candidates_,
+                [this](const auto& item) { return item.second.version <= own_version(); });
+  // The successor in the order of all daemons is always told: random choice alone leaves one daemon
+  // in twenty untold, and it would learn of the version only by gossip.
+  std::vector<InstanceId> told;
+  if (!peers_.empty() && settings_.notices > 0) {
+    const auto next = std::upper_bound(peers_.begin(), peers_.end(), self_);
+    told = ChooseRandom(peers_, settings_.notices - 1, &random_);
+    told.push_back(next == peers_.end() ? peers_.front() : *next);
+  }
+  told.push_back(from);  // acknowledges the transfer
+  std::sort(told.begin(), told.end());
+  told.erase(std::unique(told.begin(), told.end()), told.end());
+  for (const InstanceId& peer : told) {
+    out->push_back({peer, source_.Notice()});
+  }
+}
+
+ConfigTextPtr ConfigReplica::Accept(TimePoint now, const InstanceId& from,
+                                    const ConfigMessage& transfer) {
+  if (transfer.version <= own_version()) {
+    ++counters_.discarded_old;
+    return nullptr;
+  }
+  const bool delta = transfer.transfer == TransferKind::kDelta;
+  if (delta && (!in_force() || transfer.base != own_version())) {
+    ++counters_.discarded_base;  // crossed by another transfer; no fault of the sender
+    return nullptr;
+  }
+  std::optional<std::string> text =
+      codec_.decode(transfer.transfer, delta ? in_force().get() : nullptr, transfer.bytes);
+  if (!text || codec_.digest(*text) != transfer.digest) {
+    ++counters_.discarded_damaged;
+    Avoid(now, from, settings_.avoid_after_bad_transfer);
+    return nullptr;
+  }
+  bool valid = false;
+  try {
+    valid = installer_(transfer.version, *text);
+  } catch (const UserError&) {
+    valid = false;
+  }
+  if (!valid) {
+    ++counters_.discarded_invalid;
+    refused_ = {transfer.version, transfer.digest};
+    source_.Refuse(transfer.version);
+    Avoid(now, from, settings_.avoid_after_bad_transfer);
+    return nullptr;
+  }
+  return std::make_shared<const ConfigText>(
+      ConfigText{transfer.version, transfer.digest, std::move(*text)});
+}
+
+void ConfigReplica::Avoid(TimePoint now, const InstanceId& from, Duration time) {
+  avoided_until_[from] = now + time;
+}
+
+void ConfigReplica::SayHello(TimePoint now, Messages* out) {
+  if (in_force() || now < hello_at_) {
+    return;
+  }
+  greeted_ = true;
+  hello_at_ = now + settings_.hello_wait;
+  std::vector<InstanceId> asked = settings_.local_controls;
+  for (InstanceId& peer : ChooseRandom(peers_, settings_.neighbours_asked, &random_)) {
+    asked.push_back(std::move(peer));
+  }
+  for (const InstanceId& peer : asked) {
+    asked_.insert(peer);
+    out->push_back({peer, Own(Kind::kHello)});
+  }
+}
+
+void ConfigReplica::PollRemote(TimePoint now, Messages* out) {
+  if (now < next_remote_poll_ || settings_.remote_controls.empty()) {
+    return;
+  }
+  if (!IsRelay()) {
+    next_remote_poll_ = now + kRelayCheck;
+    return;
+  }
+  next_remote_poll_ =
+      now + (control_alive_ ? settings_.remote_poll : settings_.remote_poll_without_control);
+  if (!remote_answered_) {
+    remote_index_ = (remote_index_ + 1) % settings_.remote_controls.size();
+  }
+  remote_answered_ = false;
+  out->push_back({settings_.remote_controls[remote_index_], Own(Kind::kHello)});
+}
+
+void ConfigReplica::MaybePull(TimePoint now, Messages* out) {
+  const bool all_answered = greeted_ && asked_.empty();
+  if (pull_ || (!in_force() && now < pull_from_ && !all_answered)) {
+    return;
+  }
+  ConfigVersion best = own_version();
+  for (const auto& [instance, candidate] : candidates_) {
+    if (Usable(now, instance, candidate)) {
+      best = std::max(best, candidate.version);
+    }
+  }
+  std::vector<InstanceId> holders;
+  for (const auto& [instance, candidate] : candidates_) {
+    const bool holds = candidate.version == best && best > own_version();
+    if (holds && Usable(now, instance, candidate) && now >= candidate.busy_until) {
+      holders.push_back(instance);
+    }
+  }
+  if (holders.empty()) {
+    return;
+  }
+  pull_ = Pull{holders[random_.Below(holders.size())], now};
+  ++counters_.pulls;
+  out->push_back({pull_->from, Own(Kind::kPull)});
+}
+
+bool ConfigReplica::IsRemote(const InstanceId& instance) const {
+  return Contains(settings_.remote_controls, instance);
+}
+
+bool ConfigReplica::Usable(TimePoint now, const InstanceId& instance,
+                           const Candidate& candidate) const {
+  const auto avoided = avoided_until_.find(instance);
+  if (avoided != avoided_until_.end() && now < avoided->second) {
+    return false;
+  }
+  if (refused_ && refused_->first == candidate.version && refused_->second == candidate.digest) {
+    return false;
+  }
+  if (IsRemote(instance)) {
+    const bool waited = now - candidate.since >= settings_.local_grace;
+    return IsRelay() && (!control_alive_ || waited);
+  }
+  return true;
+}
+
+bool ConfigReplica::IsRelay() const {
+  // The lowest hashes by data centre and version: another pair for each version.
+  const auto rank = [this](const InstanceId& instance) {
+    const std::string text = settings_.data_centre.value() + '/' + instance.value();
+    return XXH3_64bits_withSeed(text.data(), text.size(), own_version().value());
+  };
+  const uint64_t own = rank(self_);
+  size_t lower = 0;
+  for (const InstanceId& peer : peers_) {
+    lower += rank(peer) < own ? 1 : 0;
+  }
+  return lower < settings_.relays;
+}
+
+void ConfigReplica::SetPeers(TimePoint now, const std::vector<PeerVersion>& peers) {
+  peers_.clear();
+  control_alive_ = false;
+  for (const PeerVersion& peer : peers) {
+    if (Contains(settings_.local_controls, peer.instance)) {
+      control_alive_ = true;
+    } else {
+      peers_.push_back(peer.instance);
+    }
+    Learn(now, peer.instance, peer.version, peer.digest);
+  }
+  std::sort(peers_.begin(), peers_.end());
+}
+
+void ConfigReplica::Prune(TimePoint now) {
+  std::erase_if(candidates_, [&](const auto& item) {
+    return now - item.second.heard_at > settings_.candidate_lifetime;
+  });
+  std::erase_if(avoided_until_, [now](const auto& item) { return now >= item.second; });
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/member_record.cc
@@ -0,0 +1,111 @@
+#include "member_record.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include "errors.h"
+
+namespace endivecleat {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kLongestName = 64;
+constexpr size_t kLongestIp = 45;  // an IPv6 address with an embedded IPv4 address
+constexpr size_t kLongestDigest = 32;
+constexpr uint64_t kMaxSmall = std::numeric_limits<uint32_t>::max();
+
+constexpr uint64_t kMaxAgeMs = 3'600'000;
+
+uint64_t AgeToMs(Duration age) {
+  const int64_t milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+  return std::min(kMaxAgeMs, static_cast<uint64_t>(std::max<int64_t>(0, milliseconds)));
+}
+
+const std::array<std::string, 6>& StateNames() {
+  static const std::array<std::string, 6> names = {"absent",   "warming", "ready",
+                                                   "draining", "failed",  "left"};
+  return names;
+}
+
+uint32_t ReadSmall(CborReader* fields) { return static_cast<uint32_t>(fields->Number(kMaxSmall)); }
+
+}  // namespace
+
+const std::string& TargetStateName(TargetState state) {
+  return StateNames().at(static_cast<size_t>(state));
+}
+
+TargetState TargetStateFromName(const std::string& name) {
+  const auto& names = StateNames();
+  const auto found = std::find(names.begin(), names.end(), name);
+  ENDIVECLEAT_CHECK(found != names.end(), "unknown target state " + name);
+  return static_cast<TargetState>(found - names.begin());
+}
+
+MemberKey KeyOf(const InstanceId& instance, WallTime boot_time) {
+  const std::string& id = instance.value();
+  return MemberKey(XXH3_64bits_withSeed(id.data(), id.size(), boot_time.value()));
+}
+
+Json ToCbor(const MemberRecord& record) {
+  return Json::array({0U, record.instance.value(), record.address.ip, record.address.port,
+                      record.boot_time.value(), record.sequence, record.service.value(),
+                      record.target.value(), static_cast<uint8_t>(record.state), record.slots,
+                      record.load, record.config_version.value(), CborBytes(record.config_digest)});
+}
+
+Json ToCbor(const MemberUpdate& update) {
+  return Json::array({1U, update.key.value(), update.sequence, static_cast<uint8_t>(update.status),
+                      update.load, update.config_version.value()});
+}
+
+Json ToCbor(const CrashReport& report) {
+  return Json::array({2U, report.reporter.value(), report.fingerprint, report.count,
+                      report.reported_at.value(), AgeToMs(report.age)});
+}
+
+MemberRecord ReadMemberRecord(CborReader* fields) {
+  MemberRecord record;
+  record.instance = InstanceId(fields->Text(kLongestName));
+  record.address.ip = fields->Text(kLongestIp);
+  record.address.port = static_cast<uint16_t>(fields->Number(0xFFFF));
+  record.boot_time = WallTime(fields->Number());
+  record.sequence = fields->Number();
+  record.service = ServiceName(fields->Text(kLongestName));
+  record.target = TargetId(fields->Text(kLongestName));
+  record.state = static_cast<TargetState>(fields->Number(StateNames().size() - 1));
+  record.slots = ReadSmall(fields);
+  record.load = ReadSmall(fields);
+  record.config_version = ConfigVersion(fields->Number());
+  record.config_digest = fields->Bytes(kLongestDigest);
+  if (record.instance.empty()) {
+    throw MalformedMessage("a record has no instance");
+  }
+  return record;
+}
+
+MemberUpdate ReadMemberUpdate(CborReader* fields) {
+  MemberUpdate update;
+  update.key = MemberKey(fields->Number());
+  update.sequence = fields->Number();
+  update.status = static_cast<MemberStatus>(fields->Number(3));
+  update.load = ReadSmall(fields);
+  update.config_version = ConfigVersion(fields->Number());
+  return update;
+}
+
+CrashReport ReadCrashReport(CborReader* fields) {
+  CrashReport report;
+  report.reporter = InstanceId(fields->Text(kLongestName));
+  report.fingerprint = fields->Number();
+  report.count = ReadSmall(fields);
+  report.reported_at = WallTime(fields->Number());
+  report.age = std::chrono::milliseconds(fields->Number(kMaxAgeMs));
+  return report;
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,595 @@
+#include "membership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace endivecleat {
+namespace {
+
+constexpr Duration kAloneRetry = std::chrono::seconds(1);
+constexpr Duration kSeedRetry = std::chrono::seconds(5);
+constexpr Duration kLostRetry = std::chrono::seconds(1);
+constexpr Duration kSyncPause = std::chrono::seconds(2);
+constexpr Duration kSyncPauseBehind = std::chrono::milliseconds(100);
+constexpr uint32_t kMuchLearned = 4;  // records in one sync; a join continues at the short pause
+constexpr Duration kRelayLifetime = std::chrono::seconds(2);
+constexpr Duration kSpreadAgainPause = std::chrono::milliseconds(250);
+constexpr Duration kConfirmTime = std::chrono::seconds(3);
+constexpr size_t kLeaveDatagrams = 8;
+constexpr size_t kSyncDatagrams = 4;
+constexpr size_t kSyncRecords = 40;
+constexpr uint32_t kMismatchesBeforeSync = 3;  // fewer also match news that is still spreading
+constexpr size_t kSyncTombstones = 24;
+
+}  // namespace
+
+Membership::Membership(const MemberRecord& self, MembershipSettings settings,
+                       std::vector<Address> seeds, uint64_t seed, TimePoint now)
+    : settings_(std::move(settings)),
+      seeds_(std::move(seeds)),
+      random_(seed),
+      data_centre_hash_(HashOf(settings_.data_centre)),
+      table_(self, settings_.suspicion, settings_.tombstone_lifetime),
+      detector_(settings_.detector, random_.Next(), now),
+      now_(now),
+      started_at_(now),
+      started_wall_(self.boot_time),
+      next_seed_contact_(now),
+      next_lost_contact_(now + kLostRetry),
+      next_sync_(now),
+      next_load_(now) {
+  std::erase(seeds_, self.address);
+  std::erase(settings_.remote_seeds, self.address);
+}
+
+std::vector<Datagram> Membership::Tick(TimePoint now) {
+  Datagrams out;
+  if (left_) {
+    return out;
+  }
+  HandleFreeze(now);
+  ExpireAll();
+  if (load_pending_ && now_ >= next_load_) {
+    load_pending_ = false;
+    next_load_ = now_ + settings_.load_interval;
+    SpreadUpdate(table_.self_key(), false);
+  }
+  RunDetector(&out);
+  ContactSeeds(&out);
+  ContactLost(&out);
+  return out;
+}
+
+std::vector<Datagram> Membership::Receive(TimePoint now, const Address& from,
+                                          std::string_view datagram) {
+  Datagrams out;
+  if (left_ || datagram.size() > settings_.datagram_bytes) {
+    return out;
+  }
+  const std::optional<DatagramContent> content = DecodeDatagram(settings_.mesh_token, datagram);
+  if (!content || content->header.sender == table_.self_key()) {
+    return out;
+  }
+  HandleFreeze(now);
+  const DatagramHeader& header = content->header;
+  if (header.data_centre != data_centre_hash_) {
+    if (header.kind == DatagramKind::kSyncRequest) {
+      AnswerVisitor(from, *content, &out);
+    }
+    return out;
+  }
+  Merge(*content);
+  switch (header.kind) {
+    case DatagramKind::kPing:
+      Send(from, header.sender, Header(DatagramKind::kAck, header.nonce), &out);
+      break;
+    case DatagramKind::kAck:
+      HandleAck(*content, &out);
+      break;
+    case DatagramKind::kPingRequest:
+      HandlePingRequest(from, *content, &out);
+      break;
+    case DatagramKind::kSyncRequest:
+      AnswerSync(from, *content, &out);
+      break;
+    case DatagramKind::kSync:
+      break;
+    case DatagramKind::kIntroduce:
+      for (const Address& address : content->introduced) {
+        if (address != table_.self().address) {
+          SendSyncRequest(address, &out);
+        }
+      }
+      return out;
+  }
+  CompareView(from, *content, &out);
+  return out;
+}
+
+void Membership::UpdateSelf(TimePoint now, const MemberRecord& self) {
+  HandleFreeze(now);
+  MemberRecord next = table_.self();
+  next.service = self.service;
+  next.target = self.target;
+  next.state = self.state;
+  next.slots = self.slots;
+  const bool notable = next != table_.self();
+  next.load = self.load;
+  next.config_version = self.config_version;
+  next.config_digest = self.config_digest;
+  if (next == table_.self()) {
+    return;
+  }
+  ++next.sequence;
+  const bool new_version = next.config_version != table_.self().config_version;
+  table_.SetSelf(next);
+  if (notable) {
+    SpreadRecord(next);
+  } else if (new_version) {
+    SpreadUpdate(table_.self_key(), false);
+  } else {
+    load_pending_ = true;
+  }
+}
+
+std::vector<Datagram> Membership::Leave(TimePoint now) {
+  Datagrams out;
+  if (left_) {
+    return out;
+  }
+  HandleFreeze(now);
+  MemberUpdate goodbye{
+      .key = table_.self_key(), .sequence = table_.self().sequence, .status = MemberStatus::kLeft};
+  queue_.Clear();
+  queue_.Push(GossipQueue::Kind::kUpdate, goodbye.key.value(), true, kLeaveDatagrams,
+              EncodeItem(goodbye));
+  const size_t others = members().size() - 1;
+  const size_t first = random_.Below(others);
+  for (size_t i = 0; i < std::min(kLeaveDatagrams, others); ++i) {
+    const size_t index = 1 + (first + i) % others;
+    Send(members()[index].address, table_.peer(index).key, Header(DatagramKind::kSync, 0), &out);
+  }
+  left_ = true;
+  return out;
+}
+
+bool Membership::IsSuspect(const MemberRecord& member) const {
+  const std::optional<size_t> index = table_.Find(KeyOf(member));
+  return index && table_.peer(*index).suspect;
+}
+
+std::vector<PeerVersion> Membership::peer_versions() const {
+  std::vector<PeerVersion> versions;
+  versions.reserve(members().size());
+  for (size_t i = 1; i < members().size(); ++i) {
+    const MemberRecord& member = members()[i];
+    const std::string digest = member.config_digest.empty() ? table_.DigestOf(member.config_version)
+                                                            : member.config_digest;
+    versions.push_back({member.instance, member.config_version, digest});
+  }
+  return versions;
+}
+
+void Membership::ReportCrash(TimePoint now, uint64_t fingerprint, uint32_t count) {
+  HandleFreeze(now);
+  MergeCrash(crashes_.MakeOwn(table_.self().instance, fingerprint, count, WallNow()), true);
+}
+
+void Membership::MergeSummary(const DataCentreSummary& summary) {
+  if (summary.data_centre == settings_.data_centre) {
+    return;
+  }
+  std::set<ServiceName> named;
+  for (const ServiceSummary& service : summary.services) {
+    named.insert(service.service);
+    MergeSummaryEntry({summary.data_centre, summary.region, summary.made_at, Duration{}, service},
+                      true);
+  }
+  for (SummaryEntry& held : summaries_.entries(now_)) {
+    if (held.data_centre == summary.data_centre && !named.contains(held.service.service)) {
+      held.made_at = summary.made_at;
+      held.age = Duration{};
+      held.service = ServiceSummary{.service = held.service.service};
+      MergeSummaryEntry(held, true);
+    }
+  }
+  const SummaryRenewal renewal{summary.data_centre, summary.made_at, Duration{}};
+  summaries_.Renew(now_, renewal);
+  queue_.Push(GossipQueue::Kind::kOther, SubjectOf(summary.data_centre, ServiceName()), false,
+              Transmits(false), EncodeItem(renewal));
+}
+
+DataCentreSummary Membership::OwnSummary() const {
+  return {settings_.data_centre, settings_.region, WallNow(), SummariseServices(members())};
+}
+
+WallTime Membership::WallNow() const {
+  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now_ - started_at_);
+  return WallTime(started_wall_.value() + static_cast<uint64_t>(elapsed.count()));
+}
+
+DatagramHeader Membership::Header(DatagramKind kind, uint32_t nonce) const {
+  return {.kind = kind,
+          .data_centre = data_centre_hash_,
+          .sender = table_.self_key(),
+          .nonce = nonce,
+          .config_version = table_.self().config_version,
+          .config_digest = table_.self().config_digest,
+          .view = View()};
+}
+
+void Membership::Send(const Address& to, MemberKey receiver, const DatagramHeader& header,
+                      Datagrams* out) {
+  std::string datagram = BeginDatagram(header);
+  // A suspected or dead receiver is told so, to refute it if it is alive.
+  const std::optional<MemberUpdate> verdict = table_.Describe(receiver);
+  if (verdict && verdict->status != MemberStatus::kAlive) {
+    datagram += EncodeItem(*verdict);
+  }
+  GossipQueue::Limits limits;
+  limits.bytes = settings_.datagram_bytes - kDatagramTrailerBytes;
+  queue_.Fill(limits, &datagram);
+  out->push_back({to, EndDatagram(std::move(datagram), settings_.mesh_token)});
+}
+
+void Membership::SendSyncRequest(const Address& to, Datagrams* out) {
+  DatagramHeader header = Header(DatagramKind::kSyncRequest, 0);
+  header.buckets = EncodeParts(ViewParts());
+  std::string datagram = BeginDatagram(header);
+  datagram += EncodeItem(table_.self());
+  out->push_back({to, EndDatagram(std::move(datagram), settings_.mesh_token)});
+}
+
+std::vector<uint32_t> Membership::ViewParts() const {
+  std::vector<uint32_t> parts;
+  for (const uint64_t bucket : table_.buckets()) {
+    parts.push_back(static_cast<uint32_t>(bucket));
+  }
+  parts.push_back(static_cast<uint32_t>(crashes_.hash()));
+  parts.push_back(static_cast<uint32_t>(summaries_.hash()));
+  return parts;
+}
+
+uint64_t Membership::View() const {
+  const std::vector<uint32_t> parts = ViewParts();
+  return XXH3_64bits(parts.data(), parts.size() * sizeof(uint32_t));
+}
+
+uint32_t Membership::Transmits(bool urgent) const {
+  const double members_log = std::ceil(std::log10(static_cast<double>(members().size() + 1)));
+  return (urgent ? 4 : 2) * std::max(1U, static_cast<uint32_t>(members_log));
+}
+
+void Membership::SpreadUpdate(MemberKey key, bool urgent) {
+  if (const std::optional<MemberUpdate> update = table_.Describe(key)) {
+    if (update->status == MemberStatus::kDead || update->status == MemberStatus::kLeft) {
+      queue_.Erase(GossipQueue::Kind::kRecord, key.value());
+    }
+    queue_.Push(GossipQueue::Kind::kUpdate, key.value(), urgent, Transmits(urgent),
+                EncodeItem(*update));
+  }
+}
+
+void Membership::SpreadRecord(const MemberRecord& record) {
+  queue_.Push(GossipQueue::Kind::kRecord, KeyOf(record).value(), true, Transmits(true),
+              EncodeItem(record));
+}
+
+void Membership::SpreadSelf() {
+  SpreadRecord(table_.self());
+  SpreadUpdate(table_.self_key(), true);
+}
+
+void Membership::Refute(uint64_t sequence) {
+  MemberRecord self = table_.self();
+  self.sequence = NextRefutation(std::max(self.sequence, sequence));
+  table_.SetSelf(self);
+  SpreadSelf();
+}
+
+void Membership::HandleFreeze(TimePoint now) {
+  const bool frozen = now - now_ > settings_.freeze_gap;
+  now_ = std::max(now_, now);
+  if (!frozen) {
+    return;
+  }
+  // What this member knew is old: it must neither spread it nor judge others by probes it missed.
+  detector_.Reset(now_);
+  queue_.Clear();
+  relays_.clear();
+  table_.ClearSuspicions();
+  unconfirmed_.clear();
+  for (size_t i = 1; i < members().size(); ++i) {
+    unconfirmed_.insert(table_.peer(i).key);
+  }
+  unconfirmed_until_ = now_ + kConfirmTime;
+  Refute(table_.self().sequence);
+  next_sync_ = now_;
+  view_mismatches_ = kMismatchesBeforeSync;
+}
+
+void Membership::DropUnconfirmed(TimePoint now) {
+  if (unconfirmed_.empty() || now < unconfirmed_until_) {
+    return;
+  }
+  for (const MemberKey key : unconfirmed_) {
+    table_.Forget(key);
+  }
+  unconfirmed_.clear();
+}
+
+void Membership::ExpireAll() {
+  DropUnconfirmed(now_);
+  for (const MemberUpdate& dead : table_.ExpireSuspects(now_)) {
+    SpreadUpdate(dead.key, true);
+  }
+  table_.ExpireTombstones(now_);
+  summaries_.Expire(now_);
+  crashes_.Expire(now_);
+  std::erase_if(relays_, [this](const auto& item) { return now_ >= item.second.expires_at; });
+  std::erase_if(spread_again_at_,
+                [this](const auto& item) { return now_ - item.second >= kSpreadAgainPause; });
+}
+
+void Membership::UpdateRing() {
+  if (ring_revision_ == table_.revision()) {
+    return;
+  }
+  ring_revision_ = table_.revision();
+  std::vector<MemberKey> others;
+  for (size_t i = 1; i < members().size(); ++i) {
+    others.push_back(table_.peer(i).key);
+  }
+  detector_.SetMembers(table_.self_key(), std::move(others));
+}
+
+void Membership::RunDetector(Datagrams* out) {
+  UpdateRing();
+  const FailureDetector::Actions actions = detector_.Tick(now_);
+  for (const MemberKey key : actions.failed) {
+    if (table_.Suspect(now_, key)) {
+      SpreadUpdate(key, true);
+    }
+  }
+  for (const FailureDetector::Ping& ping : actions.pings) {
+    const MemberRecord& target = members()[*table_.Find(ping.target)];
+    Send(target.address, ping.target, Header(DatagramKind::kPing, ping.nonce), out);
+  }
+  for (const FailureDetector::IndirectPing& ping : actions.indirect_pings) {
+    DatagramHeader header = Header(DatagramKind::kPingRequest, ping.nonce);
+    header.about = ping.target;
+    Send(members()[*table_.Find(ping.through)].address, ping.through, header, out);
+  }
+}
+
+void Membership::ContactSeeds(Datagrams* out) {
+  if (now_ < next_seed_contact_) {
+    return;
+  }
+  const bool alone = members().size() == 1;
+  std::vector<Address> absent;
+  for (const Address& seed : seeds_) {
+    const bool member = std::any_of(members().begin(), members().end(),
+                                    [&](const MemberRecord& m) { return m.address == seed; });
+    if (!member) {
+      absent.push_back(seed);
+    }
+  }
+  if (!absent.empty()) {
+    SendSyncRequest(absent[random_.Below(absent.size())], out);
+  }
+  // In a group without a seed only about two members ask across data centres.
+  const bool without_seeds = !seeds_.empty() && absent.size() == seeds_.size();
+  const bool ask_remote =
+      alone ? now_ - started_at_ >= kAloneRetry : random_.Below(members().size()) < 2;
+  if (without_seeds && ask_remote && !settings_.remote_seeds.empty()) {
+    SendSyncRequest(settings_.remote_seeds[random_.Below(settings_.remote_seeds.size())], out);
+  }
+  const Duration pause = alone ? kAloneRetry : kSeedRetry;
+  next_seed_contact_ =
+      now_ + pause / 2 + Duration(random_.Below(static_cast<uint64_t>(pause.count())));
+}
+
+void Membership::ContactLost(Datagrams* out) {
+  if (now_ < next_lost_contact_) {
+    return;
+  }
+  next_lost_contact_ = now_ + kLostRetry;
+  std::vector<std::pair<MemberKey, Address>> lost;
+  for (const auto& [key, tombstone] : table_.tombstones()) {
+    if (tombstone.status == MemberStatus::kDead && !tombstone.address.ip.empty()) {
+      lost.emplace_back(key, tombstone.address);
+    }
+  }
+  // All members together try each lost member about twice a second.
+  if (lost.empty() || random_.Below(members().size()) >= 2 * lost.size()) {
+    return;
+  }
+  std::sort(lost.begin(), lost.end());  // the order of the map differs between runs
+  const auto& [key, address] = lost[random_.Below(lost.size())];
+  Send(address, key, Header(DatagramKind::kPing, 0), out);
+}
+
+void Membership::Merge(const DatagramContent& content) {
+  // A sync brings what others know already; spreading it again would only repeat it.
+  const bool spread = content.header.kind != DatagramKind::kSync || content.records.empty();
+  unconfirmed_.erase(content.header.sender);
+  for (const MemberRecord& record : content.records) {
+    unconfirmed_.erase(KeyOf(record));
+    MergeRecord(record, spread);
+  }
+  for (const MemberUpdate& update : content.updates) {
+    MergeUpdate(update, spread);
+  }
+  for (const CrashReport& report : content.crash_reports) {
+    MergeCrash(report, spread);
+  }
+  for (const SummaryEntry& entry : content.summary_entries) {
+    MergeSummaryEntry(entry, spread);
+  }
+  for (const SummaryRenewal& renewal : content.summary_renewals) {
+    if (summaries_.Renew(now_, renewal)) {
+      queue_.Push(GossipQueue::Kind::kOther, SubjectOf(renewal.data_centre, ServiceName()), false,
+                  Transmits(false), EncodeItem(renewal));
+    }
+  }
+  table_.SetConfigVersion(content.header.sender, content.header.config_version,
+                          content.header.config_digest);
+}
+
+void Membership::MergeRecord(const MemberRecord& record, bool spread) {
+  if (record.instance == table_.self().instance) {
+    MemberRecord self = table_.self();
+    if (record.boot_time > self.boot_time) {
+      // The clock went back since an earlier run: a later boot time supersedes that run.
+      self.boot_time = record.boot_time.next();
+      table_.SetSelf(self);
+      SpreadSelf();
+    } else if (record.boot_time == self.boot_time && record.sequence > self.sequence) {
+      Refute(record.sequence);
+    }
+    return;
+  }
+  switch (table_.MergeRecord(now_, record)) {
+    case MemberTable::Outcome::kChanged:
+      if (spread) {
+        SpreadRecord(record);
+      } else {
+        ++sync_gain_;
+      }
+      break;
+    case MemberTable::Outcome::kRefreshed:
+      if (spread) {
+        SpreadUpdate(KeyOf(record), false);
+      }
+      break;
+    case MemberTable::Outcome::kTombstoned:
+      SpreadAgain(KeyOf(record));
+      break;
+    default:
+      break;
+  }
+}
+
+void Membership::MergeUpdate(const MemberUpdate& update, bool spread) {
+  if (update.key == table_.self_key()) {
+    const bool alive = update.status == MemberStatus::kAlive;
+    if (!alive && RefutationOf(update.sequence) >= RefutationOf(table_.self().sequence)) {
+      Refute(update.sequence);
+    }
+    return;
+  }
+  switch (table_.MergeUpdate(now_, update)) {
+    case MemberTable::Outcome::kChanged:
+      SpreadUpdate(update.key, true);
+      break;
+    case MemberTable::Outcome::kRefreshed:
+      if (spread) {
+        SpreadUpdate(update.key, false);
+      }
+      break;
+    case MemberTable::Outcome::kRefuted:
+    case MemberTable::Outcome::kTombstoned:
+      SpreadAgain(update.key);
+      break;
+    default:
+      break;
+  }
+}
+
+void Membership::SpreadAgain(MemberKey key) {
+  if (spread_again_at_.emplace(key, now_).second) {
+    SpreadUpdate(key, true);
+  }
+}
+
+void Membership::MergeCrash(const CrashReport& report, bool spread) {
+  if (crashes_.Merge(now_, report) && spread) {
+    queue_.Push(GossipQueue::Kind::kOther, SubjectOf(report), true, Transmits(true),
+                EncodeItem(report));
+  }
+}
+
+void Membership::MergeSummaryEntry(const SummaryEntry& entry, bool spread) {
+  if (entry.data_centre != settings_.data_centre && summaries_.Merge(now_, entry) && spread) {
+    queue_.Push(GossipQueue::Kind::kOther, SubjectOf(entry.data_centre, entry.service.service),
+                false, Transmits(false), EncodeItem(entry));
+  }
+}
+
+void Membership::HandleAck(const DatagramContent& content, Datagrams* out) {
+  detector_.Acknowledge(content.header.nonce);
+  const auto relay = relays_.find(content.header.nonce);
+  if (relay == relays_.end()) {
+    return;
+  }
+  Send(relay->second.origin, MemberKey(), Header(DatagramKind::kAck, relay->second.origin_nonce),
+       out);
+  relays_.erase(relay);
+}
+
+void Membership::HandlePingRequest(const Address& from, const DatagramContent& content,
+                                   Datagrams* out) {
+  const std::optional<size_t> index = table_.Find(content.header.about);
+  if (!index || *index == 0) {
+    return;
+  }
+  const auto nonce = static_cast<uint32_t>(random_.Next());
+  relays_[nonce] = {from, content.header.nonce, now_ + kRelayLifetime};
+  Send(members()[*index].address, content.header.about, Header(DatagramKind::kPing, nonce), out);
+}
+
+void Membership::AnswerSync(const Address& from, const DatagramContent& content, Datagrams* out) {
+  const std::vector<bool> differs = DifferingParts(ViewParts(), content.header.buckets);
+  std::vector<std::string> items =
+      table_.Encode(differs, random_.Below(members().size()), kSyncRecords, kSyncTombstones);
+  const std::vector<CrashReport> crashes = crash_reports();
+  for (size_t i = 0; differs[kMemberBuckets] && i < std::min(kSyncRecords, crashes.size()); ++i) {
+    items.push_back(EncodeItem(crashes[i]));
+  }
+  const std::vector<SummaryEntry> entries = summaries_.entries(now_);
+  const size_t start = random_.Below(entries.size());
+  for (size_t i = 0; differs[kMemberBuckets + 1] && i < std::min(kSyncRecords, entries.size());
+       ++i) {
+    items.push_back(EncodeItem(entries[(start + i) % entries.size()]));
+  }
+  for (std::string& datagram : PackItems(Header(DatagramKind::kSync, 0), items, kSyncDatagrams,
+                                         settings_.datagram_bytes, settings_.mesh_token)) {
+    out->push_back({from, std::move(datagram)});
+  }
+}
+
+void Membership::AnswerVisitor(const Address& from, const DatagramContent& content,
+                               Datagrams* out) {
+  DatagramHeader header = Header(DatagramKind::kIntroduce, 0);
+  header.data_centre = content.header.data_centre;
+  std::string datagram = BeginDatagram(header);
+  const std::vector<Address> others = introductions_.Visit(now_, header.data_centre, from);
+  for (const Address& address : others) {
+    AppendIntroduced(address, &datagram);
+  }
+  if (!others.empty()) {
+    out->push_back({from, EndDatagram(std::move(datagram), settings_.mesh_token)});
+  }
+}
+
+void Membership::CompareView(const Address& from, const DatagramContent& content, Datagrams* out) {
+  if (content.header.view == View()) {
+    view_mismatches_ = 0;
+    return;
+  }
+  ++view_mismatches_;
+  // A member that knows few others, or that just learned much, does not wait for more differences.
+  const bool behind = members().size() < 4 || sync_gain_ >= kMuchLearned;
+  if (now_ < next_sync_ || (!behind && view_mismatches_ < kMismatchesBeforeSync)) {
+    return;
+  }
+  const Duration pause = behind ? kSyncPauseBehind : kSyncPause;
+  next_sync_ = now_ + pause + Duration(random_.Below(static_cast<uint64_t>(pause.count())));
+  sync_gain_ = 0;
+  SendSyncRequest(from, out);
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/membership.h
@@ -0,0 +1,159 @@
+// Membership of one data centre: SWIM with a ring of watchers, over authenticated datagrams.
+// Members spread their records, crash reports and the summaries of other data centres by gossip,
+// and compare what they know by hashes, so that lost news is fetched again.
+#ifndef ENDIVECLEAT_MEMBERSHIP_H_
+#define ENDIVECLEAT_MEMBERSHIP_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "crash_table.h"
+#include "data_centre_summary.h"
+#include "failure_detector.h"
+#include "gossip_queue.h"
+#include "introductions.h"
+#include "member_datagram.h"
+#include "member_record.h"
+#include "member_table.h"
+#include "seeded_random.h"
+#include "units.h"
+
+namespace endivecleat {
+
+struct Datagram {
+  Address to;
+  std::string bytes;
+};
+
+/// A member's configuration version as far as this member knows it.
+struct PeerVersion {
+  InstanceId instance;
+  ConfigVersion version;
+  std::string digest;  // empty when not known
+};
+
+struct MembershipSettings {
+  DataCentreId data_centre;
+  RegionId region;
+  std::string mesh_token;
+  /// Control instances of other data centres. They are asked only while no seed answers.
+  std::vector<Address> remote_seeds;
+  FailureDetectorSettings detector;
+  Duration suspicion = std::chrono::seconds(2);
+  Duration tombstone_lifetime = std::chrono::minutes(10);
+  Duration crash_report_lifetime = std::chrono::minutes(10);
+  Duration load_interval = std::chrono::seconds(2);  // at most one spread change of load in it
+  /// A longer gap between two events means that this process was stopped.
+  Duration freeze_gap = std::chrono::seconds(3);
+  size_t datagram_bytes = 1100;
+};
+
+class Membership {
+ public:
+  /// The addresses of the data centre's control instances are the seeds.
+  Membership(const MemberRecord& self, MembershipSettings settings, std::vector<Address> seeds,
+             uint64_t seed, TimePoint now);
+
+  /// To be called every 100 ms.
+  std::vector<Datagram> Tick(TimePoint now);
+  /// Drops whatever is not a valid datagram of this mesh.
+  std::vector<Datagram> Receive(TimePoint now, const Address& from, std::string_view datagram);
+  /// Takes service, target, state, slots, load, configuration version and digest from the record;
+  /// boot time and sequence are the membership's own.
+  void UpdateSelf(TimePoint now, const MemberRecord& self);
+  /// Says goodbye. Afterwards the object neither sends nor accepts anything.
+  std::vector<Datagram> Leave(TimePoint now);
+
+  /// The members that are not known to have failed or left, this one included, in no order.
+  const std::vector<MemberRecord>& members() const { return table_.records(); }
+  const MemberRecord& self() const { return table_.self(); }
+  bool IsSuspect(const MemberRecord& member) const;
+  /// The configuration versions of the other members.
+  std::vector<PeerVersion> peer_versions() const;
+
+  void ReportCrash(TimePoint now, uint64_t fingerprint, uint32_t count);
+  /// The newest report of each member on each fingerprint, own ones included; a count of 0 says
+  /// that the request succeeded since.
+  std::vector<CrashReport> crash_reports() const { return crashes_.reports(now_); }
+
+  /// Accepts a summary from a control instance of another data centre.
+  void MergeSummary(const DataCentreSummary& summary);
+  std::vector<DataCentreSummary> summaries() const { return summaries_.summaries(); }
+  DataCentreSummary OwnSummary() const;
+
+ private:
+  using Datagrams = std::vector<Datagram>;
+  struct Relay {  // a ping sent for another member
+    Address origin;
+    uint32_t origin_nonce;
+    TimePoint expires_at;
+  };
+
+  WallTime WallNow() const;
+  DatagramHeader Header(DatagramKind kind, uint32_t nonce) const;
+  void Send(const Address& to, MemberKey receiver, const DatagramHeader& header, Datagrams* out);
+  void SendSyncRequest(const Address& to, Datagrams* out);
+  uint64_t View() const;
+  std::vector<uint32_t> ViewParts() const;
+  uint32_t Transmits(bool urgent) const;
+  void SpreadUpdate(MemberKey key, bool urgent);
+  void SpreadRecord(const MemberRecord& record);
+  void SpreadSelf();
+  void Refute(uint64_t sequence);
+
+  void HandleFreeze(TimePoint now);
+  void DropUnconfirmed(TimePoint now);
+  void RunDetector(Datagrams* out);
+  void ContactSeeds(Datagrams* out);
+  void ContactLost(Datagrams* out);
+  void ExpireAll();
+  void UpdateRing();
+
+  void Merge(const DatagramContent& content);
+  void MergeRecord(const MemberRecord& record, bool spread);
+  void MergeUpdate(const MemberUpdate& update, bool spread);
+  void MergeCrash(const CrashReport& report, bool spread);
+  void MergeSummaryEntry(const SummaryEntry& entry, bool spread);
+  /// Answers old news about a member with what is known.
+  void SpreadAgain(MemberKey key);
+  void HandleAck(const DatagramContent& content, Datagrams* out);
+  void HandlePingRequest(const Address& from, const DatagramContent& content, Datagrams* out);
+  void AnswerSync(const Address& from, const DatagramContent& content, Datagrams* out);
+  void AnswerVisitor(const Address& from, const DatagramContent& content, Datagrams* out);
+  void CompareView(const Address& from, const DatagramContent& content, Datagrams* out);
+
+  MembershipSettings settings_;
+  std::vector<Address> seeds_;
+  SeededRandom random_;
+  uint32_t data_centre_hash_;
+  MemberTable table_;
+  FailureDetector detector_;
+  uint64_t ring_revision_ = 0;
+  GossipQueue queue_;
+  SummaryTable summaries_;
+  CrashTable crashes_{settings_.crash_report_lifetime};
+  std::map<uint32_t, Relay> relays_;
+  std::map<MemberKey, TimePoint> spread_again_at_;
+  Introductions introductions_;
+  std::set<MemberKey> unconfirmed_;  // known from before a freeze and not heard of since
+  TimePoint unconfirmed_until_;
+  TimePoint now_;  // time of the newest event
+  TimePoint started_at_;
+  WallTime started_wall_;
+  TimePoint next_seed_contact_;
+  TimePoint next_lost_contact_;
+  TimePoint next_sync_;
+  TimePoint next_load_;
+  bool load_pending_ = false;
+  uint32_t view_mismatches_ = 0;  // in a row
+  uint32_t sync_gain_ = 0;        // members learned by sync since the newest sync request
+  bool left_ = false;
+};
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_MEMBERSHIP_H_
--- /dev/null
+++ b/src/target_state.cc
@@ -0,0 +1,112 @@
+#include "target_state.h"
+
+#include <algorithm>
+
+namespace endivecleat {
+namespace {
+
+const StateChart& TargetChart() {
+  static const StateChart chart(
+#include "target.chart"
+  );
+  return chart;
+}
+
+}  // namespace
+
+AnnouncedTarget::AnnouncedTarget(TargetSettings settings)
+    : settings_(settings), state_(TargetStateFromName(TargetChart().initial())) {}
+
+void AnnouncedTarget::Handle(TimePoint now, const std::string& event) {
+  const TargetState next = TargetStateFromName(TargetChart().Next(TargetStateName(state_), event));
+  if (next == state_) {
+    return;
+  }
+  state_ = next;
+  failed_probes_ = 0;
+  if (state_ == TargetState::kWarming) {
+    warming_since_ = now;
+    next_probe_ = now;
+  }
+}
+
+void AnnouncedTarget::Announce(TimePoint now, const Announcement& announcement) {
+  const bool replaced = announcement.target != announcement_.target ||
+                        announcement.address != announcement_.address ||
+                        announcement.service != announcement_.service;
+  if (replaced && state_ != TargetState::kAbsent) {
+    Handle(now, "leave");
+  }
+  announcement_ = announcement;
+  announced_at_ = now;
+  silent_ = false;
+  Handle(now, "announce");
+}
+
+void AnnouncedTarget::Drain(TimePoint now) { Handle(now, "drain"); }
+
+void AnnouncedTarget::Drained(TimePoint now) {
+  if (state_ == TargetState::kDraining) {
+    Handle(now, "leave");
+  }
+}
+
+bool AnnouncedTarget::ProbeDue(TimePoint now) {
+  const bool present = state_ != TargetState::kAbsent && state_ != TargetState::kLeft;
+  if (!present || now < next_probe_) {
+    return false;
+  }
+  next_probe_ = now + settings_.probe_interval;
+  return true;
+}
+
+void AnnouncedTarget::ProbeResult(TimePoint now, bool passed) {
+  if (passed) {
+    failed_probes_ = 0;
+    // A failed target that no longer announces itself is not taken back by its endpoint alone.
+    if (!silent_) {
+      Handle(now, "probe_passed");
+    }
+    return;
+  }
+  if (++failed_probes_ == 1) {
+    first_failed_probe_at_ = now;
+  }
+  if (failed_probes_ >= settings_.failed_probes && call_succeeded_at_ < first_failed_probe_at_) {
+    Handle(now, "probe_failed");
+  }
+}
+
+void AnnouncedTarget::CallSucceeded(TimePoint now) {
+  call_succeeded_at_ = now;
+  failed_probes_ = 0;
+}
+
+void AnnouncedTarget::CallFailed(TimePoint now) { Handle(now, "probe_failed"); }
+
+void AnnouncedTarget::Tick(TimePoint now) {
+  if (!silent_ && now - announced_at_ >= settings_.announce_lifetime &&
+      state_ != TargetState::kAbsent) {
+    silent_ = true;
+    Handle(now, "expire");
+  }
+  if (state_ == TargetState::kWarming && now - warming_since_ >= settings_.warm_up) {
+    Handle(now, "warmed_up");
+  }
+}
+
+uint32_t AnnouncedTarget::usable_slots(TimePoint now) const {
+  const uint32_t slots = announcement_.slots;
+  if (state_ == TargetState::kReady) {
+    return slots;
+  }
+  if (state_ != TargetState::kWarming || slots == 0) {
+    return 0;
+  }
+  const auto warm = static_cast<uint64_t>(std::max<int64_t>(0, (now - warming_since_).count()));
+  const auto full = static_cast<uint64_t>(std::max<int64_t>(1, settings_.warm_up.count()));
+  const uint64_t added = std::min(warm, full) * (slots - 1) / full;
+  return 1 + static_cast<uint32_t>(added);
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/test/config_mesh.h
@@ -0,0 +1,286 @@
+// A data centre's replicas and its own and a remote configuration source over a FakeNetwork, with
+// an idealised gossip of versions. Used by tests of the distribution.
+#ifndef ENDIVECLEAT_TEST_CONFIG_MESH_H_
+#define ENDIVECLEAT_TEST_CONFIG_MESH_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config_replica.h"
+#include "config_source.h"
+#include "fake_network.h"
+
+namespace endivecleat::test {
+
+/// A plain codec: a delta is the length of the common prefix and the rest.
+inline std::string PlainDigest(std::string_view text) {
+  uint64_t hash = 0xCBF29CE484222325;
+  for (const char byte : text) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001B3;
+  }
+  return std::to_string(hash);
+}
+
+inline TransferCodec PlainCodec() {
+  TransferCodec codec;
+  codec.digest = PlainDigest;
+  codec.encode = [](const ConfigText* base, const ConfigText& next) {
+    if (base == nullptr) {
+      return EncodedTransfer{TransferKind::kSnapshot, next.text};
+    }
+    size_t same = 0;
+    while (same < base->text.size() && same < next.text.size() &&
+           base->text[same] == next.text[same]) {
+      ++same;
+    }
+    return EncodedTransfer{TransferKind::kDelta,
+                           std::to_string(same) + ':' + next.text.substr(same)};
+  };
+  codec.decode = [](TransferKind kind, const ConfigText* base,
+                    std::string_view bytes) -> std::optional<std::string> {
+    if (kind == TransferKind::kSnapshot) {
+      return std::string(bytes);
+    }
+    const size_t colon = bytes.find(':');
+    size_t same = 0;
+    for (size_t i = 0; i < colon; ++i) {
+      if (colon == std::string_view::npos || bytes[i] < '0' || bytes[i] > '9' || i > 8) {
+        return std::nullopt;
+      }
+      same = same * 10 + static_cast<size_t>(bytes[i] - '0');
+    }
+    if (same > base->text.size()) {
+      return std::nullopt;
+    }
+    return base->text.substr(0, same) + std::string(bytes.substr(colon + 1));
+  };
+  return codec;
+}
+
+/// Versions have texts that grow at the end; a text with INVALID in it is refused.
+inline ConfigTextPtr MakeText(uint64_t version, const std::string& mark = "") {
+  std::string text = "presets and routes that all versions share;";
+  text += mark + " version " + std::to_string(version);
+  return std::make_shared<const ConfigText>(
+      ConfigText{ConfigVersion(version), PlainDigest(text), text});
+}
+
+struct MeshNode {
+  std::unique_ptr<ConfigSource> source;    // of a control instance
+  std::unique_ptr<ConfigReplica> replica;  // of a daemon
+  bool frozen = false;
+  std::map<InstanceId, PeerVersion> known;  // by gossip
+  std::map<InstanceId, TimePoint> known_at;
+  std::vector<uint64_t> installed;  // versions in the order of installation in this run
+  TimePoint next_tick;
+};
+
+class ConfigMesh {
+ public:
+  static constexpr size_t kLocal = 0;   // control instance of the data centre
+  static constexpr size_t kRemote = 1;  // control instance of another one
+
+  ConfigMesh(size_t daemons, uint64_t seed, NetworkFaults faults)
+      : random_(seed), network_(random_.Next(), faults), nodes_(daemons + 2) {
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      Start(i);
+    }
+  }
+
+  static InstanceId Id(size_t index) { return InstanceId("node-" + std::to_string(100 + index)); }
+  static size_t IndexOf(const InstanceId& id) { return std::stoul(id.value().substr(5)) - 100; }
+
+  void Start(size_t index) {
+    MeshNode& node = nodes_[index];
+    node = MeshNode();
+    network_.DropTo(Id(index));
+    node.next_tick = now_ + Duration(random_.Below(100'000));
+    if (index <= kRemote) {
+      node.source =
+          std::make_unique<ConfigSource>(ConfigSourceSettings{}, PlainCodec(), random_.Next());
+      return;
+    }
+    ConfigReplicaSettings settings;
+    settings.data_centre = DataCentreId("cant-a");
+    settings.local_controls = {Id(kLocal)};
+    settings.remote_controls = {Id(kRemote)};
+    const auto install = [this, index](ConfigVersion version, const std::string& text) {
+      if (text.find("INVALID") != std::string::npos) {
+        return false;
+      }
+      CheckInstall(index, version, text);
+      return true;
+    };
+    node.replica = std::make_unique<ConfigReplica>(Id(index), settings, PlainCodec(), install,
+                                                   random_.Next(), now_);
+  }
+  void Stop(size_t index) {
+    nodes_[index].source.reset();
+    nodes_[index].replica.reset();
+  }
+  bool running(size_t index) const { return nodes_[index].source || nodes_[index].replica; }
+  bool live(size_t index) const { return running(index) && !nodes_[index].frozen; }
+  MeshNode& node(size_t index) { return nodes_[index]; }
+  size_t size() const { return nodes_.size(); }
+  TimePoint now() const { return now_; }
+  FakeNetwork<ConfigMessage>& network() { return network_; }
+  SeededRandom& random() { return random_; }
+  uint64_t newest() const { return newest_; }
+  const std::string& violation() const { return violation_; }
+  void DamagePercent(uint64_t percent) { damage_percent_ = percent; }
+  void ReplayPercent(uint64_t percent) { replay_percent_ = percent; }
+
+  /// The next accepted version; the given control instances learn of it.
+  void Publish(const std::vector<size_t>& controls) {
+    ++newest_;
+    accepted_[newest_] = MakeText(newest_);
+    for (const size_t control : controls) {
+      CatchUp(control);
+    }
+  }
+  void CatchUp(size_t control) { CatchUpTo(control, newest_); }
+  void CatchUpTo(size_t control, uint64_t version) {
+    MeshNode& node = nodes_[control];
+    if (node.source && version > 0) {
+      Send(control, node.source->Publish(now_, accepted_[version],
+                                         control == kLocal ? Known(control) : NoPeers()));
+    }
+  }
+
+  uint64_t VersionOf(size_t index) const {
+    const MeshNode& node = nodes_[index];
+    const ConfigTextPtr text = node.replica ? node.replica->in_force() : node.source->newest();
+    return text ? text->version.value() : 0;
+  }
+  bool AllNewest() const {
+    for (size_t i = kRemote + 1; i < nodes_.size(); ++i) {
+      if (live(i) && VersionOf(i) != newest_) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void Run(Duration time) {
+    for (const TimePoint end = now_ + time; now_ < end;) {
+      Step(std::chrono::milliseconds(5));
+    }
+  }
+  void Step(Duration step) {
+    now_ += step;
+    Gossip();
+    for (const auto& delivery : network_.TakeDue(now_)) {
+      const size_t to = IndexOf(delivery.to);
+      if (live(to)) {
+        Deliver(to, delivery.from, delivery.message);
+      }
+    }
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (live(i) && nodes_[i].next_tick <= now_) {
+        nodes_[i].next_tick = now_ + std::chrono::milliseconds(100);
+        Tick(i);
+      }
+    }
+  }
+  void Deliver(size_t to, const InstanceId& from, const ConfigMessage& message) {
+    MeshNode& node = nodes_[to];
+    Send(to, node.replica ? node.replica->Receive(now_, from, message)
+                          : node.source->Receive(now_, from, message));
+  }
+
+ private:
+  static std::vector<InstanceId> NoPeers() { return {}; }
+  std::vector<InstanceId> Known(size_t index) {
+    std::vector<InstanceId> peers;
+    for (const auto& [peer, version] : nodes_[index].known) {
+      peers.push_back(peer);
+    }
+    return peers;
+  }
+  void Tick(size_t index) {
+    MeshNode& node = nodes_[index];
+    if (node.source) {
+      Send(index, node.source->Tick(now_));
+      return;
+    }
+    std::vector<PeerVersion> peers;
+    for (const auto& [peer, version] : node.known) {
+      peers.push_back(version);
+    }
+    Send(index, node.replica->Tick(now_, peers));
+  }
+  /// Four times a second each node of the data centre hears of two others that can reach it, and
+  /// forgets those not heard of for 5 s.
+  void Gossip() {
+    if (now_ < next_gossip_) {
+      return;
+    }
+    next_gossip_ = now_ + std::chrono::milliseconds(250);
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (i == kRemote || !live(i)) {
+        continue;
+      }
+      for (int count = 0; count < 2; ++count) {
+        const size_t other = random_.Below(nodes_.size());
+        if (other != i && other != kRemote && live(other) && network_.Connected(Id(other), Id(i))) {
+          nodes_[i].known[Id(other)] = Describe(other);
+          nodes_[i].known_at[Id(other)] = now_;
+        }
+      }
+      std::erase_if(nodes_[i].known, [&](const auto& item) {
+        return now_ - nodes_[i].known_at[item.first] > std::chrono::seconds(5);
+      });
+    }
+  }
+  PeerVersion Describe(size_t index) {
+    const MeshNode& node = nodes_[index];
+    const ConfigTextPtr text = node.replica ? node.replica->in_force() : node.source->newest();
+    return text ? PeerVersion{Id(index), text->version, text->digest} : PeerVersion{Id(index)};
+  }
+  void Send(size_t from, const std::vector<PeerMessage>& messages) {
+    for (const PeerMessage& sent : messages) {
+      PeerMessage out = sent;
+      if (out.message.kind == ConfigMessage::Kind::kTransfer) {
+        old_transfers_.push_back(out.message);
+        if (random_.Chance(replay_percent_)) {
+          out.message = old_transfers_[random_.Below(old_transfers_.size())];
+        }
+        if (random_.Chance(damage_percent_) && !out.message.bytes.empty()) {
+          out.message.bytes[random_.Below(out.message.bytes.size())] ^= 1;
+        }
+      }
+      network_.Send(now_, Id(from), out.to, out.message);
+    }
+  }
+  void CheckInstall(size_t index, ConfigVersion version, const std::string& text) {
+    std::vector<uint64_t>& installed = nodes_[index].installed;
+    if (!installed.empty() && version.value() <= installed.back()) {
+      violation_ = Id(index).value() + " went from version " + std::to_string(installed.back()) +
+                   " to " + std::to_string(version.value());
+    }
+    if (!accepted_.contains(version.value()) || accepted_[version.value()]->text != text) {
+      violation_ = Id(index).value() + " applied a text that is not version " +
+                   std::to_string(version.value()) + ": " + text;
+    }
+    installed.push_back(version.value());
+  }
+
+  SeededRandom random_;
+  FakeNetwork<ConfigMessage> network_;
+  std::vector<MeshNode> nodes_;
+  std::map<uint64_t, ConfigTextPtr> accepted_;
+  std::vector<ConfigMessage> old_transfers_;
+  uint64_t newest_ = 0;
+  uint64_t damage_percent_ = 0;
+  uint64_t replay_percent_ = 0;
+  std::string violation_;
+  TimePoint now_ = TimePoint{} + std::chrono::seconds(1);
+  TimePoint next_gossip_;
+};
+
+}  // namespace endivecleat::test
+
+#endif  // ENDIVECLEAT_TEST_CONFIG_MESH_H_
--- /dev/null
+++ b/test/correctness/config_replica_test.cc
@@ -0,0 +1,107 @@
+// Guards against a distribution that does not reach every daemon, sends full texts where a delta
+// would do, or overloads one source.
+#include "config_replica.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "config_mesh.h"
+#include "config_source.h"
+
+using endivecleat::ConfigMessage;
+using endivecleat::ConfigSource;
+using endivecleat::ConfigSourceSettings;
+using endivecleat::ConfigVersion;
+using endivecleat::InstanceId;
+using endivecleat::TimePoint;
+using endivecleat::TransferKind;
+using endivecleat::test::ConfigMesh;
+using endivecleat::test::MakeText;
+using endivecleat::test::NetworkFaults;
+using endivecleat::test::PlainCodec;
+using Kind = ConfigMessage::Kind;
+
+namespace {
+const TimePoint kStart = TimePoint{} + std::chrono::seconds(100);
+InstanceId Peer(int number) { return InstanceId("peer-" + std::to_string(number)); }
+ConfigMessage Pull() { return {.kind = Kind::kPull}; }
+}  // namespace
+
+TEST_GROUP(ConfigMeshRunning) {
+  ConfigMesh mesh{20, 1, NetworkFaults{}};
+  void setup() override {
+    mesh.Publish({ConfigMesh::kLocal, ConfigMesh::kRemote});
+    mesh.Run(std::chrono::seconds(8));
+  }
+};
+
+TEST(ConfigMeshRunning, InstallsTheFirstVersionEverywhere) { CHECK(mesh.AllNewest()); }
+
+TEST(ConfigMeshRunning, InstallsAChangeWithinASecond) {
+  mesh.Publish({ConfigMesh::kLocal, ConfigMesh::kRemote});
+  mesh.Run(std::chrono::seconds(1));
+  CHECK(mesh.AllNewest());
+}
+
+TEST(ConfigMeshRunning, RelaysWhenTheLocalControlInstanceIsDown) {
+  mesh.Stop(ConfigMesh::kLocal);
+  mesh.Run(std::chrono::seconds(6));
+  mesh.Publish({ConfigMesh::kRemote});
+  mesh.Run(std::chrono::seconds(5));
+  CHECK(mesh.AllNewest());
+}
+
+TEST(ConfigMeshRunning, PullsFromElsewhereWhenTheLocalControlInstanceIsCutOff) {
+  mesh.Publish({ConfigMesh::kRemote});
+  mesh.Run(std::chrono::seconds(12));
+  CHECK(mesh.AllNewest());
+}
+
+TEST_GROUP(ConfigSourceAsked) {
+  ConfigSource source{ConfigSourceSettings{}, PlainCodec(), 1};
+  void setup() override { source.Hold(kStart, MakeText(5)); }
+};
+
+TEST(ConfigSourceAsked, SendsADeltaAgainstAVersionItHolds) {
+  source.Hold(kStart, MakeText(6));
+  const auto answer =
+      source.Receive(kStart, Peer(1), {Kind::kPull, ConfigVersion(5), MakeText(5)->digest});
+  CHECK(answer.front().message.transfer == TransferKind::kDelta);
+  LONGS_EQUAL(5, answer.front().message.base.value());
+}
+
+TEST(ConfigSourceAsked, SendsTheFullTextForAVersionItDoesNotHold) {
+  const auto answer = source.Receive(kStart, Peer(1), {Kind::kPull, ConfigVersion(4), "other"});
+  CHECK(answer.front().message.transfer == TransferKind::kSnapshot);
+}
+
+TEST(ConfigSourceAsked, ServesFourAtOnceAndTheNextOnAcknowledgement) {
+  for (int peer = 1; peer <= 4; ++peer) {
+    LONGS_EQUAL(1, source.Receive(kStart, Peer(peer), Pull()).size());
+  }
+  CHECK(source.Receive(kStart, Peer(5), Pull()).empty());
+  const auto next = source.Receive(kStart, Peer(2), {Kind::kNotice, ConfigVersion(5)});
+  LONGS_EQUAL(1, next.size());
+  CHECK(next.front().to == Peer(5));
+}
+
+TEST(ConfigSourceAsked, TellsAWaitingDaemonToComeBackAfterTwoSeconds) {
+  source.Heard(kStart, ConfigVersion(6));
+  CHECK(source.Receive(kStart, Peer(1), Pull()).empty());
+  CHECK(source.Tick(kStart + std::chrono::milliseconds(1900)).empty());
+  const auto told = source.Tick(kStart + std::chrono::seconds(2));
+  CHECK(told.front().message.kind == Kind::kBusy);
+}
+
+TEST(ConfigSourceAsked, ServesNoVersionOlderThanItHeardOf) {
+  source.Heard(kStart, ConfigVersion(6));
+  CHECK(source.Receive(kStart, Peer(1), Pull()).empty());
+  const auto served = source.Hold(kStart, MakeText(6));
+  CHECK(served.front().message.kind == Kind::kTransfer);
+  LONGS_EQUAL(6, served.front().message.version.value());
+}
+
+TEST(ConfigSourceAsked, IsNotStoppedByAVersionThatTheInstallerRefused) {
+  source.Heard(kStart, ConfigVersion(6));
+  source.Refuse(ConfigVersion(6));
+  LONGS_EQUAL(5, source.Receive(kStart, Peer(1), Pull()).front().message.version.value());
+}
--- /dev/null
+++ b/test/correctness/membership_test.cc
@@ -0,0 +1,102 @@
+// Guards against a membership that does not form, forgets versions or crash reports, or loses the
+// summaries of other data centres on the way.
+#include "membership.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "membership_cluster.h"
+
+using endivecleat::ConfigVersion;
+using endivecleat::DataCentreId;
+using endivecleat::DataCentreSummary;
+using endivecleat::Duration;
+using endivecleat::MemberRecord;
+using endivecleat::RegionId;
+using endivecleat::ServiceName;
+using endivecleat::TargetState;
+using endivecleat::WallTime;
+using endivecleat::test::MembershipCluster;
+using endivecleat::test::NetworkFaults;
+
+namespace {
+constexpr Duration kFormed = std::chrono::seconds(8);
+}  // namespace
+
+TEST_GROUP(MembershipStarted) {
+  MembershipCluster cluster{12, 2, 1, NetworkFaults{}};
+  void setup() override { cluster.Run(kFormed); }
+};
+
+TEST(MembershipStarted, IsCompleteEverywhere) { CHECK(cluster.Complete()); }
+
+TEST(MembershipStarted, SpreadsAChangeOfState) {
+  MemberRecord self = cluster.at(5).self();
+  self.state = TargetState::kDraining;
+  cluster.at(5).UpdateSelf(cluster.now(), self);
+  cluster.Run(std::chrono::seconds(3));
+  for (size_t i = 0; i < cluster.size(); ++i) {
+    for (const MemberRecord& member : cluster.at(i).members()) {
+      const bool draining = member.instance == MembershipCluster::Id(5);
+      CHECK_EQUAL(draining, member.state == TargetState::kDraining);
+    }
+  }
+}
+
+TEST(MembershipStarted, ShowsWhoHasNotAppliedAVersion) {
+  for (size_t i = 0; i < 11; ++i) {
+    MemberRecord self = cluster.at(i).self();
+    self.config_version = ConfigVersion(7);
+    self.config_digest = "digest-7";
+    cluster.at(i).UpdateSelf(cluster.now(), self);
+  }
+  cluster.Run(std::chrono::seconds(6));
+  size_t behind = 0;
+  for (const auto& peer : cluster.at(0).peer_versions()) {
+    if (peer.version == ConfigVersion(7)) {
+      STRCMP_EQUAL("digest-7", peer.digest.c_str());
+    } else {
+      ++behind;
+      STRCMP_EQUAL(MembershipCluster::Id(11).value().c_str(), peer.instance.value().c_str());
+    }
+  }
+  LONGS_EQUAL(1, behind);
+}
+
+TEST(MembershipStarted, SpreadsCrashReportsAndDropsThemAfterTenMinutes) {
+  cluster.at(3).ReportCrash(cluster.now(), 0xABCDEF0123456789, 1);
+  cluster.at(3).ReportCrash(cluster.now(), 0xABCDEF0123456789, 2);
+  cluster.Run(std::chrono::seconds(4));
+  cluster.Start(9);
+  cluster.Run(std::chrono::seconds(8));
+  for (size_t i = 0; i < cluster.size(); ++i) {
+    LONGS_EQUAL(1, cluster.at(i).crash_reports().size());
+    LONGS_EQUAL(2, cluster.at(i).crash_reports().front().count);
+  }
+  cluster.Run(std::chrono::minutes(10), std::chrono::milliseconds(50), [] {});
+  for (size_t i = 0; i < cluster.size(); ++i) {
+    CHECK(cluster.at(i).crash_reports().empty());
+  }
+}
+
+TEST(MembershipStarted, SpreadsSummariesOfOtherDataCentresUntilTheyExpire) {
+  DataCentreSummary summary{DataCentreId("ebro-a"), RegionId("ebro"), WallTime(5), {}};
+  summary.services.push_back({ServiceName("portal-ayto"), 9, 81, {{"10.30.0.1", 7000}}});
+  cluster.at(0).MergeSummary(summary);
+  cluster.Run(std::chrono::seconds(8));
+  for (size_t i = 0; i < cluster.size(); ++i) {
+    LONGS_EQUAL(1, cluster.at(i).summaries().size());
+    CHECK(summary.services == cluster.at(i).summaries().front().services);
+  }
+  cluster.Run(std::chrono::seconds(35));
+  for (size_t i = 0; i < cluster.size(); ++i) {
+    CHECK(cluster.at(i).summaries().empty());
+  }
+}
+
+TEST(MembershipStarted, SummarisesItsReadyTargets) {
+  const DataCentreSummary summary = cluster.at(0).OwnSummary();
+  LONGS_EQUAL(1, summary.services.size());
+  LONGS_EQUAL(10, summary.services.front().ready_targets);
+  LONGS_EQUAL(90, summary.services.front().free_slots);
+  LONGS_EQUAL(4, summary.services.front().daemons.size());
+}
--- /dev/null
+++ b/test/correctness/target_state_test.cc
@@ -0,0 +1,103 @@
+// Guards against a target that gets work before it is warm, after it has gone, or that is taken out
+// by a wrong health endpoint although it answers calls.
+#include "target_state.h"
+
+#include <CppUTest/TestHarness.h>
+
+using endivecleat::AnnouncedTarget;
+using endivecleat::Announcement;
+using endivecleat::Duration;
+using endivecleat::ServiceName;
+using endivecleat::TargetId;
+using endivecleat::TargetSettings;
+using endivecleat::TargetState;
+using endivecleat::TimePoint;
+
+namespace {
+TimePoint At(int64_t milliseconds) {
+  return TimePoint{} + std::chrono::milliseconds(100'000 + milliseconds);
+}
+Announcement Portal() {
+  return {ServiceName("portal-ayto"), TargetId("portal-ayto-1"), {"10.0.0.1", 80}, 9, 130};
+}
+}  // namespace
+
+TEST_GROUP(TargetAnnounced) {
+  AnnouncedTarget target{TargetSettings{}};
+  void setup() override { target.Announce(At(0), Portal()); }
+  void WarmUp() {
+    target.Announce(At(4000), Portal());
+    target.Tick(At(5000));
+  }
+};
+
+TEST(TargetAnnounced, WarmsUpLinearly) {
+  LONGS_EQUAL(1, target.usable_slots(At(0)));
+  LONGS_EQUAL(5, target.usable_slots(At(2500)));
+  WarmUp();
+  CHECK(target.state() == TargetState::kReady);
+  LONGS_EQUAL(9, target.usable_slots(At(5000)));
+}
+
+TEST(TargetAnnounced, FailsWhenNotRenewed) {
+  WarmUp();
+  target.Tick(At(9999));
+  CHECK(target.state() == TargetState::kReady);
+  target.Tick(At(10'000));
+  CHECK(target.state() == TargetState::kFailed);
+  target.ProbeResult(At(10'100), true);
+  CHECK(target.state() == TargetState::kFailed);
+}
+
+TEST(TargetAnnounced, FailsAfterTwoFailedProbesInARow) {
+  WarmUp();
+  target.ProbeResult(At(6000), false);
+  target.ProbeResult(At(6500), true);
+  target.ProbeResult(At(8000), false);
+  CHECK(target.state() == TargetState::kReady);
+  target.ProbeResult(At(9000), false);
+  CHECK(target.state() == TargetState::kFailed);
+  LONGS_EQUAL(0, target.usable_slots(At(9000)));
+}
+
+TEST(TargetAnnounced, TrustsCallsMoreThanProbes) {
+  WarmUp();
+  target.ProbeResult(At(6000), false);
+  target.CallSucceeded(At(7000));
+  target.ProbeResult(At(8000), false);
+  CHECK(target.state() == TargetState::kReady);
+}
+
+TEST(TargetAnnounced, WarmsUpAgainAfterAFailure) {
+  WarmUp();
+  target.CallFailed(At(6000));
+  CHECK(target.state() == TargetState::kFailed);
+  target.ProbeResult(At(7000), true);
+  CHECK(target.state() == TargetState::kWarming);
+  LONGS_EQUAL(1, target.usable_slots(At(7000)));
+}
+
+TEST(TargetAnnounced, DrainsAndLeaves) {
+  WarmUp();
+  target.Drain(At(6000));
+  target.Announce(At(6500), Portal());
+  CHECK(target.state() == TargetState::kDraining);
+  LONGS_EQUAL(0, target.usable_slots(At(6500)));
+  target.Drained(At(7000));
+  CHECK(target.state() == TargetState::kLeft);
+  CHECK_FALSE(target.ProbeDue(At(9000)));
+}
+
+TEST(TargetAnnounced, IsProbedEveryTwoSeconds) {
+  CHECK(target.ProbeDue(At(0)));
+  CHECK_FALSE(target.ProbeDue(At(1999)));
+  CHECK(target.ProbeDue(At(2000)));
+}
+
+TEST(TargetAnnounced, StartsAgainWhenAnotherTargetReplacesIt) {
+  WarmUp();
+  Announcement other = Portal();
+  other.target = TargetId("portal-ayto-2");
+  target.Announce(At(6000), other);
+  CHECK(target.state() == TargetState::kWarming);
+}
--- /dev/null
+++ b/test/failure/membership_test.cc
@@ -0,0 +1,254 @@
+// Guards against a dead, frozen, cut off or leaving member that stays listed or comes back by old
+// news, and against a live member that is lost for good.
+#include "membership.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "membership_cluster.h"
+#include "seeds.h"
+
+using endivecleat::Datagram;
+using endivecleat::Duration;
+using endivecleat::MemberRecord;
+using endivecleat::SeededRandom;
+using endivecleat::TargetState;
+using endivecleat::TimePoint;
+using endivecleat::test::FailWithSeed;
+using endivecleat::test::MembershipCluster;
+using endivecleat::test::NetworkFaults;
+using endivecleat::test::Seeds;
+
+namespace {
+
+constexpr Duration kFormed = std::chrono::seconds(15);
+constexpr Duration kRemovedWithin = std::chrono::seconds(6);
+constexpr Duration kStaysRemoved = std::chrono::seconds(8);
+constexpr Duration kStep = std::chrono::milliseconds(5);
+
+enum class Loss { kCrash, kFreeze, kCutOff, kLeave };
+constexpr const char* kLossNames[] = {"crashed", "frozen", "cut off", "left"};
+
+bool ListsReady(MembershipCluster* cluster, size_t observer, size_t subject) {
+  for (const MemberRecord& member : cluster->at(observer).members()) {
+    if (member.instance == MembershipCluster::Id(subject)) {
+      return member.state == TargetState::kReady;
+    }
+  }
+  return false;
+}
+
+/// One run: a cluster forms, loses a quarter of its members at most, and gets them back.
+class Scenario {
+ public:
+  explicit Scenario(uint64_t seed)
+      : seed_(seed),
+        random_(seed),
+        cluster_(8 + random_.Below(25), 2, random_.Next(), RandomFaults()),
+        losses_(cluster_.size()) {}
+
+  void Run() {
+    cluster_.Run(kFormed);
+    RequireComplete("after the start");
+    for (int round = 0; round < 2; ++round) {
+      RecordTraffic();
+      Lose();
+      RequireRemoval();
+      Return();
+      cluster_.Run(kFormed);
+      RequireComplete("after the return of the lost members");
+    }
+  }
+
+ private:
+  NetworkFaults RandomFaults() {
+    NetworkFaults faults;
+    faults.drop_percent = random_.Below(8);
+    faults.duplicate_percent = random_.Below(20);
+    faults.max_delay = std::chrono::milliseconds(1 + random_.Below(40));
+    return faults;
+  }
+
+  void RequireComplete(const std::string& when) {
+    // Lost datagrams make members suspect each other at any time; the lists must be complete once.
+    for (int i = 0; i < 100 && !cluster_.Complete(); ++i) {
+      cluster_.Run(std::chrono::milliseconds(100));
+    }
+    if (!cluster_.Complete()) {
+      FailWithSeed(seed_, "the members do not all list each other " + when);
+    }
+  }
+
+  /// Keeps datagrams to be delivered again once some of their subjects are gone.
+  void RecordTraffic() {
+    for (size_t i = 0; i < cluster_.size(); ++i) {
+      MemberRecord self = cluster_.at(i).self();
+      self.slots += 1;
+      cluster_.at(i).UpdateSelf(cluster_.now(), self);
+    }
+    recorded_.clear();
+    cluster_.recording = &recorded_;
+    cluster_.Run(std::chrono::seconds(2));
+    cluster_.recording = nullptr;
+  }
+
+  void Lose() {
+    const size_t count = 1 + random_.Below(cluster_.size() / 4);
+    lost_at_ = cluster_.now();
+    for (size_t i = 0; i < count; ++i) {
+      const size_t victim = 2 + random_.Below(cluster_.size() - 2);
+      if (losses_[victim]) {
+        continue;
+      }
+      losses_[victim] = static_cast<Loss>(random_.Below(4));
+      switch (*losses_[victim]) {
+        case Loss::kCrash:
+          cluster_.Crash(victim);
+          break;
+        case Loss::kFreeze:
+          cluster_.Freeze(victim);
+          break;
+        case Loss::kCutOff:
+          cluster_.CutOff(victim);
+          break;
+        case Loss::kLeave:
+          cluster_.Leave(victim);
+          break;
+      }
+    }
+  }
+
+  void RequireRemoval() {
+    cluster_.Run(kRemovedWithin, kStep, [] {});
+    cluster_.Run(kStaysRemoved, kStep, [this] {
+      Replay();
+      for (size_t observer = 0; observer < cluster_.size(); ++observer) {
+        for (size_t victim = 0; victim < cluster_.size(); ++victim) {
+          if (Remains(observer) && losses_[victim] && ListsReady(&cluster_, observer, victim)) {
+            FailNotRemoved(observer, victim);
+          }
+        }
+      }
+    });
+  }
+
+  bool Remains(size_t index) const { return cluster_.live(index) && !losses_[index]; }
+
+  void Replay() {
+    const auto& [from, datagram] = recorded_[random_.Below(recorded_.size())];
+    const size_t to = random_.Below(cluster_.size());
+    if (Remains(to)) {
+      cluster_.Send(to, cluster_.at(to).Receive(cluster_.now(), MembershipCluster::AddressOf(from),
+                                                datagram.bytes));
+    }
+  }
+
+  void FailNotRemoved(size_t observer, size_t victim) {
+    const auto since =
+        std::chrono::duration_cast<std::chrono::milliseconds>(cluster_.now() - lost_at_);
+    FailWithSeed(seed_, MembershipCluster::Id(observer).value() + " lists " +
+                            MembershipCluster::Id(victim).value() + " " +
+                            std::to_string(since.count()) + " ms after it was " +
+                            kLossNames[static_cast<size_t>(*losses_[victim])]);
+  }
+
+  void Return() {
+    cluster_.network().HealAll();
+    for (size_t i = 0; i < cluster_.size(); ++i) {
+      if (losses_[i] == Loss::kFreeze) {
+        cluster_.Continue(i);
+      } else if (losses_[i] && *losses_[i] != Loss::kCutOff) {
+        cluster_.Start(i);
+      }
+      losses_[i].reset();
+    }
+  }
+
+  uint64_t seed_;
+  SeededRandom random_;
+  MembershipCluster cluster_;
+  std::vector<std::optional<Loss>> losses_;
+  std::vector<std::pair<size_t, Datagram>> recorded_;
+  TimePoint lost_at_;
+};
+
+}  // namespace
+
+TEST_GROUP(MembershipLosingMembers){};
+
+TEST(MembershipLosingMembers, RemovesThemInTimeAndTakesThemBack) {
+  for (const uint64_t seed : Seeds(6)) {
+    Scenario(seed).Run();
+  }
+}
+
+TEST_GROUP(MembershipUndisturbed){};
+
+TEST(MembershipUndisturbed, NeverRemovesALiveMember) {
+  for (const uint64_t seed : Seeds(3)) {
+    MembershipCluster cluster(20, 2, seed, NetworkFaults{});
+    cluster.Run(std::chrono::seconds(10));
+    cluster.Run(std::chrono::seconds(60), kStep, [&] {
+      if (!cluster.Complete()) {
+        FailWithSeed(seed, "a live member was removed");
+      }
+    });
+  }
+}
+
+TEST(MembershipUndisturbed, SurvivesLostDatagramsByRefutation) {
+  for (const uint64_t seed : Seeds(3)) {
+    MembershipCluster cluster(20, 2, seed, NetworkFaults{.drop_percent = 10});
+    cluster.Run(std::chrono::seconds(15));
+    cluster.Run(std::chrono::seconds(60), kStep, [&] {
+      if (!cluster.Complete()) {
+        FailWithSeed(seed, "a live member was removed although a tenth of datagrams was lost");
+      }
+    });
+  }
+}
+
+TEST_GROUP(MembershipSplit){};
+
+TEST(MembershipSplit, MergesAgainWithItsSeedsDown) {
+  for (const uint64_t seed : Seeds(3)) {
+    MembershipCluster cluster(16, 2, seed, NetworkFaults{});
+    cluster.Run(kFormed);
+    cluster.Crash(0);
+    cluster.Crash(1);
+    for (size_t one = 2; one < 9; ++one) {
+      for (size_t other = 9; other < 16; ++other) {
+        cluster.network().CutBothWays(MembershipCluster::Id(one), MembershipCluster::Id(other));
+      }
+    }
+    cluster.Run(kRemovedWithin);
+    for (size_t one = 2; one < 9; ++one) {
+      for (size_t other = 9; other < 16; ++other) {
+        if (cluster.Lists(one, other) || cluster.Lists(other, one)) {
+          FailWithSeed(seed, "a member still lists one that it cannot reach");
+        }
+      }
+    }
+    cluster.Run(std::chrono::seconds(30));
+    cluster.network().HealAll();
+    cluster.Run(std::chrono::seconds(30));
+    if (!cluster.Complete()) {
+      FailWithSeed(seed, "the halves did not merge");
+    }
+  }
+}
+
+TEST_GROUP(MembershipHerdRestart){};
+
+TEST(MembershipHerdRestart, FormsAgain) {
+  for (const uint64_t seed : Seeds(3)) {
+    MembershipCluster cluster(30, 2, seed, NetworkFaults{.drop_percent = 5});
+    cluster.Run(kFormed);
+    for (size_t i = 2; i < cluster.size(); ++i) {
+      cluster.Start(i);
+    }
+    cluster.Run(std::chrono::seconds(10));
+    if (!cluster.Complete()) {
+      FailWithSeed(seed, "the members did not find each other after a restart of all daemons");
+    }
+  }
+}
--- a/test/fake_network.h
+++ b/test/fake_network.h
@@ -69,6 +69,9 @@
     CutOneWay(other, one);
   }
   void HealAll() { cuts_.clear(); }
+  bool Connected(const InstanceId& from, const InstanceId& to) const {
+    return !cuts_.contains({from, to});
+  }
   void SetFaults(NetworkFaults faults) { faults_ = faults; }
 
   /// Forgets what is under way to an instance, as a crash does.
