Make the ledger histories and the nesting test fail without their mechanism

Cause: in trials with one mechanism switched off at a time, two were not noticed: the ledger took a complete from an attempt that was not granted, and the nesting limit was off. Change: a faulty daemon in the histories completes what it was not granted; the judge allows a complete only from the granted attempt; the histories must show every kind of answer; the nesting test closes its brackets, so that only the limit rejects it. The table of faulty documents keeps its 47 rows with shorter paths. Ruled out: sending such completes in the correctness test only, which does not combine them with reordering and restarts.

--- a/test/error/configuration_error_test.cc
+++ b/test/error/configuration_error_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <optional>
 
 #include "configuration.h"
 #include "document_maker.h"
@@ -17,95 +18,78 @@
 
 namespace {
 
-constexpr const char* kService = "/presets/ordinary/services/portal-ayto";
-constexpr const char* kRoute = "/presets/ordinary/routes/0";
-
+// Places start with "S" for the service and "R" for the route of the valid document.
 struct Fault {
-  std::string place;  // below which the value is set, as a JSON pointer
+  std::string place;  // where the value is set, as a JSON pointer
   const char* value;  // JSON
-  std::string path;   // of the problem
   const char* message;
+  std::optional<std::string> path = std::nullopt;  // of the problem, unless it is the place
 };
 
 const Fault kFaults[] = {
     // Wrong types.
-    {"", "[]", "", "must be an object, not a value of type array"},
-    {"/presets", "7", "/presets", "must be an object, not a value of type number"},
-    {"/preset_in_force", "7", "/preset_in_force", "must be a string"},
-    {"/presets/ordinary", "null", "/presets/ordinary", "must be an object, not null"},
-    {"/presets/ordinary/services", "[]", "/presets/ordinary/services", "must be an object"},
-    {"/presets/ordinary/routes", "{}", "/presets/ordinary/routes", "must be an array"},
-    {kService, "true", kService, "must be an object"},
-    {kService + std::string("/slots"), "\"9\"", kService + std::string("/slots"),
-     "must be a whole number, not a value of type string"},
-    {kService + std::string("/slots"), "9.5", kService + std::string("/slots"), "not a fraction"},
-    {kService + std::string("/targets"), "\"a\"", kService + std::string("/targets"),
-     "must be an array of strings"},
-    {kService + std::string("/targets/0"), "1", kService + std::string("/targets/0"),
-     "must be a string"},
-    {kRoute, "[]", kRoute, "must be an object"},
-    {kRoute + std::string("/idempotent"), "1", kRoute + std::string("/idempotent"),
-     "must be true or false"},
-    {kRoute + std::string("/methods/0"), "{}", kRoute + std::string("/methods/0"),
-     "must be a string"},
+    {"", "[]", "must be an object, not a value of type array"},
+    {"/presets", "7", "must be an object, not a value of type number"},
+    {"/preset_in_force", "7", "must be a string"},
+    {"/presets/ordinary", "null", "must be an object, not null"},
+    {"/presets/ordinary/services", "[]", "must be an object"},
+    {"/presets/ordinary/routes", "{}", "must be an array"},
+    {"S", "true", "must be an object"},
+    {"S/slots", "\"9\"", "must be a whole number, not a value of type string"},
+    {"S/slots", "9.5", "not a fraction"},
+    {"S/targets", "\"a\"", "must be an array of strings"},
+    {"S/targets/0", "1", "must be a string"},
+    {"R", "[]", "must be an object"},
+    {"R/idempotent", "1", "must be true or false"},
+    {"R/methods/0", "{}", "must be a string"},
     // Unknown and missing keys.
-    {"/preset", "{}", "/preset", "unknown key"},
-    {"/presets/ordinary/x~1y", "1", "/presets/ordinary/x~1y", "unknown key"},
-    {kService + std::string("/slot"), "9", kService + std::string("/slot"), "unknown key"},
-    {kRoute + std::string("/method"), "9", kRoute + std::string("/method"), "unknown key"},
-    {"/presets/ordinary", "{}", "/presets/ordinary", "key \"services\" is missing"},
-    {kService, "{}", kService, "key \"targets\" is missing"},
-    {kRoute, "{}", kRoute, "key \"path_prefix\" is missing"},
+    {"/preset", "{}", "unknown key"},
+    {"/presets/ordinary/x~1y", "1", "unknown key"},
+    {"S/slot", "9", "unknown key"},
+    {"R/method", "9", "unknown key"},
+    {"/presets/ordinary", "{}", "key \"services\" is missing"},
+    {"S", "{}", "key \"targets\" is missing"},
+    {"R", "{}", "key \"path_prefix\" is missing"},
     // Impossible values.
-    {"/presets", "{}", "/presets", "at least one preset"},
-    {"/preset_in_force", "\"peak\"", "/preset_in_force", "no preset \"peak\""},
-    {"/presets/a b", R"({"services": {}, "routes": []})", "/presets/a b", "letters"},
-    {"/presets/ordinary/services/-a", R"({"targets": ["a"]})", "/presets/ordinary/services/-a",
-     "must start with a letter or digit"},
-    {kService + std::string("/slots"), "0", kService + std::string("/slots"),
-     "must be from 1 to 10000, not 0"},
-    {kService + std::string("/queue_length"), "-1", kService + std::string("/queue_length"),
-     "must be from 0 to 100000, not -1"},
-    {kService + std::string("/timeout_ms"), "18446744073709551615",
-     kService + std::string("/timeout_ms"), "must be from 1 to 600000"},
-    {kService + std::string("/retry_percent"), "101", kService + std::string("/retry_percent"),
-     "must be from 0 to 100"},
-    {kService + std::string("/max_attempts"), "0", kService + std::string("/max_attempts"),
-     "must be from 1 to 10"},
-    {kService + std::string("/body_limit_bytes"), "4194305",
-     kService + std::string("/body_limit_bytes"), "must be from 1 to 4194304"},
-    {kService + std::string("/connections"), "8", kService + std::string("/connections"),
-     "must not be fewer than slots"},
-    {kService + std::string("/targets"), "[]", kService + std::string("/targets"), "at least one"},
-    {kService + std::string("/targets/0"), "\"a[b]\"", kService + std::string("/targets/0"),
-     "pattern \"a[b]\" must be"},
-    {kService + std::string("/targets/1"), "\"portal-ayto-*\"",
-     kService + std::string("/targets/1"), "listed twice"},
-    {kRoute + std::string("/service"), "\"none\"", kRoute + std::string("/service"),
-     "preset \"ordinary\" has no service \"none\""},
-    {kRoute + std::string("/at_most_once"), "true", kRoute,
-     "cannot be both idempotent and at_most_once"},
-    {kRoute + std::string("/name"), "\"\"", kRoute + std::string("/name"), "must be 1 to 64"},
-    {kRoute + std::string("/host"), "\"A.example:80\"", kRoute + std::string("/host"),
-     "lower-case"},
-    {kRoute + std::string("/path_prefix"), "\"bins\"", kRoute + std::string("/path_prefix"),
-     "must start with \"/\""},
-    {kRoute + std::string("/path_prefix"), "\"/bins/\"", kRoute + std::string("/path_prefix"),
-     "must not end with \"/\""},
-    {kRoute + std::string("/path_prefix"), "\"/a?b\"", kRoute + std::string("/path_prefix"),
-     "without"},
-    {kRoute + std::string("/methods"), "[]", kRoute + std::string("/methods"), "at least one"},
-    {kRoute + std::string("/methods/0"), "\"get\"", kRoute + std::string("/methods/0"),
-     "method \"get\" must be one of"},
-    {kRoute + std::string("/methods/1"), "\"GET\"", kRoute + std::string("/methods/1"), "twice"},
+    {"/presets", "{}", "at least one preset"},
+    {"/preset_in_force", "\"peak\"", "no preset \"peak\""},
+    {"/presets/a b", R"({"services": {}, "routes": []})", "letters"},
+    {"/presets/ordinary/services/-a", R"({"targets": ["a"]})", "must start with a letter or digit"},
+    {"S/slots", "0", "must be from 1 to 10000, not 0"},
+    {"S/queue_length", "-1", "must be from 0 to 100000, not -1"},
+    {"S/timeout_ms", "18446744073709551615", "must be from 1 to 600000"},
+    {"S/retry_percent", "101", "must be from 0 to 100"},
+    {"S/max_attempts", "0", "must be from 1 to 10"},
+    {"S/body_limit_bytes", "4194305", "must be from 1 to 4194304"},
+    {"S/connections", "8", "must not be fewer than slots"},
+    {"S/targets", "[]", "at least one"},
+    {"S/targets/0", "\"a[b]\"", "pattern \"a[b]\" must be"},
+    {"S/targets/1", "\"portal-ayto-*\"", "listed twice"},
+    {"R/service", "\"none\"", "preset \"ordinary\" has no service \"none\""},
+    {"R/at_most_once", "true", "cannot be both idempotent and at_most_once", "R"},
+    {"R/name", "\"\"", "must be 1 to 64"},
+    {"R/host", "\"A.example:80\"", "lower-case"},
+    {"R/path_prefix", "\"bins\"", "must start with \"/\""},
+    {"R/path_prefix", "\"/bins/\"", "must not end with \"/\""},
+    {"R/path_prefix", "\"/a?b\"", "without"},
+    {"R/methods", "[]", "at least one"},
+    {"R/methods/0", "\"get\"", "method \"get\" must be one of"},
+    {"R/methods/1", "\"GET\"", "twice"},
     {"/presets/ordinary/routes/1",
      R"({"name": "bins", "path_prefix": "/x", "methods": ["GET"], "service": "portal-ayto"})",
-     "/presets/ordinary/routes/1/name", "route \"bins\" is defined twice"},
+     "route \"bins\" is defined twice", "/presets/ordinary/routes/1/name"},
     {"/presets/ordinary/routes/1",
      R"({"name": "b", "path_prefix": "/bins", "methods": ["PUT", "GET"], "service": "portal-ayto"})",
-     "/presets/ordinary/routes/1", "equals route \"bins\" in host, path prefix and method GET"},
+     "equals route \"bins\" in host, path prefix and method GET"},
 };
 
+std::string FullPath(const std::string& place) {
+  if (place.starts_with('S')) {
+    return "/presets/ordinary/services/portal-ayto" + place.substr(1);
+  }
+  return place.starts_with('R') ? "/presets/ordinary/routes/0" + place.substr(1) : place;
+}
+
 std::vector<Problem> ProblemsOf(const std::string& text) {
   try {
     ParseAndCheck({text});
@@ -132,11 +116,12 @@
 TEST(ConfigurationWithOneFault, ReportsItAtItsPath) {
   for (const Fault& fault : kFaults) {
     nlohmann::json document = endivecleat::test::SmallDocument();
-    document[nlohmann::json::json_pointer(fault.place)] = nlohmann::json::parse(fault.value);
+    const std::string place = FullPath(fault.place);
+    const std::string path = FullPath(fault.path.value_or(fault.place));
+    document[nlohmann::json::json_pointer(place)] = nlohmann::json::parse(fault.value);
     const std::vector<Problem> problems = ProblemsOf(document.dump());
     const bool found = std::any_of(problems.begin(), problems.end(), [&](const Problem& problem) {
-      return problem.json_path == fault.path &&
-             problem.message.find(fault.message) != std::string::npos;
+      return problem.json_path == path && problem.message.find(fault.message) != std::string::npos;
     });
     CHECK_TEXT(found, (fault.place + " = " + fault.value + ": " + fault.message).c_str());
   }
@@ -184,7 +169,9 @@
 }
 
 TEST(ConfigurationText, ThatNestsTooDeeplyIsRejected) {
-  CHECK(CodeOf(std::string(1'000'000, '[')) == ResultCode::kDocumentSyntax);
+  const std::string nested = std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  CHECK(CodeOf(nested) == ResultCode::kDocumentSyntax);
+  CHECK(CodeOf("{\"presets\": " + nested + "}") == ResultCode::kDocumentSyntax);
 }
 
 TEST(ConfigurationText, ThatIsTooLargeIsRejected) {
--- a/test/failure/once_ledger_test.cc
+++ b/test/failure/once_ledger_test.cc
@@ -49,6 +49,7 @@
  public:
   void Note(const LedgerCommand& command, const LedgerAnswer& answer) {
     KeyHistory& key = keys_[command.key];
+    kinds_.insert(answer.kind);
     switch (answer.kind) {
       case LedgerAnswer::kGranted:
         Expect(command.kind == LedgerCommand::kClaim, "only a claim is granted");
@@ -86,6 +87,7 @@
 
   bool refused(const IdempotencyKey& key) { return keys_[key].refused; }
   const std::set<std::string>& violations() const { return violations_; }
+  const std::set<LedgerAnswer::Kind>& kinds() const { return kinds_; }
   void Expect(bool holds, const char* rule) {
     if (!holds) {
       violations_.insert(rule);
@@ -106,8 +108,9 @@
       Expect(!key.ran, "what ran is not released");
       key.released.insert(command.attempt);
       key.holder = holds ? std::nullopt : key.holder;
-    } else if (command.kind == LedgerCommand::kComplete && holds && !key.ran) {
-      key.ran = command.answer;
+    } else if (command.kind == LedgerCommand::kComplete) {
+      Expect(holds || !key.holder, "only the granted attempt completes");
+      key.ran = holds && !key.ran ? command.answer : key.ran;
     } else if (command.kind == LedgerCommand::kClaim) {
       Expect(key.released.contains(command.attempt), "only a released attempt is over");
     }
@@ -115,6 +118,7 @@
 
   std::map<IdempotencyKey, KeyHistory> keys_;
   std::set<std::string> violations_;
+  std::set<LedgerAnswer::Kind> kinds_;  // of all answers
 };
 
 // Daemons that claim, run, release, complete and refuse over a faulty network, and their ledger.
@@ -126,6 +130,7 @@
                             .duplicate_percent = 30,
                             .max_delay = std::chrono::milliseconds(60)}) {}
 
+  // Returns the rules that were broken.
   std::set<std::string> Run() {
     for (int step = 0; step < kSteps; ++step, now_ += kStep) {
       if (random_.Chance(25)) {
@@ -146,6 +151,8 @@
     return judge_.violations();
   }
 
+  const std::set<LedgerAnswer::Kind>& kinds() const { return judge_.kinds(); }
+
  private:
   struct Attempt {
     bool answered = false;
@@ -169,6 +176,10 @@
       attempts_[attempt].answered = true;
       Send(daemon, {LedgerCommand::kRelease, key, attempt, "digest"});
     }
+    // A faulty daemon completes what it was not granted.
+    if (random_.Chance(10)) {
+      Send(daemon, {LedgerCommand::kComplete, key, attempt, "digest", {500, "", "not granted"}});
+    }
   }
 
   void Send(const InstanceId& daemon, const LedgerCommand& command) {
@@ -222,13 +233,16 @@
   std::map<IdempotencyKey, int> runs_;
 };
 
-void KeepsItsRules(uint64_t seed) {
+// Returns the kinds of answers that the history had.
+std::set<LedgerAnswer::Kind> KeepsItsRules(uint64_t seed) {
   std::string report = "replay with ENDIVECLEAT_SEED=" + std::to_string(seed) + ":";
-  const std::set<std::string> violations = History(seed).Run();
+  History history(seed);
+  const std::set<std::string> violations = history.Run();
   for (const std::string& rule : violations) {
     report += "\n  broken: " + rule;
   }
   CHECK_TEXT(violations.empty(), report.c_str());
+  return history.kinds();
 }
 
 }  // namespace
@@ -240,7 +254,13 @@
     KeepsItsRules(*seed);
     return;
   }
+  std::set<LedgerAnswer::Kind> kinds;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    KeepsItsRules(seed);
+    kinds.merge(KeepsItsRules(seed));
   }
+  // Histories without these answers would not test the rules.
+  const std::set<LedgerAnswer::Kind> expected = {LedgerAnswer::kGranted, LedgerAnswer::kRan,
+                                                 LedgerAnswer::kRefused, LedgerAnswer::kInProgress,
+                                                 LedgerAnswer::kDone};
+  CHECK(kinds == expected);
 }
