--- /dev/null
+++ b/test/error/configuration_error_test.cc
@@ -0,0 +1,189 @@
+// Guards against a faulty document that is accepted, or whose fault is reported at the wrong place:
+// one row per kind of fault, applied to a valid document.
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <optional>
+
+#include "configuration.h"
+#include "document_maker.h"
+
+using endivecleat::CheckedConfiguration;
+using endivecleat::ConfigVersion;
+using endivecleat::ParseAndCheck;
+using endivecleat::PresetName;
+using endivecleat::Problem;
+using endivecleat::ResultCode;
+using endivecleat::UserError;
+
+namespace {
+
+// Places start with "S" for the service and "R" for the route of the valid document.
+struct Fault {
+  std::string place;  // where the value is set, as a JSON pointer
+  const char* value;  // JSON
+  const char* message;
+  std::optional<std::string> path = std::nullopt;  // of the problem, unless it is the place
+};
+
+const Fault kFaults[] = {
+    // Wrong types.
+    {"", "[]", "must be an object, not a value of type array"},
+    {"/presets", "7", "must be an object, not a value of type number"},
+    {"/preset_in_force", "7", "must be a string"},
+    {"/presets/ordinary", "null", "must be an object, not null"},
+    {"/presets/ordinary/services", "[]", "must be an object"},
+    {"/presets/ordinary/routes", "{}", "must be an array"},
+    {"S", "true", "must be an object"},
+    {"S/slots", "\"9\"", "must be a whole number, not a value of type string"},
+    {"S/slots", "9.5", "not a fraction"},
+    {"S/targets", "\"a\"", "must be an array of strings"},
+    {"S/targets/0", "1", "must be a string"},
+    {"R", "[]", "must be an object"},
+    {"R/idempotent", "1", "must be true or false"},
+    {"R/methods/0", "{}", "must be a string"},
+    // Unknown and missing keys.
+    {"/preset", "{}", "unknown key"},
+    {"/presets/ordinary/x~1y", "1", "unknown key"},
+    {"S/slot", "9", "unknown key"},
+    {"R/method", "9", "unknown key"},
+    {"/presets/ordinary", "{}", "key \"services\" is missing"},
+    {"S", "{}", "key \"targets\" is missing"},
+    {"R", "{}", "key \"path_prefix\" is missing"},
+    // Impossible values.
+    {"/presets", "{}", "at least one preset"},
+    {"/preset_in_force", "\"peak\"", "no preset \"peak\""},
+    {"/presets/a b", R"({"services": {}, "routes": []})", "letters"},
+    {"/presets/ordinary/services/-a", R"({"targets": ["a"]})", "must start with a letter or digit"},
+    {"S/slots", "0", "must be from 1 to 10000, not 0"},
+    {"S/queue_length", "-1", "must be from 0 to 100000, not -1"},
+    {"S/timeout_ms", "18446744073709551615", "must be from 1 to 600000"},
+    {"S/retry_percent", "101", "must be from 0 to 100"},
+    {"S/max_attempts", "0", "must be from 1 to 10"},
+    {"S/body_limit_bytes", "4194305", "must be from 1 to 4194304"},
+    {"S/connections", "8", "must not be fewer than slots"},
+    {"S/targets", "[]", "at least one"},
+    {"S/targets/0", "\"a[b]\"", "pattern \"a[b]\" must be"},
+    {"S/targets/1", "\"portal-ayto-*\"", "listed twice"},
+    {"R/service", "\"none\"", "preset \"ordinary\" has no service \"none\""},
+    {"R/at_most_once", "true", "cannot be both idempotent and at_most_once", "R"},
+    {"R/name", "\"\"", "must be 1 to 64"},
+    {"R/host", "\"A.example:80\"", "lower-case"},
+    {"R/path_prefix", "\"bins\"", "must start with \"/\""},
+    {"R/path_prefix", "\"/bins/\"", "must not end with \"/\""},
+    {"R/path_prefix", "\"/a?b\"", "without"},
+    {"R/methods", "[]", "at least one"},
+    {"R/methods/0", "\"get\"", "method \"get\" must be one of"},
+    {"R/methods/1", "\"GET\"", "twice"},
+    {"/presets/ordinary/routes/1",
+     R"({"name": "bins", "path_prefix": "/x", "methods": ["GET"], "service": "portal-ayto"})",
+     "route \"bins\" is defined twice", "/presets/ordinary/routes/1/name"},
+    {"/presets/ordinary/routes/1",
+     R"({"name": "b", "path_prefix": "/bins", "methods": ["PUT", "GET"], "service": "portal-ayto"})",
+     "equals route \"bins\" in host, path prefix and method GET"},
+};
+
+std::string FullPath(const std::string& place) {
+  if (place.starts_with('S')) {
+    return "/presets/ordinary/services/portal-ayto" + place.substr(1);
+  }
+  return place.starts_with('R') ? "/presets/ordinary/routes/0" + place.substr(1) : place;
+}
+
+std::vector<Problem> ProblemsOf(const std::string& text) {
+  try {
+    ParseAndCheck({text});
+  } catch (const UserError& error) {
+    CHECK(error.code() == ResultCode::kDocumentInvalid);
+    return error.problems();
+  }
+  return {};
+}
+
+ResultCode CodeOf(const std::string& text) {
+  try {
+    ParseAndCheck({text});
+  } catch (const UserError& error) {
+    return error.code();
+  }
+  return ResultCode::kOk;
+}
+
+}  // namespace
+
+TEST_GROUP(ConfigurationWithOneFault){};
+
+TEST(ConfigurationWithOneFault, ReportsItAtItsPath) {
+  for (const Fault& fault : kFaults) {
+    nlohmann::json document = endivecleat::test::SmallDocument();
+    const std::string place = FullPath(fault.place);
+    const std::string path = FullPath(fault.path.value_or(fault.place));
+    document[nlohmann::json::json_pointer(place)] = nlohmann::json::parse(fault.value);
+    const std::vector<Problem> problems = ProblemsOf(document.dump());
+    const bool found = std::any_of(problems.begin(), problems.end(), [&](const Problem& problem) {
+      return problem.json_path == path && problem.message.find(fault.message) != std::string::npos;
+    });
+    CHECK_TEXT(found, (fault.place + " = " + fault.value + ": " + fault.message).c_str());
+  }
+}
+
+TEST_GROUP(ConfigurationWithManyFaults){};
+
+TEST(ConfigurationWithManyFaults, ReportsThoseOfBothStagesAtOnce) {
+  nlohmann::json document = endivecleat::test::SmallDocument();
+  document["extra"] = 1;
+  document["presets"]["ordinary"]["services"]["portal-ayto"]["slots"] = 0;
+  document["presets"]["ordinary"]["services"]["portal-ayto"]["warm_up_ms"] = "5s";
+  document["presets"]["ordinary"]["routes"][0]["service"] = "none";
+  LONGS_EQUAL(4, ProblemsOf(document.dump()).size());
+}
+
+TEST(ConfigurationWithManyFaults, ReportsNothingThatOnlyFollowsFromAnotherFault) {
+  nlohmann::json document = endivecleat::test::SmallDocument();
+  document["presets"]["ordinary"]["services"]["portal-ayto"] = 7;
+  document["presets"]["ordinary"]["routes"][0]["path_prefix"] = 7;
+  LONGS_EQUAL(2, ProblemsOf(document.dump()).size());
+}
+
+TEST(ConfigurationWithManyFaults, KeepsPathsOfLongKeysShort) {
+  nlohmann::json document = endivecleat::test::SmallDocument();
+  document["presets"][std::string(100'000, 'k')] = nlohmann::json::object();
+  for (const Problem& problem : ProblemsOf(document.dump())) {
+    CHECK(problem.json_path.size() + problem.message.size() < 500);
+  }
+}
+
+TEST_GROUP(ConfigurationText){};
+
+TEST(ConfigurationText, WithADuplicateKeyIsRejected) {
+  const std::vector<Problem> problems = ProblemsOf(
+      R"({"presets": {"a": {"services": {}, "routes": [{"name": 1, "name": 2}], "routes": []}}})");
+  CHECK(problems == (std::vector<Problem>{{"/presets/a/routes/0/name", "duplicate key"},
+                                          {"/presets/a/routes", "duplicate key"}}));
+}
+
+TEST(ConfigurationText, ThatIsNotJsonIsRejected) {
+  for (const char* text : {"", "{", "{}{}", "{\"presets\": \"\xff\"}", "nul", "{'a': 1}"}) {
+    CHECK_TEXT(CodeOf(text) == ResultCode::kDocumentSyntax, text);
+  }
+}
+
+TEST(ConfigurationText, ThatNestsTooDeeplyIsRejected) {
+  const std::string nested = std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  CHECK(CodeOf(nested) == ResultCode::kDocumentSyntax);
+  CHECK(CodeOf("{\"presets\": " + nested + "}") == ResultCode::kDocumentSyntax);
+}
+
+TEST(ConfigurationText, ThatIsTooLargeIsRejected) {
+  const std::string text(endivecleat::kMaxDocumentBytes + 1, ' ');
+  CHECK(CodeOf(text) == ResultCode::kDocumentTooLarge);
+}
+
+TEST_GROUP(ConfigurationStored){};
+
+TEST(ConfigurationStored, WithoutAPresetInForceIsRejected) {
+  const std::string text = endivecleat::test::SmallDocument().dump();
+  CHECK_THROWS(UserError, endivecleat::CompileStored(text, ConfigVersion(1)));
+  const CheckedConfiguration checked = ParseAndCheck({text});
+  CHECK_THROWS(UserError, Compile(checked, ConfigVersion(1), PresetName("peak")));
+}
