Join membership and configuration with the processes

Cause: two modules defined CrashReport and TransferKind. Change: MemberCrashReport for the gossiped one; config_message uses delta.h. Conclusion: builds with all modules.

--- a/src/config_message.h
+++ b/src/config_message.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "delta.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -23,8 +24,6 @@
 };
 using ConfigTextPtr = std::shared_ptr<const ConfigText>;
 
-enum class TransferKind : uint8_t { kDelta, kSnapshot };
-
 struct EncodedTransfer {
   TransferKind kind = TransferKind::kSnapshot;
   std::string bytes;
--- a/src/crash_table.cc
+++ b/src/crash_table.cc
@@ -7,19 +7,19 @@
 namespace endivecleat {
 namespace {
 
-uint64_t HashOf(const CrashReport& report) {
+uint64_t HashOf(const MemberCrashReport& report) {
   const uint64_t at = report.reported_at.value();
   return XXH3_64bits_withSeed(&at, sizeof(at), SubjectOf(report));
 }
 
 }  // namespace
 
-uint64_t SubjectOf(const CrashReport& report) {
+uint64_t SubjectOf(const MemberCrashReport& report) {
   const std::string& reporter = report.reporter.value();
   return XXH3_64bits_withSeed(reporter.data(), reporter.size(), report.fingerprint);
 }
 
-bool CrashTable::Merge(TimePoint now, const CrashReport& report) {
+bool CrashTable::Merge(TimePoint now, const MemberCrashReport& report) {
   const auto key = std::pair(report.reporter, report.fingerprint);
   const auto held = held_.find(key);
   if (report.age >= lifetime_) {
@@ -36,8 +36,8 @@
   return true;
 }
 
-CrashReport CrashTable::MakeOwn(const InstanceId& self, uint64_t fingerprint, uint32_t count,
-                                WallTime at) const {
+MemberCrashReport CrashTable::MakeOwn(const InstanceId& self, uint64_t fingerprint, uint32_t count,
+                                      WallTime at) const {
   const auto held = held_.find({self, fingerprint});
   if (held != held_.end() && held->second.report.reported_at >= at) {
     at = held->second.report.reported_at.next();
@@ -56,8 +56,8 @@
   }
 }
 
-std::vector<CrashReport> CrashTable::reports(TimePoint now) const {
-  std::vector<CrashReport> all;
+std::vector<MemberCrashReport> CrashTable::reports(TimePoint now) const {
+  std::vector<MemberCrashReport> all;
   for (const auto& [key, held] : held_) {
     all.push_back(held.report);
     all.back().age = now - held.known_since;
--- a/src/crash_table.h
+++ b/src/crash_table.h
@@ -17,18 +17,18 @@
   explicit CrashTable(Duration lifetime) : lifetime_(lifetime) {}
 
   /// True when the report is newer than the held one and has not expired.
-  bool Merge(TimePoint now, const CrashReport& report);
+  bool Merge(TimePoint now, const MemberCrashReport& report);
   /// A report of the member itself, with a time later than that of its previous one.
-  CrashReport MakeOwn(const InstanceId& self, uint64_t fingerprint, uint32_t count,
-                      WallTime at) const;
+  MemberCrashReport MakeOwn(const InstanceId& self, uint64_t fingerprint, uint32_t count,
+                            WallTime at) const;
   void Expire(TimePoint now);
-  std::vector<CrashReport> reports(TimePoint now) const;
+  std::vector<MemberCrashReport> reports(TimePoint now) const;
   /// Equal for equal sets of reports.
   uint64_t hash() const { return hash_; }
 
  private:
   struct Held {
-    CrashReport report;
+    MemberCrashReport report;
     TimePoint known_since;
   };
   Duration lifetime_;
@@ -37,7 +37,7 @@
 };
 
 /// A hash that identifies the subject of a report.
-uint64_t SubjectOf(const CrashReport& report);
+uint64_t SubjectOf(const MemberCrashReport& report);
 
 }  // namespace endivecleat
 
--- a/src/delta.h
+++ b/src/delta.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVECLEAT_DELTA_H_
 #define ENDIVECLEAT_DELTA_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -27,7 +28,7 @@
 /// ReadSnapshot reads it.
 std::string CompressState(std::string_view state);
 
-enum class TransferKind { kDelta, kSnapshot };
+enum class TransferKind : uint8_t { kDelta, kSnapshot };
 
 struct TransferBody {
   TransferKind kind = TransferKind::kSnapshot;
--- a/src/member_datagram.h
+++ b/src/member_datagram.h
@@ -40,7 +40,7 @@
   DatagramHeader header;
   std::vector<MemberRecord> records;
   std::vector<MemberUpdate> updates;
-  std::vector<CrashReport> crash_reports;
+  std::vector<MemberCrashReport> crash_reports;
   std::vector<SummaryEntry> summary_entries;
   std::vector<SummaryRenewal> summary_renewals;
   std::vector<Address> introduced;
--- a/src/member_record.cc
+++ b/src/member_record.cc
@@ -63,7 +63,7 @@
                       update.load, update.config_version.value()});
 }
 
-Json ToCbor(const CrashReport& report) {
+Json ToCbor(const MemberCrashReport& report) {
   return Json::array({2U, report.reporter.value(), report.fingerprint, report.count,
                       report.reported_at.value(), AgeToMs(report.age)});
 }
@@ -98,8 +98,8 @@
   return update;
 }
 
-CrashReport ReadCrashReport(CborReader* fields) {
-  CrashReport report;
+MemberCrashReport ReadCrashReport(CborReader* fields) {
+  MemberCrashReport report;
   report.reporter = InstanceId(fields->Text(kLongestName));
   report.fingerprint = fields->Number();
   report.count = ReadSmall(fields);
--- a/src/member_record.h
+++ b/src/member_record.h
@@ -65,19 +65,19 @@
 };
 
 /// Crashes that one member counted for one request fingerprint.
-struct CrashReport {
+struct MemberCrashReport {
   InstanceId reporter;
   uint64_t fingerprint = 0;
   uint32_t count = 0;
   WallTime reported_at;  // of two reports on a fingerprint by one member the later is valid
   Duration age{};        // how long the sender of this report has known it
 
-  bool operator==(const CrashReport&) const = default;
+  bool operator==(const MemberCrashReport&) const = default;
 };
 
 nlohmann::json ToCbor(const MemberRecord& record);
 nlohmann::json ToCbor(const MemberUpdate& update);
-nlohmann::json ToCbor(const CrashReport& report);
+nlohmann::json ToCbor(const MemberCrashReport& report);
 
 /// The bytes of an item. The summaries in data_centre_summary.h are items too.
 template <class Item>
@@ -90,7 +90,7 @@
 /// Each throws MalformedMessage.
 MemberRecord ReadMemberRecord(CborReader* fields);
 MemberUpdate ReadMemberUpdate(CborReader* fields);
-CrashReport ReadCrashReport(CborReader* fields);
+MemberCrashReport ReadCrashReport(CborReader* fields);
 
 }  // namespace endivecleat
 
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -423,7 +423,7 @@
   for (const MemberUpdate& update : content.updates) {
     MergeUpdate(update, spread);
   }
-  for (const CrashReport& report : content.crash_reports) {
+  for (const MemberCrashReport& report : content.crash_reports) {
     MergeCrash(report, spread);
   }
   for (const SummaryEntry& entry : content.summary_entries) {
@@ -505,7 +505,7 @@
   }
 }
 
-void Membership::MergeCrash(const CrashReport& report, bool spread) {
+void Membership::MergeCrash(const MemberCrashReport& report, bool spread) {
   if (crashes_.Merge(now_, report) && spread) {
     queue_.Push(GossipQueue::Kind::kOther, SubjectOf(report), true, Transmits(true),
                 EncodeItem(report));
@@ -545,7 +545,7 @@
   const std::vector<bool> differs = DifferingParts(ViewParts(), content.header.buckets);
   std::vector<std::string> items =
       table_.Encode(differs, random_.Below(members().size()), kSyncRecords, kSyncTombstones);
-  const std::vector<CrashReport> crashes = crash_reports();
+  const std::vector<MemberCrashReport> crashes = crash_reports();
   for (size_t i = 0; differs[kMemberBuckets] && i < std::min(kSyncRecords, crashes.size()); ++i) {
     items.push_back(EncodeItem(crashes[i]));
   }
--- a/src/membership.h
+++ b/src/membership.h
@@ -78,7 +78,7 @@
   void ReportCrash(TimePoint now, uint64_t fingerprint, uint32_t count);
   /// The newest report of each member on each fingerprint, own ones included; a count of 0 says
   /// that the request succeeded since.
-  std::vector<CrashReport> crash_reports() const { return crashes_.reports(now_); }
+  std::vector<MemberCrashReport> crash_reports() const { return crashes_.reports(now_); }
 
   /// Accepts a summary from a control instance of another data centre.
   void MergeSummary(const DataCentreSummary& summary);
@@ -116,7 +116,7 @@
   void Merge(const DatagramContent& content);
   void MergeRecord(const MemberRecord& record, bool spread);
   void MergeUpdate(const MemberUpdate& update, bool spread);
-  void MergeCrash(const CrashReport& report, bool spread);
+  void MergeCrash(const MemberCrashReport& report, bool spread);
   void MergeSummaryEntry(const SummaryEntry& entry, bool spread);
   /// Answers old news about a member with what is known.
   void SpreadAgain(MemberKey key);
