--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -115,13 +115,16 @@
 
 bool Balancer::avoided(TimePoint now, const InstanceId& instance) const {
   const auto found = targets_.find(instance);
-  return found != targets_.end() &&
-         Avoided(now, found->second.candidate.locality).contains(instance);
+  if (found == targets_.end()) {
+    return false;
+  }
+  const auto avoided = Avoided(now, found->second.candidate.locality);
+  return std::find(avoided.begin(), avoided.end(), &found->second) != avoided.end();
 }
 
 std::vector<const Balancer::Target*> Balancer::Usable(TimePoint now, Locality locality,
                                                       const std::vector<InstanceId>& tried) const {
-  const std::set<InstanceId> avoided = Avoided(now, locality);
+  const std::vector<const Target*> avoided = Avoided(now, locality);
   std::vector<const Target*> usable;
   std::vector<const Target*> untried;
   for (const auto& [instance, target] : targets_) {
@@ -130,7 +133,7 @@
       continue;
     }
     untried.push_back(&target);
-    if (!avoided.contains(instance)) {
+    if (std::find(avoided.begin(), avoided.end(), &target) == avoided.end()) {
       usable.push_back(&target);
     }
   }
@@ -139,8 +142,8 @@
 
 // At most half of a locality's targets: when more of them fail, those whose avoidance ends first
 // are used, since a fault that all targets share must not leave the service without any.
-std::set<InstanceId> Balancer::Avoided(TimePoint now, Locality locality) const {
-  std::vector<std::pair<TimePoint, InstanceId>> failing;
+std::vector<const Balancer::Target*> Balancer::Avoided(TimePoint now, Locality locality) const {
+  std::vector<const Target*> failing;
   size_t present = 0;
   for (const auto& [instance, target] : targets_) {
     if (!target.present || target.candidate.locality != locality) {
@@ -148,16 +151,14 @@
     }
     ++present;
     if (target.avoid_until > now) {
-      failing.emplace_back(target.avoid_until, instance);
+      failing.push_back(&target);
     }
   }
-  std::sort(failing.rbegin(), failing.rend());
+  std::stable_sort(failing.begin(), failing.end(), [](const Target* one, const Target* other) {
+    return one->avoid_until > other->avoid_until;
+  });
   failing.resize(std::min(failing.size(), present / 2));
-  std::set<InstanceId> avoided;
-  for (const auto& [until, instance] : failing) {
-    avoided.insert(instance);
-  }
-  return avoided;
+  return failing;
 }
 
 void Balancer::Avoid(TimePoint now, Target& target) {
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -85,7 +84,7 @@
 
   std::vector<const Target*> Usable(TimePoint now, Locality locality,
                                     const std::vector<InstanceId>& tried) const;
-  std::set<InstanceId> Avoided(TimePoint now, Locality locality) const;
+  std::vector<const Target*> Avoided(TimePoint now, Locality locality) const;
   void Avoid(TimePoint now, Target& target);
 
   SeededRandom random_;
--- a/src/crash_guard.h
+++ b/src/crash_guard.h
@@ -25,11 +25,7 @@
   bool operator==(const CrashReport&) const = default;
 };
 
-enum class CrashVerdict {
-  kRun,
-  kBusy,  // another request that is under suspicion runs here; send this one elsewhere
-  kStop,
-};
+enum class CrashVerdict { kRun, kStop };
 
 enum class CallEnding { kAnswered, kTargetDied, kOther };
 
@@ -37,16 +33,14 @@
  public:
   explicit CrashGuard(InstanceId self) : self_(std::move(self)) {}
 
-  /// Whether the target may run the request now. Requests with one crash run on a target one
-  /// fingerprint at a time, so that the next crash is counted for the right one.
+  /// kStop after two crashes without a success in between, until 10 minutes after the last one.
   CrashVerdict Check(WallTime now, const Fingerprint& fingerprint) const;
   /// The number of crashes within the last 10 minutes and after the last success.
   size_t crashes(WallTime now, const Fingerprint& fingerprint) const;
 
-  /// The target starts to run the request. End must follow once.
-  void Begin(const Fingerprint& fingerprint);
-  /// A death is numbered by the daemon; requests with the same fingerprint that ran when the target
-  /// died count one crash together, else a popular request would be blocked at once.
+  /// The target no longer runs the request. A death is numbered by the daemon; requests with the
+  /// same fingerprint that ran when the target died count one crash together, else a popular
+  /// request would be blocked at once.
   void End(WallTime now, const Fingerprint& fingerprint, CallEnding ending, uint64_t death);
 
   /// To be spread in the data centre.
@@ -68,7 +62,6 @@
 
   InstanceId self_;
   std::map<Fingerprint, std::map<InstanceId, Record>> records_;
-  std::map<Fingerprint, uint64_t> running_;
 };
 
 }  // namespace endivecleat
--- a/src/endivecleat_core.h
+++ b/src/endivecleat_core.h
@@ -3,9 +3,17 @@
 #ifndef ENDIVECLEAT_ENDIVECLEAT_CORE_H_
 #define ENDIVECLEAT_ENDIVECLEAT_CORE_H_
 
+#include "admission.h"
+#include "balancer.h"
+#include "call.h"
+#include "crash_guard.h"
+#include "deadline.h"
 #include "errors.h"
 #include "result_code.h"
+#include "retry_budget.h"
+#include "service_policy.h"
 #include "state_chart.h"
+#include "target_call.h"
 #include "units.h"
 
 #endif  // ENDIVECLEAT_ENDIVECLEAT_CORE_H_
--- a/src/target_call.cc
+++ b/src/target_call.cc
@@ -52,8 +52,6 @@
     Release();
   } else if (request_.deadline <= now) {
     Withdraw(now, ResultCode::kDeadlinePassed);
-  } else if (verdict == CrashVerdict::kBusy) {
-    Withdraw(now, once() ? ResultCode::kNotStarted : ResultCode::kOverloaded);
   } else if (verdict == CrashVerdict::kStop && !once()) {
     Withdraw(now, ResultCode::kStoppedAfterCrashes);
   } else if (verdict == CrashVerdict::kStop) {
--- a/src/target_call.h
+++ b/src/target_call.h
@@ -47,7 +47,7 @@
   AttemptId attempt;
   std::string digest;
 };
-/// Calls the target once; also CrashGuard::Begin. The connection may outlive the deadline that is
+/// Calls the target; happens once. The connection may outlive the deadline that is
 /// sent to the target, until `limit`, to record a late answer.
 struct CallTarget {
   TimePoint deadline;
