--- a/src/endivecleat_core.h
+++ b/src/endivecleat_core.h
@@ -3,15 +3,29 @@
 #ifndef ENDIVECLEAT_ENDIVECLEAT_CORE_H_
 #define ENDIVECLEAT_ENDIVECLEAT_CORE_H_
 
+#include "admission.h"
+#include "balancer.h"
+#include "call.h"
+#include "config_replica.h"
+#include "config_source.h"
 #include "config_store.h"
 #include "configuration.h"
 #include "configuration_diff.h"
+#include "crash_guard.h"
+#include "deadline.h"
 #include "delta.h"
 #include "errors.h"
+#include "json_reader.h"
+#include "membership.h"
 #include "once_ledger.h"
+#include "replicated_log.h"
 #include "result_code.h"
+#include "retry_budget.h"
+#include "service_policy.h"
 #include "state_chart.h"
+#include "target_call.h"
 #include "target_pattern.h"
+#include "target_state.h"
 #include "units.h"
 
 #endif  // ENDIVECLEAT_ENDIVECLEAT_CORE_H_
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -60,6 +60,7 @@
   TargetCall call;
   TraceSpan span;
   TimePoint deadline;
+  WallTime started;
   Reply reply;  // empty once it was used
   std::optional<CallId> target_call;
   std::optional<TimerId> timer;
@@ -168,6 +169,7 @@
   exchange->message = message;
   exchange->request = request;
   exchange->deadline = request.deadline;
+  exchange->started = DaemonContext::wall_now();
   exchange->reply = std::move(reply);
   exchanges_[number] = exchange;
   *started = exchange;
@@ -273,6 +275,7 @@
   command.attempt = exchange->request.attempt.value();
   command.digest = digest;
   command.answer = answer;
+  command.started = exchange->started;
   context_.ledger.Send(command, [this, exchange](const LedgerReply& reply) {
     Carry(exchange, exchange->call.LedgerAnswered(context_.loop.now(), reply));
   });
@@ -280,7 +283,6 @@
 
 void TargetTask::CallTheTarget(const ExchangePtr& exchange, const CallTarget& effect) {
   const TimePoint now = context_.loop.now();
-  context_.guard.Begin(exchange->request.fingerprint);
   HttpRequest request = exchange->message.request;
   AddForwardedFor(request);
   request.headers.Set(std::string(kTimeoutHeader), FormatTimeout(now, effect.deadline));
