Make the vote the only new thing in its restart test

Cause: the test stored a new term and the vote at once, so a vote that is not marked for storing would have passed. Ruled out: none. Change: the term is stored before the vote.

--- a/test/correctness/replicated_log_test.cc
+++ b/test/correctness/replicated_log_test.cc
@@ -114,6 +114,7 @@
   const InstanceId first("a");
   const InstanceId second("c");
   StoredLog stored = FirstLog({first, InstanceId("b"), second});
+  stored.hard_state.term = Term(1);  // so that only the vote itself is new
   const auto ask = [&](const InstanceId& candidate) {
     ReplicatedLog log(InstanceId("b"), {.members = {first, second}}, stored, TimePoint{});
     const LogMessage request{
