--- a/src/endivecleat_io.h
+++ b/src/endivecleat_io.h
@@ -11,6 +11,7 @@
 #include "http_server.h"
 #include "json_reader.h"
 #include "log.h"
+#include "log_store.h"
 #include "operator_client.h"
 #include "peer_network.h"
 #include "settings.h"
--- a/src/replicated_log.cc
+++ b/src/replicated_log.cc
@@ -412,9 +412,12 @@
 }
 
 bool ReplicatedLog::wants_compaction() const {
-  const LogIndex start = log_.snapshot()->index;
-  return applied_.value() - start.value() >= kCompactionEntries ||
-         log_.BytesSinceSnapshot(applied_).value() >= kCompactionBytes;
+  const uint64_t entries = applied_.value() - log_.snapshot()->index.value();
+  const uint64_t bytes = log_.BytesSinceSnapshot(applied_).value();
+  // Writing a large state for every thousand small entries would cost far more than the entries.
+  const uint64_t state_bytes = log_.snapshot()->state.size();
+  return bytes >= std::max(kCompactionBytes, state_bytes) ||
+         (entries >= kCompactionEntries && bytes >= state_bytes);
 }
 
 }  // namespace endivecleat
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -65,7 +65,8 @@
   /// them.
   void Compact(LogIndex through, std::string state);
 
-  /// True when the applied entries after the snapshot have reached 1,000 or 4 MiB.
+  /// True when the applied entries after the snapshot have reached 1,000 or 4 MiB, and the size of
+  /// the snapshot's state.
   bool wants_compaction() const;
 
   ReplicaRole role() const { return role_; }
