--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -122,13 +122,11 @@
   if (!context_.configuration) {
     return;
   }
-  static const std::vector<std::string> kAnyTarget = {"*"};
   for (const CompiledService& service : context_.configuration->services()) {
     const auto found = services_.find(service.name);
     if (found != services_.end()) {
       found->second->budget.SetPercent(service.policy.retry_percent);
-      found->second->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service),
-                                            kAnyTarget);
+      found->second->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service), {"*"});
     }
   }
 }
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -37,7 +37,7 @@
 // A folder without a log belongs to a new cluster only if an operator says so (init); otherwise its
 // disk was lost, and the instance must not vote before it is admitted again.
 std::filesystem::path OpenFolder(const ControlSettings& settings, const std::string& log) {
-  const std::filesystem::path folder = LogFolder(settings, log);
+  std::filesystem::path folder = LogFolder(settings, log);
   if (!HoldsLog(folder)) {
     Log(LogLevel::kWarning, "data_folder_empty", {{"log", log}, {"role", std::string("learner")}});
     InitializeLearnerLog(folder, NewIncarnation());
