Spread crash reports and successes between guard and gossip

Cause: the daemon sent a report only when its count changed, so a success after a later crash was not told, and a restarted daemon skipped its own old reports. Ruled out: sending every success; a popular request has thousands a second.

--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -56,6 +56,7 @@
                .tracer = tracer_,
                .guard = CrashGuard(settings_.common.instance),
                .run_id = RunId(settings_.common, seed)},
+      crash_reports_(settings_.common.instance),
       target_(context_),
       callers_(context_, target_),
       replica_(
@@ -183,8 +184,8 @@
   const TimePoint now = loop_.now();
   SendConfigMessages(replica_.Tick(now, node_.membership().peer_versions()));
   UpdateSelf();
-  LearnCrashReports();
-  SpreadCrashReports();
+  crash_reports_.Learn(node_.membership(), context_.guard);
+  crash_reports_.Spread(now, context_.guard, node_.membership());
   context_.guard.Tick(DaemonContext::wall_now());
   callers_.RefreshCandidates();
 }
@@ -195,38 +196,6 @@
   }
 }
 
-void DaemonProcess::SpreadCrashReports() {
-  for (const CrashReport& report : context_.guard.OwnReports()) {
-    const size_t count = report.crashes.size();
-    const auto known = reported_crashes_.find(report.fingerprint);
-    if (known != reported_crashes_.end() && known->second == count) {
-      continue;
-    }
-    reported_crashes_[report.fingerprint] = count;
-    node_.membership().ReportCrash(loop_.now(), FingerprintNumber(report.fingerprint),
-                                   static_cast<uint32_t>(count));
-  }
-}
-
-// Gossip carries a count and the time of the report; the guard wants the times of the crashes, and
-// the time of the report is the latest that each can have.
-void DaemonProcess::LearnCrashReports() {
-  std::map<InstanceId, std::vector<CrashReport>> by_reporter;
-  for (const MemberCrashReport& report : node_.membership().crash_reports()) {
-    if (report.reporter == settings_.common.instance) {
-      continue;
-    }
-    CrashReport learned;
-    learned.fingerprint = FingerprintOfNumber(report.fingerprint);
-    learned.crashes.assign(std::min<uint32_t>(report.count, 2), report.reported_at);
-    learned.last_success = report.count == 0 ? report.reported_at : WallTime();
-    by_reporter[report.reporter].push_back(learned);
-  }
-  for (const auto& [reporter, reports] : by_reporter) {
-    context_.guard.Merge(reporter, reports);
-  }
-}
-
 void DaemonProcess::UpdateSelf() {
   MemberRecord self = node_.membership().self();
   target_.FillRecord(self);
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -3,12 +3,12 @@
 #ifndef ENDIVECLEAT_DAEMON_PROCESS_H_
 #define ENDIVECLEAT_DAEMON_PROCESS_H_
 
-#include <map>
 #include <memory>
 #include <string>
 
 #include "caller_task.h"
 #include "config_replica.h"
+#include "crash_report_exchange.h"
 #include "daemon_context.h"
 #include "http_server.h"
 #include "ledger_client.h"
@@ -40,8 +40,6 @@
   bool Install(ConfigVersion version, const std::string& text);
   void Tick();
   void SendConfigMessages(const std::vector<PeerMessage>& messages);
-  void SpreadCrashReports();
-  void LearnCrashReports();
   void UpdateSelf();
   void UpdateMetrics();
   void FinishDrain(TimePoint not_before, TimePoint limit);
@@ -54,12 +52,12 @@
   MeshNode node_;
   LedgerClient ledger_;
   DaemonContext context_;
+  CrashReportExchange crash_reports_;
   TargetTask target_;
   CallerTask callers_;
   ConfigReplica replica_;
   HttpServer caller_server_;
   HttpServer local_server_;
-  std::map<Fingerprint, size_t> reported_crashes_;  // counts that gossip has from this daemon
   TimerId timer_;
 };
 
