Hand leadership over on a planned stop; ask frozen control instances last

Cause: stopping the leading control instance on purpose left changes and at-most-once requests without a leader for an election timeout (2 to 4 s), and a frozen control instance cost each ledger command its timeout of 1 s. Ruled out: shorter election timeouts, which cause elections across the regions. Change: a handover message starts an election at once, voters accept it although they hear the leader; LedgerClient asks instances that did not answer last. Conclusion: a planned stop costs a round trip in place of an election timeout.

--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -255,6 +255,15 @@
     loop_.After(kTick, [this, limit] { FinishDrain(limit); });
     return;
   }
+  config_.TransferLeadership(loop_.now());
+  once_.TransferLeadership(loop_.now());
+  const bool leads =
+      config_.log().role() == ReplicaRole::kLeader || once_.log().role() == ReplicaRole::kLeader;
+  const bool alone = settings_.common.control.size() == 1;
+  if (leads && !alone && loop_.now() < limit) {
+    loop_.After(kTick, [this, limit] { FinishDrain(limit); });
+    return;
+  }
   node_.Leave();
   constexpr Duration kLastWrites = std::chrono::milliseconds(100);
   loop_.After(kLastWrites, [this] { loop_.Stop(); });
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -47,7 +47,7 @@
                     [this](PeerChannel channel, const std::string& payload,
                            const PeerReplier& replier) { OnRequest(channel, payload, replier); }},
             seed),
-      ledger_(node_.network(), settings_.common),
+      ledger_(loop, node_.network(), settings_.common),
       context_{.loop = loop_,
                .settings = settings_,
                .node = node_,
--- a/src/ledger_client.cc
+++ b/src/ledger_client.cc
@@ -13,6 +13,8 @@
 
 // Longer than a commit across the regions (60 ms round trip) with a slow disk.
 constexpr Duration kCommandTimeout = std::chrono::seconds(1);
+// A frozen control instance would cost every command the timeout above.
+constexpr Duration kAvoidance = std::chrono::seconds(2);
 
 int Distance(const Place& from, const Place& to) {
   if (from.data_centre == to.data_centre) {
@@ -58,17 +60,18 @@
   std::string request;
   AttemptId attempt;
   Callback callback;
-  size_t next = 0;  // position in controls_
+  std::vector<size_t> order;  // positions in controls_
+  size_t next = 0;            // position in order
 };
 
-LedgerClient::LedgerClient(PeerNetwork& network, const CommonSettings& settings)
-    : network_(network) {
+LedgerClient::LedgerClient(EventLoop& loop, PeerNetwork& network, const CommonSettings& settings)
+    : loop_(loop), network_(network) {
   std::vector<ControlPeer> peers = settings.control;
   std::stable_sort(peers.begin(), peers.end(), [&](const ControlPeer& one, const ControlPeer& two) {
     return Distance(settings.place, one.place) < Distance(settings.place, two.place);
   });
   for (const ControlPeer& peer : peers) {
-    controls_.push_back(peer.peers);
+    controls_.push_back({.address = peer.peers});
   }
 }
 
@@ -77,20 +80,33 @@
   pending->request = EncodeLedgerRequest({false, command});
   pending->attempt = AttemptId(command.attempt);
   pending->callback = std::move(callback);
+  pending->order = Order();
   TryNext(pending);
 }
 
+std::vector<size_t> LedgerClient::Order() const {
+  std::vector<size_t> order;
+  for (size_t index = 0; index < controls_.size(); ++index) {
+    order.push_back(index);
+  }
+  const TimePoint now = loop_.now();
+  std::stable_partition(order.begin(), order.end(),
+                        [&](size_t index) { return controls_[index].avoid_until <= now; });
+  return order;
+}
+
 void LedgerClient::TryNext(const std::shared_ptr<Pending>& pending) {
-  if (pending->next == controls_.size()) {
+  if (pending->next == pending->order.size()) {
     pending->callback({pending->attempt, LedgerOutcome::kUnreachable, {}});
     return;
   }
-  const Address& control = controls_[pending->next++];
+  const size_t index = pending->order[pending->next++];
   network_.Request(
-      control, PeerChannel::kLedger, pending->request, kCommandTimeout,
-      [this, pending](const PeerOutcome& outcome) {
+      controls_[index].address, PeerChannel::kLedger, pending->request, kCommandTimeout,
+      [this, pending, index](const PeerOutcome& outcome) {
         const std::optional<LedgerAnswer> answer = AnswerOf(outcome);
         if (!answer) {
+          controls_[index].avoid_until = loop_.now() + kAvoidance;
           TryNext(pending);
           return;
         }
--- a/src/ledger_client.h
+++ b/src/ledger_client.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "call_types.h"
+#include "event_loop.h"
 #include "once_ledger.h"
 #include "peer_network.h"
 #include "settings.h"
@@ -20,7 +21,7 @@
  public:
   using Callback = std::function<void(const LedgerReply&)>;
 
-  LedgerClient(PeerNetwork& network, const CommonSettings& settings);
+  LedgerClient(EventLoop& loop, PeerNetwork& network, const CommonSettings& settings);
 
   /// Calls back exactly once, with kUnreachable when no control instance reached the majority. The
   /// command may still be carried out then.
@@ -28,10 +29,17 @@
 
  private:
   struct Pending;
+  struct Control {
+    Address address;
+    TimePoint avoid_until{};  // it answered nothing lately, so it is asked after the others
+  };
+
+  std::vector<size_t> Order() const;
   void TryNext(const std::shared_ptr<Pending>& pending);
 
+  EventLoop& loop_;
   PeerNetwork& network_;
-  std::vector<Address> controls_;  // in the order of preference
+  std::vector<Control> controls_;  // in the order of preference
 };
 
 /// The stored form of a target's answer, and back.
--- a/src/replica_task.h
+++ b/src/replica_task.h
@@ -46,6 +46,9 @@
     log_.Receive(now, from, message);
   }
 
+  /// Asks another replica to lead; does nothing when this one does not lead.
+  void TransferLeadership(TimePoint now) { log_.TransferLeadership(now); }
+
   void Tick(TimePoint now) { log_.Tick(now); }
   TimePoint next_timer() const { return log_.next_timer(); }
 
--- a/src/replicated_log.cc
+++ b/src/replicated_log.cc
@@ -80,24 +80,27 @@
   role_ = ReplicaRole::kPreCandidate;
   leader_.reset();
   votes_.clear();
-  AskForVotes(LogMessageKind::kPreVote, hard_state_.term.next());
+  AskForVotes(LogMessageKind::kPreVote, hard_state_.term.next(), false);
   CountVote(identity());
 }
 
-void ReplicatedLog::StartElection() {
+void ReplicatedLog::StartElection(bool handover) {
   ResetElectionTimer();
   role_ = ReplicaRole::kCandidate;
   hard_state_ = {hard_state_.term.next(), self_};
   hard_state_changed_ = true;
   votes_.clear();
-  AskForVotes(LogMessageKind::kVote, hard_state_.term);
+  AskForVotes(LogMessageKind::kVote, hard_state_.term, handover);
   CountVote(identity());
 }
 
-void ReplicatedLog::AskForVotes(LogMessageKind kind, Term term) {
+void ReplicatedLog::AskForVotes(LogMessageKind kind, Term term, bool handover) {
   for (const Voter& voter : voters()) {
-    Send(voter,
-         {.kind = kind, .term = term, .index = log_.last_index(), .log_term = log_.last_term()});
+    Send(voter, {.kind = kind,
+                 .term = term,
+                 .index = log_.last_index(),
+                 .log_term = log_.last_term(),
+                 .accepted = handover});
   }
 }
 
@@ -109,7 +112,7 @@
     return;
   }
   if (role_ == ReplicaRole::kPreCandidate) {
-    StartElection();
+    StartElection(false);
   } else if (role_ == ReplicaRole::kCandidate) {
     BecomeLeader();
   }
@@ -141,8 +144,9 @@
     return false;
   }
   if (message.term > hard_state_.term) {
-    // A candidate that was cut off must not depose a leader that the others still hear.
-    if (kind == LogMessageKind::kVote && HeardFromLeader()) {
+    // A candidate that was cut off must not depose a leader that the others still hear, unless the
+    // leader itself asked for the election.
+    if (kind == LogMessageKind::kVote && !message.accepted && HeardFromLeader()) {
       return false;
     }
     BecomeFollower(message.term, std::nullopt);
@@ -186,6 +190,15 @@
       return ReceiveSnapshotReply(sender, message);
     case LogMessageKind::kHello:
       return ReceiveHello(sender);
+    case LogMessageKind::kHandover:
+      return ReceiveHandover(sender);
+  }
+}
+
+void ReplicatedLog::ReceiveHandover(const Voter& sender) {
+  const bool from_leader = role_ == ReplicaRole::kFollower && leader_ == sender.instance;
+  if (from_leader && is_voter()) {
+    StartElection(true);
   }
 }
 
@@ -352,7 +365,7 @@
 
 std::optional<LogIndex> ReplicatedLog::Propose(TimePoint now, std::string command) {
   now_ = std::max(now_, now);
-  if (role_ != ReplicaRole::kLeader) {
+  if (role_ != ReplicaRole::kLeader || now_ < transfer_until_) {
     return std::nullopt;
   }
   AppendLocal(EntryKind::kCommand, std::move(command));
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -54,6 +54,11 @@
   /// command is accepted only when Ready.committed returns this index with the same term.
   std::optional<LogIndex> Propose(TimePoint now, std::string command);
 
+  /// Asks a follower that holds everything to take over, so that a planned stop costs no election
+  /// timeout. Until it has, or an election timeout has passed, Propose returns nullopt. False when
+  /// this replica does not lead or no follower holds everything yet.
+  bool TransferLeadership(TimePoint now);
+
   /// Answered in Ready.reads: confirmed once a majority has confirmed the leader after this call,
   /// or unconfirmed when this replica is not the leader or ceases to be it.
   void RequestRead(TimePoint now, uint64_t token);
@@ -113,8 +118,9 @@
   void ResetElectionTimer();
   void BecomeFollower(Term term, std::optional<InstanceId> leader);
   void StartPreVote();
-  void StartElection();
-  void AskForVotes(LogMessageKind kind, Term term);
+  void StartElection(bool handover);
+  void AskForVotes(LogMessageKind kind, Term term, bool handover);
+  void ReceiveHandover(const Voter& sender);
   void CountVote(const Voter& sender);
   bool AcceptTerm(const Voter& sender, const LogMessage& message);
   void RefuseOldTerm(const Voter& sender, const LogMessage& message);
@@ -184,6 +190,7 @@
   uint64_t round_ = 0;       // of the read confirmation that was started last
   bool round_open_ = false;  // the round has not been sent, so another read can share it
   bool heartbeat_wanted_ = false;
+  TimePoint transfer_until_;  // no proposals before: leadership is being handed over
 
   // Collected for the next Ready.
   bool hard_state_changed_ = false;
--- a/src/replicated_log_leader.cc
+++ b/src/replicated_log_leader.cc
@@ -16,6 +16,7 @@
 
 void ReplicatedLog::BecomeLeader() {
   role_ = ReplicaRole::kLeader;
+  transfer_until_ = TimePoint{};
   leader_ = self_;
   votes_.clear();
   heartbeat_due_ = now_ + settings_.heartbeat_interval;
@@ -25,6 +26,23 @@
   AdvanceCommit();
 }
 
+bool ReplicatedLog::TransferLeadership(TimePoint now) {
+  now_ = std::max(now_, now);
+  if (role_ != ReplicaRole::kLeader) {
+    return false;
+  }
+  const auto successor = std::find_if(progress_.begin(), progress_.end(), [&](const auto& item) {
+    const bool heard = now_ - item.second.last_heard < settings_.election_timeout_min;
+    return heard && item.second.match == log_.last_index() && Contains(voters(), item.first);
+  });
+  if (successor == progress_.end()) {
+    return false;
+  }
+  transfer_until_ = now_ + settings_.election_timeout_min;
+  Send(successor->first, {.kind = LogMessageKind::kHandover, .term = hard_state_.term});
+  return true;
+}
+
 // Starts tracking voters that are not tracked yet.
 void ReplicatedLog::TrackVoters() {
   for (const Voter& voter : voters()) {
--- a/src/replicated_log_message.cc
+++ b/src/replicated_log_message.cc
@@ -94,7 +94,7 @@
 
 LogMessage FromJson(const Json& json) {
   LogMessage message;
-  message.kind = ToKind(json.at(0), LogMessageKind::kHello);
+  message.kind = ToKind(json.at(0), LogMessageKind::kHandover);
   message.from = ToNumber<Incarnation>(json.at(1));
   if (!json.at(2).is_null()) {
     message.to = ToNumber<Incarnation>(json.at(2));
--- a/src/replicated_log_message.h
+++ b/src/replicated_log_message.h
@@ -15,13 +15,14 @@
 enum class LogMessageKind {
   kPreVote,        // index, log_term: of the sender's last entry
   kPreVoteReply,   // accepted
-  kVote,           // index, log_term: of the sender's last entry
+  kVote,           // the same; accepted: the leader hands over to the sender
   kVoteReply,      // accepted
   kAppend,         // index, log_term: of the entry before `entries`; commit, round, entries
   kAppendReply,    // accepted; index: the last matching entry, or the rejected one; hint, round
   kSnapshot,       // index, log_term, voters: of the snapshot; offset, total, data, round
   kSnapshotReply,  // index: of the snapshot; offset: the next byte wanted; round
   kHello,          // a learner asks the leader for the log
+  kHandover,       // the leader asks the receiver to stand for election at once
 };
 
 /// One message; each kind uses the members named at it, and the others stay at their defaults.
--- a/test/correctness/replicated_log_test.cc
+++ b/test/correctness/replicated_log_test.cc
@@ -68,6 +68,23 @@
   CHECK(leader.log->term() == term);
 }
 
+TEST_GROUP(ReplicatedLogPlannedStop){};
+
+TEST(ReplicatedLogPlannedStop, HandsOverWithoutAnElectionTimeout) {
+  LogCluster cluster(5, 5, NetworkFaults{});
+  SetInSteps(cluster, 0, 3);
+  LogNode& leader = AwaitLeader(cluster);
+  cluster.Run(std::chrono::seconds(1));
+  CHECK(leader.log->TransferLeadership(cluster.now()));
+  CHECK_FALSE(leader.log->Propose(cluster.now(), "late 3 4").has_value());
+  const auto shorter_than_a_timeout = std::chrono::seconds(1);
+  CHECK(cluster.RunUntil(shorter_than_a_timeout, [&] {
+    return cluster.Leader() != nullptr && cluster.Leader() != &leader;
+  }));
+  SetInSteps(cluster, 3, 5);
+  STRCMP_EQUAL("", cluster.failure().c_str());
+}
+
 TEST_GROUP(ReplicatedLogSingleVoter){};
 
 TEST(ReplicatedLogSingleVoter, CommitsAndReadsAfterARestart) {
