--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr char kSubprotocol[] = "endivecleat";
-constexpr size_t kReceiveBufferBytes = 8192;  // held by libwebsockets per link
+constexpr char kVhost[] = "endivecleat-peers";
+constexpr size_t kReceiveBufferBytes = 65536;  // held by libwebsockets per link
 // libwebsockets copies whatever exceeds this size before it sends it, so it must hold one write.
 constexpr size_t kWriteBytes = 4 * kMaxPieceBytes;
 constexpr size_t kMaxDatagramBytes = 2048;
@@ -36,18 +37,22 @@
 
 }  // namespace
 
+/// Which network of a loop each connection belongs to, by the number in the connection's opaque
+/// user data. All networks of a loop share one vhost: libwebsockets chooses the vhost of an
+/// accepted connection by its Host field among those without a listening socket of their own. A
+/// connection outlives its network for a moment and finds no entry then.
+struct PeerRegistry {
+  std::unordered_map<uint64_t, PeerNetwork::Impl*> networks;
+  uint64_t next_id = 1;
+};
+
 class PeerNetwork::Impl {
  public:
-  /// libwebsockets frees the vhost some time after the network is gone; this tells its callbacks.
-  struct Owner {
-    Impl* impl;
-  };
-
   Impl(EventLoop& loop, const Address& listen, std::string token, PeerHandler handler,
        uint64_t seed)
       : loop_(loop), token_(std::move(token)), handler_(std::move(handler)), random_(seed) {
-    OpenSockets(listen);
     OpenVhost();
+    OpenSockets(listen);
   }
 
   ~Impl() {
@@ -56,8 +61,10 @@
     }
     loop_.Unwatch(datagram_watch_);
     close(datagram_socket_);
-    owner_->impl = nullptr;
-    lws_vhost_destroy(vhost_);
+    for (const auto& [id, wsi] : sockets_) {
+      registry_->networks.erase(id);
+      lws_set_timeout(wsi, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_ASYNC);
+    }
     const auto links = std::move(links_);
     for (const auto& [id, link] : links) {
       CancelServing(*link);
@@ -92,7 +99,7 @@
 
   PeerRequestId Request(const Address& to, PeerChannel channel, std::string payload,
                         Duration timeout, Callback callback) {
-    const PeerRequestId id(next_id_++);
+    const PeerRequestId id(next_request_++);
     RequestEntry entry;
     entry.channel = channel;
     entry.callback = std::move(callback);
@@ -129,7 +136,7 @@
   }
 
   /// One event of libwebsockets; nonzero closes the connection.
-  int OnEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length);
+  int OnEvent(uint64_t id, lws* wsi, lws_callback_reasons reason, void* in, size_t length);
 
  private:
   struct RequestEntry {
@@ -152,12 +159,14 @@
 
   PeerLink* LinkTo(const Address& to);
   PeerLink* OpenLink(const Address& to, Outbound& outbound);
-  PeerLink* FindLink(lws* wsi);
+  void Adopt(int descriptor);
+  uint64_t NewConnection();
   bool Push(PeerLink& link, PeerFrame frame);
   void OnOpen(PeerLink& link, lws* wsi);
   void OnClosed(uint64_t id);
+  void CloseLink(uint64_t id);
   void CancelServing(PeerLink& link);
-  int OnHandshake(lws* wsi);
+  int OnHandshake(uint64_t id, lws* wsi);
   int OnWritable(PeerLink& link);
   int OnBytes(PeerLink& link, std::string_view bytes);
   void OnFrame(PeerLink& link, PeerFrame frame);
@@ -183,9 +192,10 @@
   int datagram_socket_ = -1;
   WatchId datagram_watch_;
   lws_vhost* vhost_ = nullptr;
-  Owner* owner_ = nullptr;  // freed with the vhost
+  PeerRegistry* registry_ = nullptr;  // freed with the vhost
 
-  uint64_t next_id_ = 1;
+  uint64_t next_request_ = 1;
+  std::unordered_map<uint64_t, lws*> sockets_;  // every connection, handshakes included
   std::unordered_map<uint64_t, std::unique_ptr<PeerLink>> links_;
   std::unordered_map<Address, Outbound> outbound_;
   std::unordered_map<PeerRequestId, RequestEntry> requests_;
@@ -198,29 +208,55 @@
 
 namespace {
 
+uint64_t ConnectionId(lws* wsi) {
+  return reinterpret_cast<uintptr_t>(lws_get_opaque_user_data(wsi));
+}
+
+// NOLINTNEXTLINE(performance-no-int-to-ptr): libwebsockets keeps a pointer, never followed
+void* ToOpaque(uint64_t id) { return reinterpret_cast<void*>(static_cast<uintptr_t>(id)); }
+
+bool IsNotification(lws_callback_reasons reason) {
+  switch (reason) {
+    case LWS_CALLBACK_HTTP:
+    case LWS_CALLBACK_HTTP_CONFIRM_UPGRADE:
+    case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
+    case LWS_CALLBACK_ESTABLISHED:
+    case LWS_CALLBACK_CLIENT_ESTABLISHED:
+    case LWS_CALLBACK_RECEIVE:
+    case LWS_CALLBACK_CLIENT_RECEIVE:
+    case LWS_CALLBACK_SERVER_WRITEABLE:
+    case LWS_CALLBACK_CLIENT_WRITEABLE:
+      return false;
+    default:
+      return true;
+  }
+}
+
 int PeerCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* in, size_t length) {
   lws_vhost* vhost = lws_get_vhost(wsi);
-  auto* owner = vhost == nullptr
-                    ? nullptr
-                    : static_cast<PeerNetwork::Impl::Owner*>(lws_get_vhost_user(vhost));
-  if (owner == nullptr || owner->impl == nullptr) {
+  auto* registry =
+      vhost == nullptr ? nullptr : static_cast<PeerRegistry*>(lws_get_vhost_user(vhost));
+  if (registry == nullptr) {
     return 0;
   }
-  return owner->impl->OnEvent(wsi, reason, in, length);
+  const uint64_t id = ConnectionId(wsi);
+  const auto found = registry->networks.find(id);
+  if (found == registry->networks.end()) {
+    return IsNotification(reason) ? 0 : -1;
+  }
+  return found->second->OnEvent(id, wsi, reason, in, length);
 }
 
-void FreeOwner(lws_vhost* /*vhost*/, void* owner) {
-  delete static_cast<PeerNetwork::Impl::Owner*>(owner);
+void FreeRegistry(lws_vhost* /*vhost*/, void* registry) {
+  delete static_cast<PeerRegistry*>(registry);
 }
 
 }  // namespace
 
 void PeerNetwork::Impl::OpenSockets(const Address& listen) {
   for (int attempt = 1; datagram_socket_ < 0; ++attempt) {
-    listener_ =
-        std::make_unique<TcpListener>(loop_, listen, [this](int descriptor, const Address&) {
-          lws_adopt_socket_vhost(vhost_, descriptor);  // closes the descriptor when it fails
-        });
+    listener_ = std::make_unique<TcpListener>(
+        loop_, listen, [this](int descriptor, const Address&) { Adopt(descriptor); });
     try {
       datagram_socket_ = BindUdp(listener_->address());
     } catch (const std::system_error&) {
@@ -234,28 +270,54 @@
 }
 
 void PeerNetwork::Impl::OpenVhost() {
-  owner_ = new Owner{this};
-  const std::string name = "peers-" + address().text();
-  lws_context_creation_info info = {};
-  info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
-  info.protocols = kProtocols.data();
-  info.vhost_name = name.c_str();
-  info.user = owner_;
-  info.finalize = FreeOwner;
-  info.finalize_arg = owner_;
-  vhost_ = lws_create_vhost(loop_.context(), &info);
-  ENDIVECLEAT_CHECK(vhost_ != nullptr, "libwebsockets refuses the vhost " + name);
-}
-
-int PeerNetwork::Impl::OnEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length) {
-  PeerLink* link = FindLink(wsi);
+  vhost_ = lws_get_vhost_by_name(loop_.context(), kVhost);
+  if (vhost_ == nullptr) {
+    auto registry = std::make_unique<PeerRegistry>();
+    lws_context_creation_info info = {};
+    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+    info.protocols = kProtocols.data();
+    info.vhost_name = kVhost;
+    info.user = registry.get();
+    info.finalize = FreeRegistry;
+    info.finalize_arg = registry.get();
+    vhost_ = lws_create_vhost(loop_.context(), &info);
+    ENDIVECLEAT_CHECK(vhost_ != nullptr, "libwebsockets refuses a vhost");
+    static_cast<void>(registry.release());  // FreeRegistry deletes it
+  }
+  registry_ = static_cast<PeerRegistry*>(lws_get_vhost_user(vhost_));
+}
+
+uint64_t PeerNetwork::Impl::NewConnection() {
+  const uint64_t id = registry_->next_id++;
+  registry_->networks.emplace(id, this);
+  return id;
+}
+
+void PeerNetwork::Impl::Adopt(int descriptor) {
+  const uint64_t id = NewConnection();
+  lws_adopt_desc_t info = {};
+  info.vh = vhost_;
+  info.type = static_cast<lws_adoption_type>(LWS_ADOPT_SOCKET | LWS_ADOPT_HTTP);
+  info.fd.sockfd = descriptor;
+  info.opaque = ToOpaque(id);
+  if (lws* wsi = lws_adopt_descriptor_vhost_via_info(&info); wsi != nullptr) {
+    sockets_.emplace(id, wsi);
+  } else {
+    OnClosed(id);  // libwebsockets has closed the descriptor
+  }
+}
+
+int PeerNetwork::Impl::OnEvent(uint64_t id, lws* wsi, lws_callback_reasons reason, void* in,
+                               size_t length) {
+  const auto found = links_.find(id);
+  PeerLink* link = found == links_.end() ? nullptr : found->second.get();
   switch (reason) {
     case LWS_CALLBACK_HTTP:
       return -1;  // a plain HTTP request
     case LWS_CALLBACK_HTTP_CONFIRM_UPGRADE:
       return EqualIgnoringCase(static_cast<const char*>(in), "websocket") ? 0 : -1;
     case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
-      return OnHandshake(wsi);
+      return OnHandshake(id, wsi);
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
       auto** position = static_cast<unsigned char**>(in);
       return link != nullptr && WriteHandshake(wsi, {token_, link->epoch, address()}, position,
@@ -280,30 +342,20 @@
     case LWS_CALLBACK_CLIENT_CLOSED:
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_WSI_DESTROY:
-      if (link != nullptr) {
-        loop_.Guard([&] { OnClosed(link->id); });
-      }
+      loop_.Guard([&] { OnClosed(id); });
       return 0;
     default:
       return 0;
   }
 }
 
-PeerLink* PeerNetwork::Impl::FindLink(lws* wsi) {
-  const auto id = reinterpret_cast<uintptr_t>(lws_get_opaque_user_data(wsi));
-  const auto found = links_.find(id);
-  return found == links_.end() ? nullptr : found->second.get();
-}
-
-int PeerNetwork::Impl::OnHandshake(lws* wsi) {
+int PeerNetwork::Impl::OnHandshake(uint64_t id, lws* wsi) {
   const std::optional<PeerHandshake> handshake = ReadHandshake(wsi);
   if (!handshake || !TokensEqual(handshake->token, token_)) {
     ++refused_handshakes_;
     return -1;
   }
-  const uint64_t id = next_id_++;
   links_.emplace(id, std::make_unique<PeerLink>(id, false, handshake->listen, handshake->epoch));
-  lws_set_opaque_user_data(wsi, reinterpret_cast<void*>(static_cast<uintptr_t>(id)));
   return 0;
 }
 
@@ -316,7 +368,7 @@
 }
 
 PeerLink* PeerNetwork::Impl::OpenLink(const Address& to, Outbound& outbound) {
-  const uint64_t id = next_id_++;
+  const uint64_t id = NewConnection();
   const auto epoch = static_cast<uint32_t>(random_.Next());
   links_.emplace(id, std::make_unique<PeerLink>(id, true, to, epoch));
   outbound.link = id;
@@ -331,8 +383,10 @@
   info.protocol = kSubprotocol;
   info.local_protocol_name = kSubprotocol;
   info.ietf_version_or_minus_one = -1;
-  info.opaque_user_data = reinterpret_cast<void*>(static_cast<uintptr_t>(id));
-  if (lws_client_connect_via_info(&info) == nullptr) {
+  info.opaque_user_data = ToOpaque(id);
+  if (lws* wsi = lws_client_connect_via_info(&info); wsi != nullptr) {
+    sockets_.emplace(id, wsi);
+  } else {
     OnClosed(id);
   }
   const auto found = links_.find(id);
@@ -352,6 +406,12 @@
 }
 
 void PeerNetwork::Impl::OnClosed(uint64_t id) {
+  registry_->networks.erase(id);
+  sockets_.erase(id);
+  CloseLink(id);
+}
+
+void PeerNetwork::Impl::CloseLink(uint64_t id) {
   auto node = links_.extract(id);
   if (node.empty()) {
     return;
@@ -595,7 +655,7 @@
 
 void PeerNetwork::Cancel(PeerRequestId request) { impl_->Cancel(request); }
 
-bool PeerNetwork::SendDatagram(const Address& to, std::string datagram) {
+bool PeerNetwork::SendDatagram(const Address& to, const std::string& datagram) {
   return impl_->SendDatagram(to, datagram);
 }
 
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -107,7 +107,7 @@
   void Cancel(PeerRequestId request);
 
   /// False when the kernel does not take the datagram.
-  bool SendDatagram(const Address& to, std::string datagram);
+  bool SendDatagram(const Address& to, const std::string& datagram);
 
   const std::map<Address, PeerTraffic>& traffic() const;
 
--- a/test/correctness/http_client_test.cc
+++ b/test/correctness/http_client_test.cc
@@ -65,7 +65,7 @@
   size_t done = 0;
   for (size_t i = 0; i < answers.size(); ++i) {
     client.Send(Post("/" + std::to_string(i), std::string(i * 1000, 'b')), kLongTimeout,
-                [&, i](HttpOutcome outcome) {
+                [&, i](const HttpOutcome& outcome) {
                   answers[i] = outcome.response.body;
                   ++done;
                 });
--- a/test/correctness/http_server_test.cc
+++ b/test/correctness/http_server_test.cc
@@ -17,7 +17,6 @@
 using endivecleat::HttpClient;
 using endivecleat::HttpOutcome;
 using endivecleat::HttpRequest;
-using endivecleat::HttpResponse;
 using endivecleat::HttpServer;
 using endivecleat::HttpServerLimits;
 using endivecleat::ResponseSink;
--- /dev/null
+++ b/test/failure/http_broken_answer_test.cc
@@ -0,0 +1,130 @@
+// Guards against answers cut short that pass as whole, a request sent again although bytes of it
+// had left, and a stale connection that makes a call fail.
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+#include "http_client.h"
+#include "network_fixture.h"
+
+using endivecleat::EventLoop;
+using endivecleat::HttpClient;
+using endivecleat::HttpOutcome;
+using endivecleat::test::kLongTimeout;
+using endivecleat::test::RawListener;
+using endivecleat::test::RunUntil;
+
+TEST_GROUP(HttpBrokenAnswer) {
+  EventLoop loop;
+  RawListener target{loop};
+  HttpClient client{loop, target.address(), 1};
+  std::vector<HttpOutcome> outcomes;
+
+  void Send(const std::string& method = "GET", const std::string& body = "") {
+    client.Send({method, "/", "", {}, body, ""}, kLongTimeout,
+                [this](HttpOutcome outcome) { outcomes.push_back(std::move(outcome)); });
+  }
+
+  void WaitForRequest(size_t connection) {
+    CHECK(RunUntil(loop, [&] { return target.Received(connection, "\r\n\r\n"); }));
+    target.connections[connection]->received.clear();
+  }
+
+  void WaitForOutcomes(size_t count) {
+    CHECK(RunUntil(loop, [&] { return outcomes.size() >= count; }));
+  }
+
+  /// The outcome when the target sends these bytes and closes.
+  HttpOutcome::Kind OutcomeOf(const std::string& bytes) {
+    const size_t index = target.size();
+    const size_t before = outcomes.size();
+    Send();
+    WaitForRequest(index);
+    target.connections[index]->Send(bytes);
+    target.connections[index]->CloseAfterSending();
+    WaitForOutcomes(before + 1);
+    return outcomes.back().kind;
+  }
+};
+
+TEST(HttpBrokenAnswer, CutAnywhereIsBroken) {
+  const std::string by_length = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string& answer : {by_length, chunked}) {
+    for (size_t cut = 0; cut < answer.size(); ++cut) {
+      LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOf(answer.substr(0, cut)));
+    }
+    LONGS_EQUAL(HttpOutcome::kAnswered, OutcomeOf(answer));
+  }
+}
+
+TEST(HttpBrokenAnswer, DelimitedByTheEndOfTheConnectionIsBroken) {
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOf("HTTP/1.0 200 OK\r\n\r\nmaybe cut"));
+}
+
+TEST(HttpBrokenAnswer, MalformedIsBroken) {
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOf("nonsense\r\n\r\n"));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOf("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"));
+  LONGS_EQUAL(HttpOutcome::kBroken,
+              OutcomeOf("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"));
+  LONGS_EQUAL(HttpOutcome::kBroken,
+              OutcomeOf("HTTP/1.1 200 OK\r\nX: " + std::string(100000, 'x') + "\r\n\r\n"));
+}
+
+TEST(HttpBrokenAnswer, InterimAnswerIsNotTheAnswer) {
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOf("HTTP/1.1 100 Continue\r\n\r\n"));
+  LONGS_EQUAL(HttpOutcome::kAnswered,
+              OutcomeOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"));
+  LONGS_EQUAL(204, outcomes.back().response.status);
+}
+
+TEST(HttpBrokenAnswer, RequestIsNotSentAgainAfterBytesOfItLeft) {
+  Send("POST", "once");
+  CHECK(RunUntil(loop, [&] { return target.Received(0, "once"); }));
+  target.connections[0]->Close();
+  WaitForOutcomes(1);
+  LONGS_EQUAL(HttpOutcome::kBroken, outcomes[0].kind);
+  LONGS_EQUAL(1, target.size());
+}
+
+TEST(HttpBrokenAnswer, SurplusBytesEndTheConnection) {
+  Send();
+  WaitForRequest(0);
+  target.connections[0]->Send(
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+      "5\r\n\r\nwrong");
+  WaitForOutcomes(1);
+  Send();
+  WaitForRequest(1);
+  target.connections[1]->Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright");
+  WaitForOutcomes(2);
+  STRCMP_EQUAL("right", outcomes[1].response.body.c_str());
+}
+
+TEST(HttpBrokenAnswer, StaleConnectionIsReplacedWithoutAFailure) {
+  for (size_t round = 0; round < 5; ++round) {
+    Send("POST", "body");
+    WaitForRequest(round);
+    target.connections[round]->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    WaitForOutcomes(round + 1);
+    target.connections[round]->Close();  // the client has not seen it when the next call starts
+  }
+  for (const HttpOutcome& outcome : outcomes) {
+    LONGS_EQUAL(HttpOutcome::kAnswered, outcome.kind);
+  }
+}
+
+TEST(HttpBrokenAnswer, WaitingCallsGoOnAfterABrokenOne) {
+  Send();
+  Send();
+  WaitForRequest(0);
+  target.connections[0]->Close();
+  WaitForOutcomes(1);
+  LONGS_EQUAL(HttpOutcome::kBroken, outcomes[0].kind);
+  WaitForRequest(1);
+  target.connections[1]->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  WaitForOutcomes(2);
+  LONGS_EQUAL(HttpOutcome::kAnswered, outcomes[1].kind);
+}
