--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -6,6 +6,7 @@
 
 #include "errors.h"
 #include "log.h"
+#include "wall_clock.h"
 
 namespace endivecleat {
 namespace {
@@ -104,7 +105,7 @@
   });
   const TimePoint now = context_.loop.now();
   const bool stopped =
-      context_.guard.Check(DaemonContext::wall_now(), exchange->fingerprint) == CrashVerdict::kStop;
+      context_.guard.Check(WallNow(), exchange->fingerprint) == CrashVerdict::kStop;
   Carry(exchange, stopped ? exchange->call->StartStopped(now) : exchange->call->Start(now));
 }
 
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -10,6 +10,7 @@
 #include "ledger_message.h"
 #include "log.h"
 #include "transfer_codec.h"
+#include "wall_clock.h"
 
 namespace endivecleat {
 namespace {
@@ -18,12 +19,6 @@
 constexpr Duration kLedgerForwardTimeout = std::chrono::milliseconds(800);
 constexpr ByteCount kMaxConfigMessage{8U << 20U};
 
-WallTime Now() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return WallTime(
-      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
-}
-
 std::filesystem::path LogFolder(const ControlSettings& settings, const std::string& log) {
   return std::filesystem::path(settings.data_folder) / log;
 }
@@ -131,7 +126,7 @@
 
 void ControlProcess::OnLedgerRequest(const std::string& payload, const PeerReplier& replier) {
   LedgerRequest request = DecodeLedgerRequest(payload);
-  request.command.at = Now();
+  request.command.at = WallNow();
   ++ledger_requests_;
   const bool proposed = once_.Propose(loop_.now(), EncodeLedgerCommand(request.command),
                                       [this, replier](const std::optional<LedgerAnswer>& answer) {
--- a/src/daemon_context.h
+++ b/src/daemon_context.h
@@ -3,7 +3,6 @@
 #ifndef ENDIVECLEAT_DAEMON_CONTEXT_H_
 #define ENDIVECLEAT_DAEMON_CONTEXT_H_
 
-#include <chrono>
 #include <memory>
 #include <string>
 
@@ -33,12 +32,6 @@
   uint64_t last_number = 0;
 
   RequestNumber NextNumber() { return RequestNumber(++last_number); }
-
-  static WallTime wall_now() {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return WallTime(
-        static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
-  }
 };
 
 }  // namespace endivecleat
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "operator_service.h"
 #include "transfer_codec.h"
+#include "wall_clock.h"
 
 namespace endivecleat {
 namespace {
@@ -186,7 +187,7 @@
   UpdateSelf();
   crash_reports_.Learn(node_.membership(), context_.guard);
   crash_reports_.Spread(now, context_.guard, node_.membership());
-  context_.guard.Tick(DaemonContext::wall_now());
+  context_.guard.Tick(WallNow());
   callers_.RefreshCandidates();
 }
 
--- a/src/log.cc
+++ b/src/log.cc
@@ -7,12 +7,12 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
-#include <chrono>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "errors.h"
+#include "wall_clock.h"
 
 namespace endivecleat {
 namespace {
@@ -66,11 +66,6 @@
   return file;
 }
 
-uint64_t WallMilliseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 }  // namespace
 
 void StartLog(const InstanceId& instance, const LogSettings& settings) {
@@ -87,7 +82,7 @@
   if (!state.started || level < state.least_level) {
     return;
   }
-  nlohmann::ordered_json line = {{"time_ms", WallMilliseconds()},
+  nlohmann::ordered_json line = {{"time_ms", WallNow().value()},
                                  {"level", NameOf(level)},
                                  {"instance", state.instance},
                                  {"event", event}};
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -9,6 +9,7 @@
 #include "byte_codec.h"
 #include "errors.h"
 #include "log.h"
+#include "wall_clock.h"
 
 namespace endivecleat {
 namespace {
@@ -24,17 +25,11 @@
   sum.received += more.received;
 }
 
-WallTime Now() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return WallTime(
-      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
-}
-
 MemberRecord SelfRecord(const CommonSettings& settings, const Address& listen) {
   MemberRecord self;
   self.instance = settings.instance;
   self.address = listen;
-  self.boot_time = Now();
+  self.boot_time = WallNow();
   return self;
 }
 
--- a/src/operator_commands.cc
+++ b/src/operator_commands.cc
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -16,22 +15,13 @@
 #include "json_reader.h"
 #include "operator_client.h"
 #include "settings.h"
+#include "text_file.h"
 
 namespace endivecleat {
 namespace {
 
 constexpr auto kWatchPause = std::chrono::seconds(1);
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    throw UserError(ResultCode::kSettingsUnreadable, "cannot read the file " + path);
-  }
-  return text.str();
-}
-
 const std::string& Argument(const CommandOptions& options, size_t index, const char* what) {
   if (options.arguments.size() <= index) {
     throw UserError(ResultCode::kUsage, std::string(what) + " is missing");
@@ -55,7 +45,7 @@
 
 // {"control": ["127.0.0.1:7001", ...], "operator_token_file": "operator.token"}
 OperatorClientSettings ReadClientSettings(const std::string& path) {
-  const nlohmann::json document = nlohmann::json::parse(ReadFile(path), nullptr, false);
+  const nlohmann::json document = nlohmann::json::parse(ReadTextFile(path), nullptr, false);
   std::vector<Problem> problems;
   JsonReader reader(document, "", problems);
   OperatorClientSettings settings;
@@ -246,7 +236,7 @@
 // A file may leave out the preset in force; the stored text always has it.
 std::string TextOf(OperatorClient& client, const std::string& argument) {
   const std::optional<uint64_t> version = AsVersion(argument);
-  return version ? VersionText(client, *version) : ReadFile(argument);
+  return version ? VersionText(client, *version) : ReadTextFile(argument);
 }
 
 void PrintHistory(const nlohmann::json& entries, bool json) {
@@ -266,7 +256,7 @@
 
 int RunCheck(const CommandOptions& options) {
   const std::string& path = Argument(options, 0, "FILE");
-  const std::string text = ReadFile(path);
+  const std::string text = ReadTextFile(path);
   const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
   const std::string folder = std::filesystem::absolute(path).parent_path().string();
   if (document.is_object() && document.contains("data_folder")) {
@@ -281,7 +271,7 @@
 }
 
 int RunSubmit(const CommandOptions& options) {
-  const std::string document = ReadFile(Argument(options, 0, "FILE"));
+  const std::string document = ReadTextFile(Argument(options, 0, "FILE"));
   return SendChange(options, "submit", {{"document", document}});
 }
 
--- a/src/operator_service.cc
+++ b/src/operator_service.cc
@@ -9,6 +9,7 @@
 #include "delta.h"
 #include "errors.h"
 #include "log.h"
+#include "wall_clock.h"
 
 namespace endivecleat {
 namespace {
@@ -16,12 +17,6 @@
 constexpr Duration kDrainTimeout = std::chrono::seconds(2);
 constexpr char kDrainRequest[] = "drain";
 
-WallTime Now() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return WallTime(
-      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
-}
-
 HttpResponse PlainResponse(int status, const std::string& type, std::string body) {
   HttpResponse response;
   response.status = status;
@@ -139,7 +134,7 @@
                         .base = ConfigVersion(parameters.at("base").get<uint64_t>()),
                         .what = ReadSwitch(parameters),
                         .author = parameters.at("author").get<std::string>(),
-                        .at = Now()};
+                        .at = WallNow()};
     StartChange(change, body, sink);
     return true;
   }
@@ -213,7 +208,7 @@
                 .base = ConfigVersion(parameters.at("base").get<uint64_t>()),
                 .what = {},
                 .author = parameters.at("author").get<std::string>(),
-                .at = Now()};
+                .at = WallNow()};
   const std::string document = parameters.at("document").get<std::string>();
   ParseAndCheck({document});
   change.what = SubmitDocument{MakeDelta(replica_.state().store.text(), document)};
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 #include "errors.h"
 #include "json_reader.h"
+#include "text_file.h"
 
 namespace endivecleat {
 namespace {
@@ -15,16 +14,6 @@
 constexpr size_t kShortestToken = 16;  // characters; shorter ones are guessed too easily
 constexpr size_t kMostControlInstances = 7;
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    throw UserError(ResultCode::kSettingsUnreadable, "cannot read the file " + path);
-  }
-  return text.str();
-}
-
 std::string Resolve(const std::string& folder, const std::string& path) {
   return (std::filesystem::path(folder) / path).string();
 }
@@ -186,15 +175,15 @@
 }
 
 ControlSettings LoadControlSettings(const std::string& path) {
-  return ParseControlSettings(ReadFile(path), FolderOf(path));
+  return ParseControlSettings(ReadTextFile(path), FolderOf(path));
 }
 
 DaemonSettings LoadDaemonSettings(const std::string& path) {
-  return ParseDaemonSettings(ReadFile(path), FolderOf(path));
+  return ParseDaemonSettings(ReadTextFile(path), FolderOf(path));
 }
 
 std::string ReadTokenFile(const std::string& path) {
-  std::string token = ReadFile(path);
+  std::string token = ReadTextFile(path);
   while (!token.empty() && (token.back() == '\n' || token.back() == '\r')) {
     token.pop_back();
   }
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -5,6 +5,7 @@
 
 #include "errors.h"
 #include "log.h"
+#include "wall_clock.h"
 
 namespace endivecleat {
 namespace {
@@ -169,7 +170,7 @@
   exchange->message = message;
   exchange->request = request;
   exchange->deadline = request.deadline;
-  exchange->started = DaemonContext::wall_now();
+  exchange->started = WallNow();
   exchange->reply = std::move(reply);
   exchanges_[number] = exchange;
   *started = exchange;
@@ -220,8 +221,7 @@
       Carry(exchange, exchange->call.AdmissionRefused(now, *decision.refused_with));
       continue;
     }
-    const CrashVerdict verdict =
-        context_.guard.Check(DaemonContext::wall_now(), exchange->request.fingerprint);
+    const CrashVerdict verdict = context_.guard.Check(WallNow(), exchange->request.fingerprint);
     Carry(exchange, exchange->call.Admitted(now, verdict));
   }
 }
@@ -252,7 +252,7 @@
       client_->Cancel(*exchange->target_call);
     }
   } else if (const auto* end = std::get_if<EndTargetCall>(&effect)) {
-    context_.guard.End(DaemonContext::wall_now(), end->fingerprint, end->ending, deaths_);
+    context_.guard.End(WallNow(), end->fingerprint, end->ending, deaths_);
   } else if (std::holds_alternative<LeaveQueue>(effect)) {
     admission_.Withdraw(exchange->number);
   } else if (std::holds_alternative<FreeSlot>(effect)) {
