--- /dev/null
+++ b/apps/demo/demo_load.cc
@@ -0,0 +1,415 @@
+// Sends reads and confirmations to the daemons of a deployment and checks every answer. Each
+// confirmation key is sent through several daemons, one after the other and at the same time, until
+// one answer is final. Works with stand-in targets, whose answers repeat the path and the key.
+// Prints one JSON object; --answers writes a line a key: the key and ran, not_run, both or unknown.
+#include <popt.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "endivecleat_io.h"
+#include "seeded_random.h"
+
+namespace {
+
+using endivecleat::Address;
+using endivecleat::Duration;
+using endivecleat::EventLoop;
+using endivecleat::HttpClient;
+using endivecleat::HttpOutcome;
+using endivecleat::HttpRequest;
+using endivecleat::HttpResponse;
+using endivecleat::ParseAddress;
+using endivecleat::ResultCode;
+using endivecleat::SeededRandom;
+using endivecleat::TimePoint;
+
+constexpr size_t kConnectionsPerDaemon = 64;
+// Longer than the longest timeout of a service in the example configurations (3 s).
+constexpr Duration kAnswerTimeout = std::chrono::seconds(6);
+// A key without a final answer is resent for this long after the load; longer than an election.
+constexpr Duration kSettling = std::chrono::seconds(15);
+constexpr Duration kTick = std::chrono::milliseconds(5);
+constexpr int kReadTries = 3;
+constexpr uint64_t kTwoCopiesPercent = 40;
+constexpr uint64_t kShortDeadlinePercent = 15;
+constexpr uint64_t kShortDeadlineMostMs = 12;
+constexpr uint64_t kResendAfterFinalPercent = 30;
+constexpr uint64_t kResendLeastMs = 20;
+constexpr uint64_t kResendSpreadMs = 400;
+
+struct Options {
+  char* daemons = nullptr;
+  char* reads = nullptr;
+  char* confirmations = nullptr;
+  char* answers = nullptr;
+  int seconds = 20;
+  int seed = 1;
+  int read_rate = 200;
+  int confirmation_rate = 40;
+};
+
+struct Confirmation {
+  std::string key;
+  std::string path;
+  std::string body;
+  std::string first_answer;  // body of the first answer that says "ran"
+  int in_flight = 0;
+  bool ran = false;
+  bool not_run = false;
+  bool final_resent = false;
+  bool resend_planned = false;
+
+  bool final() const { return ran || not_run; }
+};
+
+using ConfirmationPtr = std::shared_ptr<Confirmation>;
+
+struct Counts {
+  uint64_t requests = 0;
+  uint64_t reads = 0;
+  uint64_t reads_answered = 0;
+  uint64_t reads_given_up = 0;
+  uint64_t wrong_answers = 0;
+  uint64_t copies = 0;
+  uint64_t replayed = 0;
+  std::map<std::string, uint64_t> read_results;
+  std::map<std::string, uint64_t> confirmation_results;
+};
+
+std::vector<std::string> Split(const std::string& list) {
+  std::vector<std::string> parts;
+  std::istringstream stream(list);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+const char* NameOf(HttpOutcome::Kind kind) {
+  switch (kind) {
+    case HttpOutcome::kAnswered:
+      return "answered";
+    case HttpOutcome::kNotSent:
+      return "not_sent";
+    case HttpOutcome::kBroken:
+      return "broken";
+    case HttpOutcome::kTimedOut:
+      break;
+  }
+  return "timed_out";
+}
+
+std::string ResultOf(const HttpOutcome& outcome) {
+  if (outcome.kind != HttpOutcome::kAnswered) {
+    return NameOf(outcome.kind);
+  }
+  const HttpResponse& response = outcome.response;
+  return response.headers.ValueOr("endivecleat-result", std::to_string(response.status));
+}
+
+bool HasField(const HttpResponse& response, const char* field, const std::string& value) {
+  const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+  return body.is_object() && body.contains(field) && body[field] == value;
+}
+
+class Load {
+ public:
+  Load(EventLoop& loop, const Options& options)
+      : loop_(loop),
+        options_(options),
+        random_(static_cast<uint64_t>(options.seed)),
+        reads_(Split(options.reads)),
+        confirmation_paths_(Split(options.confirmations)),
+        started_(loop.now()),
+        end_(started_ + std::chrono::seconds(options.seconds)) {
+    for (const std::string& daemon : Split(options.daemons)) {
+      const std::optional<Address> address = ParseAddress(daemon);
+      if (!address) {
+        throw std::invalid_argument("\"" + daemon + "\" is not an address");
+      }
+      daemons_.push_back(std::make_unique<HttpClient>(loop, *address, kConnectionsPerDaemon));
+    }
+    Tick();
+  }
+
+  nlohmann::json Report() const {
+    uint64_t ran = 0;
+    uint64_t not_run = 0;
+    uint64_t both = 0;
+    uint64_t unknown = 0;
+    for (const ConfirmationPtr& each : confirmations_) {
+      ran += each->ran && !each->not_run ? 1 : 0;
+      not_run += each->not_run && !each->ran ? 1 : 0;
+      both += each->ran && each->not_run ? 1 : 0;
+      unknown += each->final() ? 0 : 1;
+    }
+    return {{"requests", counts_.requests},
+            {"wrong_answers", counts_.wrong_answers},
+            {"reads", counts_.reads},
+            {"reads_answered", counts_.reads_answered},
+            {"reads_given_up", counts_.reads_given_up},
+            {"read_results", counts_.read_results},
+            {"read_p50_us", Percentile(50)},
+            {"read_p99_us", Percentile(99)},
+            {"confirmations", confirmations_.size()},
+            {"copies", counts_.copies},
+            {"replayed", counts_.replayed},
+            {"confirmation_results", counts_.confirmation_results},
+            {"ran", ran},
+            {"not_run", not_run},
+            {"contradictory", both},
+            {"unknown", unknown}};
+  }
+
+  void WriteAnswers(std::ostream& out) const {
+    for (const ConfirmationPtr& each : confirmations_) {
+      const char* answer = each->ran && each->not_run ? "both"
+                           : each->ran                ? "ran"
+                           : each->not_run            ? "not_run"
+                                                      : "unknown";
+      out << each->key << " " << answer << "\n";
+    }
+  }
+
+ private:
+  void Tick() {
+    const TimePoint now = loop_.now();
+    const auto due = [&](int rate) {
+      const auto elapsed = std::chrono::duration<double>(std::min(now, end_) - started_).count();
+      return static_cast<uint64_t>(elapsed * rate);
+    };
+    while (counts_.reads < due(options_.read_rate)) {
+      ++counts_.reads;
+      SendRead(reads_[random_.Below(reads_.size())] + "/" + std::to_string(counts_.reads), now, 1);
+    }
+    while (confirmations_.size() < due(options_.confirmation_rate)) {
+      StartConfirmation();
+    }
+    if (now >= end_ && (Settled() || now >= end_ + kSettling)) {
+      loop_.Stop();
+      return;
+    }
+    loop_.After(kTick, [this] { Tick(); });
+  }
+
+  bool Settled() const {
+    return reads_in_flight_ == 0 &&
+           std::all_of(confirmations_.begin(), confirmations_.end(), [](const auto& each) {
+             return each->final() && each->in_flight == 0 && !each->resend_planned;
+           });
+  }
+
+  HttpClient& AnyDaemon() { return *daemons_[random_.Below(daemons_.size())]; }
+
+  void SendRead(const std::string& path, TimePoint first_sent, int tries) {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    ++counts_.requests;
+    ++reads_in_flight_;
+    AnyDaemon().Send(std::move(request), kAnswerTimeout,
+                     [this, path, first_sent, tries](const HttpOutcome& outcome) {
+                       --reads_in_flight_;
+                       OnRead(path, first_sent, tries, outcome);
+                     });
+  }
+
+  // A read whose daemon is gone goes to another one, as a caller's client would do.
+  void OnRead(const std::string& path, TimePoint first_sent, int tries,
+              const HttpOutcome& outcome) {
+    ++counts_.read_results[ResultOf(outcome)];
+    if (outcome.kind != HttpOutcome::kAnswered) {
+      if (tries < kReadTries) {
+        SendRead(path, first_sent, tries + 1);
+      } else {
+        ++counts_.reads_given_up;
+      }
+      return;
+    }
+    if (outcome.response.status != 200) {
+      return;
+    }
+    ++counts_.reads_answered;
+    latencies_.push_back(loop_.now() - first_sent);
+    if (!HasField(outcome.response, "path", path)) {
+      ++counts_.wrong_answers;
+      std::cerr << "wrong answer to " << path << ": " << outcome.response.body << "\n";
+    }
+  }
+
+  void StartConfirmation() {
+    auto confirmation = std::make_shared<Confirmation>();
+    confirmation->key = "s" + std::to_string(options_.seed) + "-" + run_ + "-" +
+                        std::to_string(confirmations_.size());
+    confirmation->path = confirmation_paths_[random_.Below(confirmation_paths_.size())];
+    confirmation->body = R"({"confirmation":")" + confirmation->key + "\"}";
+    confirmations_.push_back(confirmation);
+    // A short deadline makes some of the keys final as "not run".
+    const uint64_t timeout_ms =
+        random_.Chance(kShortDeadlinePercent) ? 1 + random_.Below(kShortDeadlineMostMs) : 0;
+    SendCopy(confirmation, timeout_ms);
+    if (random_.Chance(kTwoCopiesPercent)) {
+      SendCopy(confirmation, 0);
+    }
+  }
+
+  void SendCopy(const ConfirmationPtr& confirmation, uint64_t timeout_ms) {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = confirmation->path;
+    request.body = confirmation->body;
+    request.headers.Add("idempotency-key", confirmation->key);
+    request.headers.Add("content-type", "application/json");
+    if (timeout_ms > 0) {
+      request.headers.Add("endivecleat-timeout-ms", std::to_string(timeout_ms));
+    }
+    ++counts_.requests;
+    ++counts_.copies;
+    ++confirmation->in_flight;
+    AnyDaemon().Send(std::move(request), kAnswerTimeout,
+                     [this, confirmation](const HttpOutcome& outcome) {
+                       --confirmation->in_flight;
+                       OnConfirmation(confirmation, outcome);
+                     });
+  }
+
+  void OnConfirmation(const ConfirmationPtr& confirmation, const HttpOutcome& outcome) {
+    ++counts_.confirmation_results[ResultOf(outcome)];
+    if (outcome.kind == HttpOutcome::kAnswered) {
+      Judge(*confirmation, outcome.response);
+    }
+    if (!confirmation->final()) {
+      PlanResend(confirmation);
+    } else if (!confirmation->final_resent) {
+      // A copy after the final answer must get the same answer again.
+      confirmation->final_resent = true;
+      if (random_.Chance(kResendAfterFinalPercent)) {
+        PlanResend(confirmation);
+      }
+    }
+  }
+
+  void Judge(Confirmation& confirmation, const HttpResponse& response) {
+    const std::string result = response.headers.ValueOr("endivecleat-result", "");
+    if (result == std::to_string(static_cast<int>(ResultCode::kNotRun))) {
+      confirmation.not_run = true;
+    } else if (response.status == 200) {
+      counts_.replayed += response.headers.Contains("endivecleat-replayed") ? 1 : 0;
+      JudgeRan(confirmation, response);
+    } else if (response.status != 503 && response.status != 504) {
+      CountWrong(confirmation, response);
+    }
+  }
+
+  void JudgeRan(Confirmation& confirmation, const HttpResponse& response) {
+    const bool same = !confirmation.ran || response.body == confirmation.first_answer;
+    if (!same || !HasField(response, "key", confirmation.key)) {
+      CountWrong(confirmation, response);
+    }
+    confirmation.ran = true;
+    confirmation.first_answer = response.body;
+  }
+
+  void CountWrong(const Confirmation& confirmation, const HttpResponse& response) {
+    ++counts_.wrong_answers;
+    std::cerr << "wrong answer to " << confirmation.key << ": " << response.status << " "
+              << response.body << "\n";
+  }
+
+  void PlanResend(const ConfirmationPtr& confirmation) {
+    if (confirmation->resend_planned || loop_.now() >= end_ + kSettling) {
+      return;
+    }
+    confirmation->resend_planned = true;
+    const auto pause = std::chrono::milliseconds(kResendLeastMs + random_.Below(kResendSpreadMs));
+    loop_.After(pause, [this, confirmation] {
+      confirmation->resend_planned = false;
+      SendCopy(confirmation, 0);
+    });
+  }
+
+  int64_t Percentile(size_t percent) const {
+    if (latencies_.empty()) {
+      return 0;
+    }
+    std::vector<Duration> sorted = latencies_;
+    std::sort(sorted.begin(), sorted.end());
+    return sorted[std::min(sorted.size() - 1, sorted.size() * percent / 100)].count();
+  }
+
+  EventLoop& loop_;
+  Options options_;
+  SeededRandom random_;
+  // Keeps the keys of two runs against the same deployment apart.
+  std::string run_ = std::to_string(std::chrono::system_clock::now().time_since_epoch().count());
+  std::vector<std::string> reads_;
+  std::vector<std::string> confirmation_paths_;
+  TimePoint started_;
+  TimePoint end_;
+  Counts counts_;
+  uint64_t reads_in_flight_ = 0;
+  std::vector<Duration> latencies_;  // of answered reads, from the first try
+  std::vector<ConfirmationPtr> confirmations_;
+  std::vector<std::unique_ptr<HttpClient>> daemons_;
+};
+
+bool ReadCommandLine(int argc, char** argv, Options& options) {
+  const poptOption table[] = {
+      {"daemons", 0, POPT_ARG_STRING, &options.daemons, 0, "callers addresses", "ADDRESS,..."},
+      {"reads", 0, POPT_ARG_STRING, &options.reads, 0, "path prefixes of reads", "PATH,..."},
+      {"confirmations", 0, POPT_ARG_STRING, &options.confirmations, 0,
+       "paths of at-most-once requests", "PATH,..."},
+      {"answers", 0, POPT_ARG_STRING, &options.answers, 0, "final answer of each key", "FILE"},
+      {"seconds", 0, POPT_ARG_INT, &options.seconds, 0, "time of the load (20)", "N"},
+      {"seed", 0, POPT_ARG_INT, &options.seed, 0, "seed of the choices (1)", "N"},
+      {"read-rate", 0, POPT_ARG_INT, &options.read_rate, 0, "reads per second (200)", "N"},
+      {"confirmation-rate", 0, POPT_ARG_INT, &options.confirmation_rate, 0,
+       "new confirmations per second (40)", "N"},
+      POPT_AUTOHELP{nullptr, 0, 0, nullptr, 0, nullptr, nullptr}};
+  poptContext context = poptGetContext("demo-load", argc, const_cast<const char**>(argv), table, 0);
+  const bool complete = poptGetNextOpt(context) == -1 && options.daemons != nullptr &&
+                        options.reads != nullptr && options.confirmations != nullptr;
+  if (!complete) {
+    poptPrintUsage(context, stderr, 0);
+  }
+  poptFreeContext(context);
+  return complete;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Options options;
+  if (!ReadCommandLine(argc, argv, options)) {
+    return 2;
+  }
+  try {
+    EventLoop loop;
+    const Load load(loop, options);
+    loop.Run();
+    std::cout << load.Report().dump(2) << "\n";
+    if (options.answers != nullptr) {
+      std::ofstream answers(options.answers);
+      load.WriteAnswers(answers);
+    }
+  } catch (const std::exception& error) {
+    std::cerr << "demo-load: " << error.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
--- a/apps/standin_target/standin_target.cc
+++ b/apps/standin_target/standin_target.cc
@@ -5,7 +5,9 @@
 #include <popt.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -44,11 +46,18 @@
   char* target = nullptr;
   char* token_file = nullptr;
   char* journal = nullptr;
+  char* requests = nullptr;
   int slots = 9;
   int connections = 130;
   int service_time_us = 1000;
+  int linger_ms = 2000;
 };
 
+int64_t WallMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 class StandinTarget {
  public:
   StandinTarget(EventLoop& loop, const Options& options)
@@ -64,6 +73,9 @@
     if (options.journal != nullptr) {
       journal_.open(options.journal, std::ios::app);
     }
+    if (options.requests != nullptr) {
+      requests_.open(options.requests, std::ios::app);
+    }
     Renew();
   }
 
@@ -71,7 +83,7 @@
   void Drain() {
     leaving_ = true;
     Announce("DELETE");
-    StopWhenIdle(20);
+    StopWhenIdle(options_.linger_ms / 100);
   }
 
  private:
@@ -80,6 +92,9 @@
       sink.Send({200, {}, "ok\n"});
       return;
     }
+    if (requests_.is_open()) {
+      requests_ << WallMilliseconds() << " " << request.method << " " << request.path << std::endl;
+    }
     if (request.path == "/crash") {
       _exit(1);
     }
@@ -125,7 +140,11 @@
     announcer_.Send(std::move(request), kAnnounceTimeout, [this](const HttpOutcome& outcome) {
       const bool taken = outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 300;
       if (!taken && !leaving_) {
-        loop_.After(std::chrono::milliseconds(200), [this] { Announce("POST"); });
+        loop_.After(std::chrono::milliseconds(200), [this] {
+          if (!leaving_) {
+            Announce("POST");
+          }
+        });
       }
     });
   }
@@ -146,6 +165,7 @@
   HttpClient announcer_;
   std::map<std::string, int> runs_;
   std::ofstream journal_;
+  std::ofstream requests_;
   bool leaving_ = false;
   HttpServer server_;
 };
@@ -161,6 +181,9 @@
       {"target", 0, POPT_ARG_STRING, &options.target, 0, "target id", "ID"},
       {"token-file", 0, POPT_ARG_STRING, &options.token_file, 0, "announce token", "FILE"},
       {"journal", 0, POPT_ARG_STRING, &options.journal, 0, "keys that ran, a line each", "FILE"},
+      {"requests", 0, POPT_ARG_STRING, &options.requests, 0, "time and path of each request",
+       "FILE"},
+      {"linger", 0, POPT_ARG_INT, &options.linger_ms, 0, "time from SIGTERM to the end", "MS"},
       {"slots", 0, POPT_ARG_INT, &options.slots, 0, "slots", "N"},
       {"connections", 0, POPT_ARG_INT, &options.connections, 0, "connections", "N"},
       {"service-time", 0, POPT_ARG_INT, &options.service_time_us, 0, "time of a request", "US"},
--- a/scripts/run_deployment.sh
+++ b/scripts/run_deployment.sh
@@ -23,7 +23,8 @@
   launch "$instance.target" "$build/standin-target" --listen "127.0.0.1:$target_port" \
     --daemon "127.0.0.1:$local_port" --service "$service" --target "$instance" \
     --token-file "$folder/announce.token" --journal "$folder/$instance.journal" \
-    --service-time "${SERVICE_TIME_US:-1000}"
+    --requests "$folder/$instance.requests" \
+    --service-time "${SERVICE_TIME_US:-1000}" --linger "${TARGET_LINGER_MS:-2000}"
 }
 
 if [ "$action" = start ]; then
@@ -44,5 +45,6 @@
       sleep 0.1
     done
     kill -KILL "$(cat "$file")" 2> /dev/null || true
+    rm -f "$file"  # the pid may come to belong to another process
   done
 fi
