--- a/apps/demo/demo_load.cc
+++ b/apps/demo/demo_load.cc
@@ -79,6 +79,13 @@
 
 using ConfirmationPtr = std::shared_ptr<Confirmation>;
 
+struct Read {
+  std::string path;
+  TimePoint first_sent;
+  size_t daemon = 0;  // position in the list of daemons
+  int tries = 1;
+};
+
 struct Counts {
   uint64_t requests = 0;
   uint64_t reads = 0;
@@ -195,7 +202,8 @@
     };
     while (counts_.reads < due(options_.read_rate)) {
       ++counts_.reads;
-      SendRead(reads_[random_.Below(reads_.size())] + "/" + std::to_string(counts_.reads), now, 1);
+      const std::string& prefix = reads_[random_.Below(reads_.size())];
+      SendRead({prefix + "/" + std::to_string(counts_.reads), now, AnyDaemon(), 1});
     }
     while (confirmations_.size() < due(options_.confirmation_rate)) {
       StartConfirmation();
@@ -214,28 +222,27 @@
            });
   }
 
-  HttpClient& AnyDaemon() { return *daemons_[random_.Below(daemons_.size())]; }
+  size_t AnyDaemon() { return random_.Below(daemons_.size()); }
 
-  void SendRead(const std::string& path, TimePoint first_sent, int tries) {
+  void SendRead(const Read& read) {
     HttpRequest request;
     request.method = "GET";
-    request.path = path;
+    request.path = read.path;
     ++counts_.requests;
     ++reads_in_flight_;
-    AnyDaemon().Send(std::move(request), kAnswerTimeout,
-                     [this, path, first_sent, tries](const HttpOutcome& outcome) {
-                       --reads_in_flight_;
-                       OnRead(path, first_sent, tries, outcome);
-                     });
+    daemons_[read.daemon]->Send(std::move(request), kAnswerTimeout,
+                                [this, read](const HttpOutcome& outcome) {
+                                  --reads_in_flight_;
+                                  OnRead(read, outcome);
+                                });
   }
 
-  // A read whose daemon is gone goes to another one, as a caller's client would do.
-  void OnRead(const std::string& path, TimePoint first_sent, int tries,
-              const HttpOutcome& outcome) {
+  // A read whose daemon is gone goes to the next one, as a caller's client would do.
+  void OnRead(const Read& read, const HttpOutcome& outcome) {
     ++counts_.read_results[ResultOf(outcome)];
     if (outcome.kind != HttpOutcome::kAnswered) {
-      if (tries < kReadTries) {
-        SendRead(path, first_sent, tries + 1);
+      if (read.tries < kReadTries) {
+        SendRead({read.path, read.first_sent, (read.daemon + 1) % daemons_.size(), read.tries + 1});
       } else {
         ++counts_.reads_given_up;
       }
@@ -245,10 +252,10 @@
       return;
     }
     ++counts_.reads_answered;
-    latencies_.push_back(loop_.now() - first_sent);
-    if (!HasField(outcome.response, "path", path)) {
+    latencies_.push_back(loop_.now() - read.first_sent);
+    if (!HasField(outcome.response, "path", read.path)) {
       ++counts_.wrong_answers;
-      std::cerr << "wrong answer to " << path << ": " << outcome.response.body << "\n";
+      std::cerr << "wrong answer to " << read.path << ": " << outcome.response.body << "\n";
     }
   }
 
@@ -281,11 +288,11 @@
     ++counts_.requests;
     ++counts_.copies;
     ++confirmation->in_flight;
-    AnyDaemon().Send(std::move(request), kAnswerTimeout,
-                     [this, confirmation](const HttpOutcome& outcome) {
-                       --confirmation->in_flight;
-                       OnConfirmation(confirmation, outcome);
-                     });
+    daemons_[AnyDaemon()]->Send(std::move(request), kAnswerTimeout,
+                                [this, confirmation](const HttpOutcome& outcome) {
+                                  --confirmation->in_flight;
+                                  OnConfirmation(confirmation, outcome);
+                                });
   }
 
   void OnConfirmation(const ConfirmationPtr& confirmation, const HttpOutcome& outcome) {
--- a/src/command_line.cc
+++ b/src/command_line.cc
@@ -163,6 +163,8 @@
     return each.usage.name == name;
   });
   if (command == commands.end()) {
+    std::cerr << "endivecleat: " << (name.empty() ? "COMMAND is missing" : "no command " + name)
+              << "\n\n";
     PrintHelp(std::cerr);
     return Describe(ResultCode::kUsage).exit_status;
   }
--- a/src/command_options.cc
+++ b/src/command_options.cc
@@ -86,8 +86,11 @@
   RawOptions raw;
   const std::vector<poptOption> table = OptionTable(usage.option_set, raw);
   const std::string name = "endivecleat " + usage.name;
+  // popt takes the name that it prints in the usage from the first argument.
+  std::vector<const char*> arguments(argv, argv + argc);
+  arguments.front() = name.c_str();
   const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
-      poptGetContext(name.c_str(), argc, argv, table.data(), 0), &poptFreeContext);
+      poptGetContext(name.c_str(), argc, arguments.data(), table.data(), 0), &poptFreeContext);
   const std::string help = "[OPTION...] " + usage.arguments + "\n" + usage.summary;
   poptSetOtherOptionHelp(context.get(), help.c_str());
   const int end = poptGetNextOpt(context.get());
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -82,7 +82,7 @@
 
 void DaemonProcess::Drain() {
   Log(LogLevel::kInfo, "daemon_draining");
-  target_.Drain();
+  target_.DrainAndHold();
   UpdateSelf();
   const TimePoint now = loop_.now();
   FinishDrain(now + kDrainNotice, now + settings_.common.drain_timeout);
@@ -104,7 +104,7 @@
     if (channel == PeerChannel::kCall) {
       target_.HandlePeer(payload, replier);
     } else if (channel == PeerChannel::kOperations && payload == "drain") {
-      target_.Drain();
+      target_.DrainAndHold();
       UpdateSelf();
       replier.Reply("ok");
     }
--- a/src/operator_service.cc
+++ b/src/operator_service.cc
@@ -229,11 +229,14 @@
                     std::string(Describe(ResultCode::kNoMajority).meaning));
   }
   const ChangeResult& change = *outcome_.change;
-  if (change.code != ResultCode::kOk) {
+  if (change.code == ResultCode::kVersionConflict) {
     throw UserError(
         change.code, change.message,
         {{"/version", std::to_string(change.version.value())}, {"/winner", change.winner.value()}});
   }
+  if (change.code != ResultCode::kOk) {
+    throw UserError(change.code, change.message);
+  }
   return {{"version", change.version.value()}};
 }
 
--- a/src/target_state.cc
+++ b/src/target_state.cc
@@ -37,13 +37,24 @@
   if (replaced && state_ != TargetState::kAbsent) {
     Handle(now, "leave");
   }
+  held_ = held_ && !replaced;
   announcement_ = announcement;
   announced_at_ = now;
   silent_ = false;
-  Handle(now, "announce");
+  if (!held_) {
+    Handle(now, "announce");
+  }
+}
+
+void AnnouncedTarget::Drain(TimePoint now) {
+  held_ = false;
+  Handle(now, "drain");
 }
 
-void AnnouncedTarget::Drain(TimePoint now) { Handle(now, "drain"); }
+void AnnouncedTarget::DrainAndHold(TimePoint now) {
+  held_ = true;
+  Handle(now, "drain");
+}
 
 void AnnouncedTarget::Drained(TimePoint now) {
   if (state_ == TargetState::kDraining) {
@@ -88,6 +99,7 @@
   if (!silent_ && now - announced_at_ >= settings_.announce_lifetime &&
       state_ != TargetState::kAbsent) {
     silent_ = true;
+    held_ = false;
     Handle(now, "expire");
   }
   if (state_ == TargetState::kWarming && now - warming_since_ >= settings_.warm_up) {
--- a/src/target_state.h
+++ b/src/target_state.h
@@ -38,8 +38,11 @@
   /// A new or renewed announcement. Another target or address replaces the previous target, which
   /// starts again with its warm-up.
   void Announce(TimePoint now, const Announcement& announcement);
-  /// DELETE /announce, or an operator's drain: no new work.
+  /// DELETE /announce: no new work until the target announces itself again.
   void Drain(TimePoint now);
+  /// An operator's drain, or the stop of the daemon: no new work, whatever renewals follow, until
+  /// the target leaves, its announcement expires or another target replaces it.
+  void DrainAndHold(TimePoint now);
   /// The last request of a draining target has ended.
   void Drained(TimePoint now);
 
@@ -73,6 +76,7 @@
   TimePoint first_failed_probe_at_;
   uint32_t failed_probes_ = 0;  // in a row
   bool silent_ = false;         // the announcement has expired
+  bool held_ = false;           // renewals do not end the drain
 };
 
 }  // namespace endivecleat
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -130,6 +130,11 @@
   FollowState();
 }
 
+void TargetTask::DrainAndHold() {
+  target_.DrainAndHold(context_.loop.now());
+  FollowState();
+}
+
 void TargetTask::ConfigurationChanged() {
   const ServicePolicy policy = EffectivePolicy();
   target_.SetWarmUp(policy.warm_up);
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -41,6 +41,8 @@
   void Announce(const Announcement& announcement);
   /// No new work from now on; requests that run or wait are finished.
   void Drain();
+  /// The same, and renewed announcements do not end it: an operator's drain or the daemon's stop.
+  void DrainAndHold();
   /// Takes up a new configuration: slots, queue and warm-up of the service.
   void ConfigurationChanged();
 
--- a/test/correctness/target_state_test.cc
+++ b/test/correctness/target_state_test.cc
@@ -88,6 +88,26 @@
   CHECK_FALSE(target.ProbeDue(At(9000)));
 }
 
+// A target renews its announcement every 2 s; the renewal must not undo an operator's drain.
+TEST(TargetAnnounced, StaysOutAfterAHeldDrainWhileItRenews) {
+  WarmUp();
+  target.DrainAndHold(At(6000));
+  target.Drained(At(6100));
+  target.Announce(At(6500), Portal());
+  CHECK(target.state() == TargetState::kLeft);
+  target.Announce(At(8500), Portal());
+  LONGS_EQUAL(0, target.usable_slots(At(8500)));
+}
+
+TEST(TargetAnnounced, ComesBackFromAHeldDrainAfterItLeftItself) {
+  WarmUp();
+  target.DrainAndHold(At(6000));
+  target.Drained(At(6100));
+  target.Drain(At(7000));
+  target.Announce(At(9000), Portal());
+  CHECK(target.state() == TargetState::kWarming);
+}
+
 TEST(TargetAnnounced, IsProbedEveryTwoSeconds) {
   CHECK(target.ProbeDue(At(0)));
   CHECK_FALSE(target.ProbeDue(At(1999)));
