Test the control instances as processes: killed, frozen, without a disk

The agreement was tested in simulation only. process_tests starts the real binaries on loopback and kills the leader under load, freezes it, and deletes a data folder before a second loss. No operator could see whether the log once counts an instance again after a lost disk, so the control process reports endivecleat_config_voter and endivecleat_once_voter.

--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -242,6 +242,11 @@
       config_.log().role() == ReplicaRole::kLeader ? 1 : 0);
   set("endivecleat_once_leader", "1 while this instance leads the log once",
       once_.log().role() == ReplicaRole::kLeader ? 1 : 0);
+  set("endivecleat_config_voter",
+      "1 while this instance counts towards majorities of the log config",
+      config_.log().is_voter() ? 1 : 0);
+  set("endivecleat_once_voter", "1 while this instance counts towards majorities of the log once",
+      once_.log().is_voter() ? 1 : 0);
   set("endivecleat_once_records", "At-most-once records kept",
       static_cast<double>(once_.state().ledger.record_count()));
   set("endivecleat_members", "Members of the data centre that are alive",
--- /dev/null
+++ b/test/failure/process_agreement_test.cc
@@ -0,0 +1,278 @@
+// The control instances as processes, while one of them is killed, frozen or loses its data folder.
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <mutex>
+#include <thread>
+
+#include "linearizability.h"
+#include "process_cluster.h"
+#include "seeded_random.h"
+#include "test_seed.h"
+
+namespace endivecleat::test {
+namespace {
+
+constexpr int kNotLeader = 302;
+constexpr int kNoMajority = 303;
+constexpr int kVersionConflict = 301;
+
+bool OutcomeKnown(const RpcAnswer& answer) {
+  return answer.answered && answer.code != kNotLeader && answer.code != kNoMajority;
+}
+
+// Operators that submit under the newest version that they read, and what they saw. The value of
+// the register is the version, so two winners for one base cannot be put in order.
+class Operators {
+ public:
+  static constexpr int kThreads = 3;
+  static constexpr int kRounds = 6;
+
+  explicit Operators(const ProcessCluster& cluster, uint64_t seed) : cluster_(cluster) {
+    for (int number = 0; number < kThreads; ++number) {
+      threads_.emplace_back(
+          [this, number, seed] { Run(number, seed * kThreads + static_cast<uint64_t>(number)); });
+    }
+  }
+
+  ~Operators() { Join(); }
+  Operators(const Operators&) = delete;
+  Operators& operator=(const Operators&) = delete;
+
+  void Join() {
+    for (std::thread& thread : threads_) {
+      if (thread.joinable()) {
+        thread.join();
+      }
+    }
+  }
+
+  int rounds_done() const { return rounds_done_; }
+  const std::string& fault() const { return fault_; }
+  const std::map<std::string, uint64_t>& accepted() const { return accepted_; }
+  const std::vector<RegisterOperation>& history() const { return history_; }
+
+  bool Read(uint64_t* version) {
+    return WaitFor([&] {
+      for (int control = 1; control <= ProcessCluster::kControls; ++control) {
+        RegisterOperation read{.kind = RegisterOperation::Kind::kRead, .id = "", .result = {}};
+        read.invoked = ++clock_;
+        const nlohmann::json shown = cluster_.Show(control);
+        if (shown.is_object() && shown["confirmed"] == true) {
+          *version = shown["version"].get<uint64_t>();
+          read.result = static_cast<int64_t>(*version);
+          Record(read);
+          return true;
+        }
+      }
+      return false;
+    });
+  }
+
+ private:
+  void Run(int number, uint64_t seed) {
+    SeededRandom random(seed);
+    for (int round = 0; round < kRounds; ++round) {
+      uint64_t base = 0;
+      if (!Read(&base)) {
+        Fail("no read was confirmed");
+        return;
+      }
+      const std::string operation =
+          "operator-" + std::to_string(number) + "-" + std::to_string(round);
+      const std::string document = ProcessCluster::Document(number * kRounds + round + 1);
+      const RpcAnswer first = Send(operation, base, document);
+      if (random.Below(2) == 0) {
+        const RpcAnswer again = Send(operation, base, document);
+        if (first.code != again.code || first.result != again.result) {
+          Fail(operation + " got another answer when it was sent again");
+        }
+      }
+      ++rounds_done_;
+      std::this_thread::sleep_for(std::chrono::milliseconds(random.Below(200)));
+    }
+  }
+
+  // Attempts without an outcome and the one that has it are one operation of the history: all
+  // carry one operation id, so it runs at one point between the first and the last.
+  RpcAnswer Send(const std::string& operation, uint64_t base, const std::string& document) {
+    RegisterOperation change{.kind = RegisterOperation::Kind::kCompareAndSet,
+                             .id = operation,
+                             .expected = static_cast<int64_t>(base),
+                             .desired = static_cast<int64_t>(base) + 1,
+                             .result = {}};
+    change.invoked = ++clock_;
+    const RpcAnswer answer = cluster_.SubmitUntilKnown(operation, base, document);
+    if (!OutcomeKnown(answer) || (answer.code != 0 && answer.code != kVersionConflict)) {
+      Fail(operation + " was answered with code " + std::to_string(answer.code));
+    } else {
+      change.result = answer.code == 0 ? 1 : 0;
+    }
+    Record(change);
+    if (answer.code == 0 && OutcomeKnown(answer)) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      accepted_[operation] = answer.result.value("version", uint64_t{0});
+    }
+    return answer;
+  }
+
+  void Record(RegisterOperation operation) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    operation.returned = ++clock_;
+    history_.push_back(operation);
+  }
+
+  void Fail(const std::string& fault) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    fault_ = fault;
+  }
+
+  const ProcessCluster& cluster_;
+  std::atomic<uint64_t> clock_ = 0;
+  std::atomic<int> rounds_done_ = 0;
+  std::mutex mutex_;  // guards the next three
+  std::vector<RegisterOperation> history_;
+  std::map<std::string, uint64_t> accepted_;
+  std::string fault_;
+  std::vector<std::thread> threads_;
+};
+
+bool HoldsAll(const std::map<uint64_t, std::string>& history,
+              const std::map<std::string, uint64_t>& accepted) {
+  for (const auto& [operation, version] : accepted) {
+    const auto found = history.find(version);
+    if (found == history.end() || found->second != operation) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+TEST_GROUP(ProcessAgreement) { ProcessCluster cluster; };
+
+// Guards against two winners for one base version, a second answer to an operation that is sent
+// again, and the loss of an accepted change when the leading instance is killed.
+TEST(ProcessAgreement, LeaderKilledWhileOperatorsSubmit_HistoryIsLinearizable) {
+  CHECK(cluster.StartControls());
+  std::map<std::string, uint64_t> accepted;
+  {
+    Operators operators(cluster, TestSeed(1));
+    int down = 0;
+    for (const int rounds : {2, 6, 10, 14}) {
+      CHECK(WaitFor([&] { return operators.rounds_done() >= rounds; }));
+      int leader = 0;
+      CHECK(cluster.WaitForLeader(&leader));
+      if (down != 0) {
+        cluster.Launch(ProcessCluster::Control(down));
+        CHECK(WaitFor([&] { return cluster.Show(down).is_object(); }));
+      }
+      cluster.Kill(ProcessCluster::Control(leader));
+      down = leader;
+    }
+    operators.Join();
+    uint64_t last = 0;
+    CHECK(operators.Read(&last));
+    STRCMP_EQUAL("", operators.fault().c_str());
+    CHECK(last > 0);
+    CHECK_EQUAL(last, operators.accepted().size());
+    CHECK(IsLinearizable(operators.history()));
+    accepted = operators.accepted();
+  }
+  for (int control = 1; control <= ProcessCluster::kControls; ++control) {
+    cluster.Kill(ProcessCluster::Control(control));
+  }
+  for (int control = 1; control <= ProcessCluster::kControls; ++control) {
+    cluster.Launch(ProcessCluster::Control(control));
+  }
+  int leader = 0;
+  CHECK(cluster.WaitForLeader(&leader));
+  for (int control = 1; control <= ProcessCluster::kControls; ++control) {
+    CHECK(WaitFor([&] { return cluster.History(control).size() >= accepted.size(); }));
+    CHECK_EQUAL(accepted.size(), cluster.History(control).size());
+    CHECK(HoldsAll(cluster.History(control), accepted));
+  }
+}
+
+// Guards against a leader that was frozen and, once it runs again, still accepts a change or
+// confirms a read although another leader has accepted a newer version.
+TEST(ProcessAgreement, LeaderFrozenWhileAnotherAccepts_AnswersNothingFromTheOldVersion) {
+  CHECK(cluster.StartControls());
+  CHECK_EQUAL(0, cluster.SubmitUntilKnown("first", 0, ProcessCluster::Document(1)).code);
+  int old = 0;
+  CHECK(cluster.WaitForLeader(&old));
+  cluster.Signal(ProcessCluster::Control(old), SIGSTOP);
+  // The requests lie in the sockets of the frozen instance and are the first that it sees.
+  std::vector<std::thread> threads;
+  std::array<RpcAnswer, 4> changes;
+  std::array<nlohmann::json, 4> reads;
+  const RpcAnswer newer =
+      cluster.SubmitUntilKnown("newer", 1, ProcessCluster::Document(2), /*except=*/old);
+  for (size_t number = 0; number < changes.size(); ++number) {
+    threads.emplace_back([&, number] {
+      changes[number] = cluster.Submit(old, "stale-" + std::to_string(number), 1,
+                                       ProcessCluster::Document(3 + static_cast<int>(number)));
+    });
+    threads.emplace_back([&, number] { reads[number] = cluster.Show(old); });
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  cluster.Signal(ProcessCluster::Control(old), SIGCONT);
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(newer.answered);
+  CHECK_EQUAL(0, newer.code);
+  for (const RpcAnswer& change : changes) {
+    CHECK(change.answered);
+    CHECK(change.code != 0);
+  }
+  for (const nlohmann::json& read : reads) {
+    CHECK(read.is_object());
+    CHECK_FALSE(read["confirmed"] == true && read["version"] < 2);
+  }
+  for (int control = 1; control <= ProcessCluster::kControls; ++control) {
+    CHECK(WaitFor([&] { return cluster.History(control).size() >= 2; }));
+    const std::map<uint64_t, std::string> expected = {{1, "first"}, {2, "newer"}};
+    CHECK(cluster.History(control) == expected);
+  }
+}
+
+// Guards against an instance that votes after it lost its disk, and against a repair after which
+// the loss of a second instance stops the system or loses an accepted change.
+TEST(ProcessAgreement, DataFolderDeletedThenAnotherInstanceLost_StillAcceptsAndKeepsEverything) {
+  CHECK(cluster.Start());
+  int leader = 0;
+  CHECK(cluster.WaitForLeader(&leader));
+  const int lost = leader % ProcessCluster::kControls + 1;
+  const std::string name = ProcessCluster::Control(lost);
+  cluster.Kill(name);
+  CHECK_EQUAL(0, cluster.SubmitUntilKnown("while-down", 1, ProcessCluster::Document(2)).code);
+  CHECK(WaitFor(
+      [&] { return ResultOf(cluster.Call(1, PostRequest("/invoices", "before-repair"))) == 0; }));
+  cluster.DeleteData(name);
+  cluster.Launch(name);
+  CHECK(WaitFor([&] {
+    return cluster.Metric(lost, "endivecleat_config_voter") == 1 &&
+           cluster.Metric(lost, "endivecleat_once_voter") == 1;
+  }));
+  CHECK(cluster.LogOf(name).find("data_folder_empty") != std::string::npos);
+  CHECK(cluster.WaitForLeader(&leader));
+  const int second = leader != lost ? leader : lost % ProcessCluster::kControls + 1;
+  cluster.Kill(ProcessCluster::Control(second));
+  CHECK_EQUAL(0, cluster.SubmitUntilKnown("after", 2, ProcessCluster::Document(3)).code);
+  const std::map<uint64_t, std::string> expected = {{1, "first"}, {2, "while-down"}, {3, "after"}};
+  CHECK(WaitFor([&] { return cluster.History(lost) == expected; }));
+  HttpResponse replayed;
+  for (int daemon = 1; daemon <= ProcessCluster::kDaemons; ++daemon) {
+    CHECK(WaitFor([&] {
+      replayed = cluster.Call(daemon, PostRequest("/invoices", "before-repair"));
+      return ResultOf(replayed) == 0;
+    }));
+    STRCMP_EQUAL("true", replayed.headers.ValueOr("endivecleat-replayed", "").c_str());
+  }
+}
+
+}  // namespace endivecleat::test
