Test at-most-once requests while targets, daemons and the leader are killed

Six callers post keys through random daemons and send them again; the journals of the stand-ins show what ran.

--- /dev/null
+++ b/test/failure/process_once_test.cc
@@ -0,0 +1,207 @@
+// At-most-once requests and requests that crash their target, with processes that are killed and
+// restarted all the time.
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include "process_cluster.h"
+#include "seeded_random.h"
+#include "test_seed.h"
+
+namespace endivecleat::test {
+namespace {
+
+constexpr int kOk = 0;
+constexpr int kNotRun = 501;
+
+int AnyDaemon(SeededRandom& random) {
+  return 1 + static_cast<int>(random.Below(ProcessCluster::kDaemons));
+}
+
+bool Final(const HttpResponse& response) {
+  return response.status != 0 && (ResultOf(response) == kOk || ResultOf(response) == kNotRun);
+}
+
+// Callers that post keys, each through several daemons until it has a final answer or was sent
+// often enough.
+class Callers {
+ public:
+  static constexpr int kThreads = 6;
+  static constexpr int kMostSends = 12;
+
+  Callers(const ProcessCluster& cluster, uint64_t seed) : cluster_(cluster) {
+    for (int number = 0; number < kThreads; ++number) {
+      threads_.emplace_back(
+          [this, number, seed] { Run(number, seed * kThreads + static_cast<uint64_t>(number)); });
+    }
+  }
+
+  ~Callers() { Stop(); }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  void Stop() {
+    stop_ = true;
+    for (std::thread& thread : threads_) {
+      if (thread.joinable()) {
+        thread.join();
+      }
+    }
+  }
+
+  size_t finished() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return answers_.size();
+  }
+  const std::map<std::string, HttpResponse>& answers() const { return answers_; }
+  const std::set<std::string>& open() const { return open_; }
+  const std::string& fault() const { return fault_; }
+
+ private:
+  void Run(int number, uint64_t seed) {
+    SeededRandom random(seed);
+    for (int count = 0; !stop_; ++count) {
+      const std::string key = "key-" + std::to_string(number) + "-" + std::to_string(count);
+      HttpRequest request = PostRequest("/invoices", key);
+      if (random.Chance(30)) {  // a deadline of the caller's, so that some keys end as not run
+        request.headers.Add("endivecleat-timeout-ms", std::to_string(1 + random.Below(60)));
+      }
+      Post(key, request, random);
+    }
+  }
+
+  void Post(const std::string& key, const HttpRequest& request, SeededRandom& random) {
+    HttpResponse answer;
+    for (int sends = 0; sends < kMostSends && !Final(answer); ++sends) {
+      if (sends > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(random.Below(150)));
+      }
+      answer = cluster_.Call(AnyDaemon(random), request);
+    }
+    std::optional<HttpResponse> again;
+    if (Final(answer) && random.Chance(40)) {
+      again = cluster_.Call(AnyDaemon(random), request);
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (again && Final(*again) &&
+        (again->body != answer.body || ResultOf(*again) != ResultOf(answer))) {
+      fault_ = key + " got another answer when it was sent again";
+    }
+    if (Final(answer)) {
+      answers_[key] = answer;
+    } else {
+      open_.insert(key);
+    }
+  }
+
+  const ProcessCluster& cluster_;
+  std::atomic<bool> stop_ = false;
+  mutable std::mutex mutex_;  // guards the next three
+  std::map<std::string, HttpResponse> answers_;
+  std::set<std::string> open_;  // sent often without a final answer
+  std::string fault_;
+  std::vector<std::thread> threads_;
+};
+
+std::map<std::string, int> CountRuns(const ProcessCluster& cluster) {
+  std::map<std::string, int> runs;
+  for (int target = 1; target <= ProcessCluster::kDaemons; ++target) {
+    for (const std::string& key : cluster.Journal(target)) {
+      ++runs[key];
+    }
+  }
+  return runs;
+}
+
+std::string CheckRuns(const std::map<std::string, int>& runs,
+                      const std::map<std::string, HttpResponse>& answers) {
+  for (const auto& [key, count] : runs) {
+    if (count > 1) {
+      return key + " ran " + std::to_string(count) + " times";
+    }
+  }
+  for (const auto& [key, answer] : answers) {
+    const bool ran = runs.contains(key);
+    if (ran != (ResultOf(answer) == kOk)) {
+      return key + (ran ? " ran, but was answered as not run" : " did not run, but was answered");
+    }
+  }
+  return "";
+}
+
+// Kills one process at a time and starts it again, in the order of the seed.
+void KillAndRestart(ProcessCluster& cluster, const Callers& callers, uint64_t seed) {
+  constexpr int kSteps = 14;
+  constexpr size_t kKeysBetween = 12;
+  SeededRandom random(seed);
+  for (int step = 0; step < kSteps; ++step) {
+    const int kind = step % 5;
+    int control = 0;
+    if (kind == 4 && !cluster.WaitForLeader(&control)) {
+      return;
+    }
+    const int number = AnyDaemon(random);
+    const std::string name = kind == 4       ? ProcessCluster::Control(control)
+                             : kind % 2 == 0 ? ProcessCluster::Target(number)
+                                             : ProcessCluster::Daemon(number);
+    cluster.Kill(name);
+    const size_t before = callers.finished();
+    WaitFor([&] { return callers.finished() >= before + random.Below(kKeysBetween); });
+    cluster.Launch(name);
+    WaitFor([&] { return callers.finished() >= before + kKeysBetween; });
+  }
+}
+
+bool AllReady(const ProcessCluster& cluster) {
+  for (int number = 1; number <= ProcessCluster::kDaemons; ++number) {
+    if (!cluster.TargetReady(number) || !cluster.Listed(number)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+TEST_GROUP(ProcessOnce) { ProcessCluster cluster; };
+
+// Guards against a key that runs twice, a key that ran although it was answered as not run, an
+// answer without a run, and a second answer to the same key.
+TEST(ProcessOnce, ProcessesKilledAndRestartedUnderLoad_NoKeyRunsTwice) {
+  CHECK(cluster.Start());
+  const uint64_t seed = TestSeed(1);
+  Callers callers(cluster, seed);
+  KillAndRestart(cluster, callers, seed);
+  callers.Stop();
+  CHECK(WaitFor([&] { return AllReady(cluster); }));
+  STRCMP_EQUAL("", callers.fault().c_str());
+  std::map<std::string, HttpResponse> answers = callers.answers();
+  SeededRandom random(seed);
+  for (const std::string& key : callers.open()) {
+    const HttpResponse late = cluster.Call(AnyDaemon(random), PostRequest("/invoices", key));
+    if (Final(late)) {
+      answers[key] = late;
+    }
+  }
+  size_t ran = 0;
+  for (const auto& [key, answer] : answers) {
+    HttpResponse again;
+    CHECK(WaitFor([&] {
+      again = cluster.Call(AnyDaemon(random), PostRequest("/invoices", key));
+      return Final(again);
+    }));
+    CHECK_EQUAL(ResultOf(answer), ResultOf(again));
+    STRCMP_EQUAL(answer.body.c_str(), again.body.c_str());
+    ran += ResultOf(answer) == kOk ? 1 : 0;
+  }
+  STRCMP_EQUAL("", CheckRuns(CountRuns(cluster), answers).c_str());
+  CHECK(ran > 0);
+  CHECK(ran < answers.size());  // some keys ended as not run, or the check above is empty for them
+}
+
+}  // namespace endivecleat::test
