--- a/scripts/run_deployment.sh
+++ b/scripts/run_deployment.sh
@@ -23,7 +23,7 @@
   launch "$instance.target" "$build/standin-target" --listen "127.0.0.1:$target_port" \
     --daemon "127.0.0.1:$local_port" --service "$service" --target "$instance" \
     --token-file "$folder/announce.token" --journal "$folder/$instance.journal" \
-    --service-time "${SERVICE_TIME_US:-1000}"
+    --service-time "${SERVICE_TIME_US:-1000}" --slots "${TARGET_SLOTS:-9}"
 }
 
 if [ "$action" = start ]; then
