--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -43,17 +43,17 @@
   "$root/scripts/make_deployment.sh" "$1" "$folder" "$2"
   "$root/scripts/run_deployment.sh" start "$folder"
   wait_for 30 "$build/endivecleat" submit --settings "$folder/client.json" --timeout 2 "$3"
-  local instance
-  for instance in $(awk '$1 == "target" {print $2}' "$folder/processes"); do
-    wait_for 30 ready "$instance"
-  done
+  local kind instance
+  while read -r kind instance _; do
+    [ "$kind" = control ] || wait_for 30 ready "$instance"
+  done < "$folder/processes"
   sleep 2 # gossip spreads the targets
 }
 
 load() { "$build/call-load" --seconds "$seconds" "$@"; }
 
 # Microseconds of processor time that the process has used, in steps of a clock tick (10 ms).
-processor_us() { awk -v tick="$(getconf CLK_TCK)" '{print ($14 + $15) * 1000000 / tick}' "/proc/$(cat "$folder/$1.pid")/stat"; }
+processor_us() { awk -v tick="$(getconf CLK_TCK)" '{printf "%d\n", ($14 + $15) * 1000000 / tick}' "/proc/$(cat "$folder/$1.pid")/stat"; }
 
 measure_benchmarks() {
   local program
@@ -88,32 +88,32 @@
   TARGET_SLOTS=64 start measurement "$1" "$work/wide.json"
 }
 
+print_cost() { # NAME PROCESSOR_US CALLS SEED
+  print "$1" "$(awk -v u="$2" -v n="$3" 'BEGIN {print u / n}')" "processor us/call" "$3" "$4"
+  print "$1/per_core" "$(awk -v u="$2" -v n="$3" 'BEGIN {print int(1e6 * n / u)}')" "calls/s per core" "$3" "$4"
+}
+
 # Processor time of the idle daemons, the target's probes included, is below 1% of a core and is not
 # subtracted.
 measure_throughput() {
   start_wide 25100
-  local seed connections side calls before_caller before_target caller target used
+  local seed connections calls before_caller before_target used
   for seed in $(seq "$rounds"); do
     before_caller=$(processor_us ruta-cuadrilla-1)
     sleep "$seconds"
-    used=$(awk -v a="$(processor_us ruta-cuadrilla-1)" -v b="$before_caller" -v s="$seconds" 'BEGIN {print (a - b) / s / 10000}')
+    used=$(awk -v u="$(($(processor_us ruta-cuadrilla-1) - before_caller))" -v s="$seconds" 'BEGIN {print u / s / 10000}')
     print throughput/idle_daemon "$used" "% of a core" "$seconds" "$seed"
     for connections in 1 8 32; do
       before_caller=$(processor_us ruta-cuadrilla-1)
       before_target=$(processor_us portal-ayto-1)
       load --name "throughput/$connections" --address "127.0.0.1:$(port ruta-cuadrilla-1 6)" \
         --method GET --path /bins/1 --connections "$connections" --warm-up 0 --seed "$seed" > "$work/load"
-      caller=$(processor_us ruta-cuadrilla-1)
-      target=$(processor_us portal-ayto-1)
+      used=$(($(processor_us portal-ayto-1) - before_target))
+      before_caller=$(($(processor_us ruta-cuadrilla-1) - before_caller))
       cat "$work/load"
       calls=$(jq -r 'select(.name | endswith("/rate")) | .n' "$work/load")
-      for side in caller target; do
-        local before=before_$side
-        used=$(awk -v a="${!side}" -v b="${!before}" -v n="$calls" 'BEGIN {print (a - b) / n}')
-        print "throughput/$connections/${side}_side" "$used" "processor us/call" "$calls" "$seed"
-        print "throughput/$connections/${side}_side_per_core" "$(awk -v u="$used" 'BEGIN {print int(1e6 / u)}')" \
-          "calls/s per core" "$calls" "$seed"
-      done
+      print_cost "throughput/$connections/caller_side" "$before_caller" "$calls" "$seed"
+      print_cost "throughput/$connections/target_side" "$used" "$calls" "$seed"
     done
   done
   stop
