--- /dev/null
+++ b/test/performance/capacity_configuration_benchmark.cc
@@ -0,0 +1,248 @@
+// Cost of the configuration at one number of services in three presets: `SERVICES SEED`. Real
+// ConfigStore, ConfigSource and ConfigReplica; the replica installs by compiling. One process
+// measures one size, so that its resident set is that of the objects.
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config_replica.h"
+#include "config_store.h"
+#include "configuration.h"
+#include "document_maker.h"
+#include "performance/benchmark_output.h"
+#include "performance/process_usage.h"
+#include "transfer_codec.h"
+
+namespace endivecleat::test {
+namespace {
+
+constexpr int kRounds = 20;
+constexpr size_t kChanges = 64;         // versions that a store and a source keep
+constexpr size_t kRemembered = 10'000;  // operations that a store keeps
+constexpr size_t kLookups = 100'000;
+constexpr size_t kPeers = 259;
+const InstanceId kControl("control-cant-a1");
+const InstanceId kDaemon("daemon-portal-ayto-1");
+
+class Measurement {
+ public:
+  Measurement(size_t services, uint64_t seed)
+      : services_(services), seed_(seed), document_(LargeDocument(services, seed)) {}
+
+  void Run() {
+    Stage("store", [this] { FillStore(); });
+    MeasureStore();
+    MeasureTransfers();
+    Stage("replica", [this] { FillReplica(); });
+    Print("change/replica_processor", 1e6 * replica_seconds_ / kChanges, "us");
+    Print("change/source_processor", 1e6 * source_seconds_ / kChanges, "us");
+    Print("change/replica_sent_payload", replica_bytes_ / kChanges, "bytes");
+    Print("change/replica_sent_frames", replica_frames_ / kChanges, "frames");
+    Print("change/source_sent_payload", source_bytes_ / kChanges, "bytes");
+    Print("change/source_sent_frames", source_frames_ / kChanges, "frames");
+    MeasureLookups();
+  }
+
+ private:
+  void Print(const std::string& name, double value, const std::string& unit) const {
+    PrintFigure("configuration/" + name, value, unit, services_, seed_);
+  }
+
+  template <class Action>
+  void Stage(const std::string& name, Action action) const {
+    const double before = ResidentBytes();
+    action();
+    Print(name + "_resident", ResidentBytes() - before, "bytes");
+  }
+
+  /// Processor time of one run, in microseconds.
+  template <class Action>
+  static double Microseconds(Action action) {
+    const double seconds = ProcessorSecondsOf([&] {
+      for (int round = 0; round < kRounds; ++round) {
+        action();
+      }
+    });
+    return 1e6 * seconds / kRounds;
+  }
+
+  /// One figure of one service changes from version to version.
+  std::string Document(size_t version) {
+    document_["presets"]["peak"]["services"]["service-5"]["slots"] = 1 + version % 90;
+    return document_.dump();
+  }
+
+  Change Submit(size_t version) {
+    return {.operation = OperationId("operation-" + std::to_string(version)),
+            .base = store_.version(),
+            .what = SubmitDocument{MakeDelta(store_.text(), Document(version))},
+            .author = "operator",
+            .at = WallTime(1'700'000'000'000 + version)};
+  }
+
+  void FillStore() {
+    for (size_t version = 1; version <= kChanges; ++version) {
+      const Change change = Submit(version);
+      change_bytes_ = static_cast<double>(EncodeChange(change).size());
+      apply_seconds_ += ProcessorSecondsOf([&] { store_.Apply(change); });
+    }
+    for (size_t number = 0; number < kRemembered; ++number) {  // refused for their old base
+      store_.Apply({.operation = OperationId("refused-" + std::to_string(number)),
+                    .base = ConfigVersion(1),
+                    .what = SwitchPreset{PresetName("peak")},
+                    .author = "operator",
+                    .at = WallTime(1'700'000'000'000)});
+    }
+  }
+
+  void MeasureStore() {
+    if (store_.version() != ConfigVersion(kChanges)) {
+      std::cerr << "a change was refused\n";
+      std::exit(1);
+    }
+    Print("text", static_cast<double>(store_.text().size()), "bytes");
+    Print("change_entry", change_bytes_, "bytes");
+    Print("store_apply", 1e6 * apply_seconds_ / kChanges, "us");
+    std::string snapshot;
+    Print("store_snapshot_processor", Microseconds([&] { snapshot = store_.Snapshot(); }), "us");
+    Print("store_snapshot", static_cast<double>(snapshot.size()), "bytes");
+  }
+
+  ConfigTextPtr TextOf(ConfigVersion version) const {
+    const std::string& text = *store_.TextAt(version);
+    return std::make_shared<const ConfigText>(ConfigText{version, TextDigest(text), text});
+  }
+
+  void MeasureTransfers() {
+    const TransferCodec codec = MakeTransferCodec();
+    const ConfigTextPtr base = TextOf(ConfigVersion(kChanges - 1));
+    const ConfigTextPtr next = TextOf(ConfigVersion(kChanges));
+    EncodedTransfer delta;
+    EncodedTransfer whole;
+    Print("encode_change", Microseconds([&] { delta = codec.encode(base.get(), *next); }), "us");
+    Print("encode_whole", Microseconds([&] { whole = codec.encode(nullptr, *next); }), "us");
+    Print("decode_change", Microseconds([&] { codec.decode(delta.kind, base.get(), delta.bytes); }),
+          "us");
+    Print("transfer_change", static_cast<double>(delta.bytes.size()), "bytes");
+    Print("transfer_whole", static_cast<double>(whole.bytes.size()), "bytes");
+    Print("compile", Microseconds([&] { CompileStored(next->text, next->version); }), "us");
+    Print("digest", Microseconds([&] { TextDigest(next->text); }), "us");
+  }
+
+  void FillReplica() {
+    ConfigReplicaSettings settings;
+    settings.local_controls = {kControl};
+    replica_ = std::make_unique<ConfigReplica>(
+        kDaemon, settings, MakeTransferCodec(),
+        [this](ConfigVersion version, const std::string& text) {
+          compiled_ = CompileStored(text, version);
+          return true;
+        },
+        seed_, now_);
+    source_ = std::make_unique<ConfigSource>(ConfigSourceSettings{}, MakeTransferCodec(), seed_);
+    Wait(ConfigVersion());
+    replica_seconds_ = source_seconds_ = 0;
+    replica_bytes_ = source_bytes_ = replica_frames_ = source_frames_ = 0;
+    for (size_t version = 1; version <= kChanges; ++version) {
+      const ConfigTextPtr text = TextOf(ConfigVersion(version));
+      std::vector<PeerMessage> out;
+      source_seconds_ += ProcessorSecondsOf([&] { out = source_->Publish(now_, text, {kDaemon}); });
+      FromSource(out);
+      Wait(text->version);
+    }
+  }
+
+  /// Ticks until the replica has the version; a first call with no version only greets.
+  void Wait(ConfigVersion version) {
+    std::vector<PeerVersion> peers;
+    for (size_t peer = 0; peer < kPeers; ++peer) {
+      peers.push_back({InstanceId("daemon-" + std::to_string(1000 + peer)), version, ""});
+    }
+    for (int tick = 0; tick < 40; ++tick) {
+      now_ += std::chrono::milliseconds(100);
+      const ConfigTextPtr held = replica_->in_force();
+      if (version.value() > 0 && held && held->version >= version) {
+        return;
+      }
+      std::vector<PeerMessage> out;
+      out = replica_->Tick(now_, {});
+      FromReplica(out);
+    }
+    if (version.value() > 0) {
+      std::cerr << "the replica did not install version " << version.value() << '\n';
+      std::exit(1);
+    }
+    replica_->Tick(now_, peers);  // so that it sends its notices to three of them
+  }
+
+  void FromSource(const std::vector<PeerMessage>& messages) {
+    for (const PeerMessage& sent : messages) {
+      source_bytes_ += static_cast<double>(EncodeConfigMessage(sent.message).size());
+      source_frames_ += 1;
+      std::vector<PeerMessage> out;
+      replica_seconds_ +=
+          ProcessorSecondsOf([&] { out = replica_->Receive(now_, kControl, sent.message); });
+      FromReplica(out);
+    }
+  }
+
+  void FromReplica(const std::vector<PeerMessage>& messages) {
+    for (const PeerMessage& sent : messages) {
+      replica_bytes_ += static_cast<double>(EncodeConfigMessage(sent.message).size());
+      replica_frames_ += 1;
+      if (sent.to != kControl) {
+        continue;
+      }
+      std::vector<PeerMessage> out;
+      source_seconds_ +=
+          ProcessorSecondsOf([&] { out = source_->Receive(now_, kDaemon, sent.message); });
+      FromSource(out);
+    }
+  }
+
+  void MeasureLookups() {
+    size_t found = 0;
+    const double seconds = ProcessorSecondsOf([&] {
+      for (size_t i = 0; i < kLookups; ++i) {
+        const std::string path = "/service-" + std::to_string(i % services_) + "/bins/17";
+        found += compiled_->FindRoute("GET", "", path) != nullptr ? 1 : 0;
+      }
+    });
+    Print("find_route", 1e9 * seconds / kLookups, "ns");
+    if (found == 0) {
+      std::cerr << "no route was found\n";
+    }
+  }
+
+  size_t services_;
+  uint64_t seed_;
+  nlohmann::json document_;
+  ConfigStore store_;
+  double change_bytes_ = 0;
+  double apply_seconds_ = 0;
+  TimePoint now_ = TimePoint{} + std::chrono::seconds(1);
+  std::unique_ptr<ConfigReplica> replica_;
+  std::unique_ptr<ConfigSource> source_;
+  std::shared_ptr<const CompiledConfiguration> compiled_;
+  double replica_seconds_ = 0;
+  double source_seconds_ = 0;
+  double replica_bytes_ = 0;
+  double source_bytes_ = 0;
+  double replica_frames_ = 0;
+  double source_frames_ = 0;
+};
+
+}  // namespace
+}  // namespace endivecleat::test
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::cerr << "usage: SERVICES SEED\n";
+    return 2;
+  }
+  endivecleat::test::Measurement(std::stoul(argv[1]), std::stoull(argv[2])).Run();
+  return 0;
+}
--- /dev/null
+++ b/test/performance/capacity_ledger_benchmark.cc
@@ -0,0 +1,121 @@
+// Cost of the at-most-once records: `RECORDS FOLDER SEED` fills one OnceState, then makes its
+// snapshot, writes it with LogStore and restores it, as a control instance does on its event loop.
+// Each record has a claim and a complete with a body of 200 bytes.
+#include <sys/resource.h>
+
+#include <filesystem>
+#include <iostream>
+#include <string>
+
+#include "log_store.h"
+#include "performance/benchmark_output.h"
+#include "performance/process_usage.h"
+#include "replicated_states.h"
+#include "seeded_random.h"
+
+namespace endivecleat::test {
+namespace {
+
+constexpr size_t kBodyBytes = 200;
+constexpr size_t kSample = 1000;
+
+/// The length of a UUID, which callers use as keys.
+IdempotencyKey KeyOfRecord(SeededRandom* random) {
+  std::string key;
+  while (key.size() < 36) {
+    key.push_back("0123456789abcdef"[random->Below(16)]);
+  }
+  return IdempotencyKey(key);
+}
+
+LedgerCommand CommandOf(LedgerCommand::Kind kind, const IdempotencyKey& key, size_t number) {
+  LedgerCommand command{kind, key,
+                        "daemon-portal-ayto-1.0123456789abcdef/" + std::to_string(number),
+                        std::string(32, 'd')};
+  command.at = WallTime(1'700'000'000'000 + number);
+  if (kind == LedgerCommand::kComplete) {
+    command.answer = {200, "application/json", std::string(kBodyBytes, 'b')};
+  }
+  return command;
+}
+
+double PeakBytes() {
+  struct rusage usage {};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_maxrss) * 1024;
+}
+
+class Measurement {
+ public:
+  Measurement(size_t records, std::filesystem::path folder, uint64_t seed)
+      : records_(records), folder_(std::move(folder)), seed_(seed), random_(seed) {}
+
+  void Run() {
+    const double resident = ResidentBytes();
+    double seconds = 0;
+    for (size_t number = 0; number < records_; ++number) {
+      seconds += Add(number);
+    }
+    Print("apply", 1e6 * seconds / static_cast<double>(records_), "us/confirmation");
+    Print("records", static_cast<double>(state_.ledger.record_count()), "records");
+    Print("resident", ResidentBytes() - resident, "bytes");
+    Print("log_payload", payload_ / static_cast<double>(records_), "bytes/confirmation");
+    MeasureSnapshot();
+    Print("peak_resident", PeakBytes() - resident, "bytes");
+  }
+
+ private:
+  void Print(const std::string& name, double value, const std::string& unit) const {
+    PrintFigure("ledger/" + name, value, unit, records_, seed_);
+  }
+
+  double Add(size_t number) {
+    const IdempotencyKey key = KeyOfRecord(&random_);
+    const std::string claim = EncodeLedgerCommand(CommandOf(LedgerCommand::kClaim, key, number));
+    const std::string complete =
+        EncodeLedgerCommand(CommandOf(LedgerCommand::kComplete, key, number));
+    payload_ += static_cast<double>(claim.size() + complete.size());
+    return ProcessorSecondsOf([&] {
+      state_.Apply(claim);
+      state_.Apply(complete);
+    });
+  }
+
+  void MeasureSnapshot() {
+    InitializeLog(folder_, {InstanceId("control-cant-a1")});
+    LogStore store(folder_);
+    store.Load();
+    Ready ready;
+    ready.snapshot = LogSnapshot{
+        LogIndex(2 * records_), Term(1), {{InstanceId("control-cant-a1"), Incarnation(0)}}, ""};
+    Print("snapshot_processor",
+          1e3 * ProcessorSecondsOf([&] { ready.snapshot->state = state_.Snapshot(); }), "ms");
+    Print("snapshot", static_cast<double>(ready.snapshot->state.size()), "bytes");
+    double processor = 0;
+    const double wall =
+        SecondsOf([&] { processor = ProcessorSecondsOf([&] { store.Persist(ready); }); });
+    Print("persist_processor", 1e3 * processor, "ms");
+    Print("persist_wall", 1e3 * wall, "ms");
+    Print("restore_processor",
+          1e3 * ProcessorSecondsOf([&] { OnceState::Restore(ready.snapshot->state); }), "ms");
+  }
+
+  size_t records_;
+  std::filesystem::path folder_;
+  uint64_t seed_;
+  SeededRandom random_;
+  OnceState state_;
+  double payload_ = 0;
+};
+
+}  // namespace
+}  // namespace endivecleat::test
+
+int main(int argc, char** argv) {
+  if (argc != 4) {
+    std::cerr << "usage: RECORDS FOLDER SEED, with a folder that holds no log\n";
+    return 2;
+  }
+  endivecleat::test::Measurement(std::stoul(argv[1]), argv[2], std::stoull(argv[3])).Run();
+  return 0;
+}
--- /dev/null
+++ b/test/performance/capacity_membership_benchmark.cc
@@ -0,0 +1,375 @@
+// Cost of one membership at growing sizes of its data centre. `record MEMBERS LOAD FILE SEED` runs
+// a whole data centre over a FakeNetwork with 0.5 ms one way and writes every datagram that
+// reaches one member; `replay FILE` drives that member alone in a process of its own with the same
+// seed and times, so that resident set and processor time are those of one membership. LOAD is
+// "members" (each member's load changes every second) or "summaries" (the services of four other
+// data centres change as well).
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fake_network.h"
+#include "membership.h"
+#include "performance/benchmark_output.h"
+#include "performance/process_usage.h"
+
+namespace endivecleat::test {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(1);
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kWarmUp = std::chrono::seconds(30);  // the other members know each other
+constexpr Duration kJoin = std::chrono::seconds(10);    // of the measured member
+constexpr Duration kSteady = std::chrono::seconds(60);
+constexpr double kUdpOverhead = 28;  // IPv4 and UDP headers
+constexpr size_t kServices = 140;
+constexpr size_t kOtherDataCentres = 4;
+constexpr uint32_t kSlots = 9;
+constexpr size_t kRounds = 1000;
+const TimePoint kStart = TimePoint{} + std::chrono::seconds(1);
+
+InstanceId Id(size_t index) { return InstanceId("instance-" + std::to_string(1000 + index)); }
+size_t IndexOf(const InstanceId& id) { return std::stoul(id.value().substr(9)) - 1000; }
+Address AddressOf(size_t index) {
+  return {"10.20." + std::to_string(index / 250) + "." + std::to_string(index % 250), 7000};
+}
+size_t IndexOf(const Address& address) {
+  const size_t dot = address.ip.rfind('.');
+  return std::stoul(address.ip.substr(6, dot - 6)) * 250 + std::stoul(address.ip.substr(dot + 1));
+}
+
+/// Member 0 is the control instance.
+MemberRecord Describe(size_t index) {
+  MemberRecord record;
+  record.instance = Id(index);
+  record.address = AddressOf(index);
+  record.boot_time = WallTime(1'700'000'000'000);
+  record.config_version = ConfigVersion(1000);
+  record.config_digest = std::string(16, 'd');
+  if (index > 0) {
+    const std::string service = "service-" + std::to_string(index % kServices);
+    record.service = ServiceName(service);
+    record.target = TargetId(service + "-" + std::to_string(index));
+    record.state = TargetState::kReady;
+    record.slots = kSlots;
+    record.load = kSlots;
+  }
+  return record;
+}
+
+/// Each slot is free half of the time, independently of the others.
+uint32_t FreeSlots(uint32_t slots, SeededRandom* random) {
+  uint32_t free = 0;
+  for (uint32_t slot = 0; slot < slots; ++slot) {
+    free += random->Chance(50) ? 1 : 0;
+  }
+  return free;
+}
+
+std::unique_ptr<Membership> MakeMember(size_t index, uint64_t seed, TimePoint now) {
+  MembershipSettings settings;
+  settings.data_centre = DataCentreId("cant-a");
+  settings.region = RegionId("cantabrico");
+  settings.mesh_token = "mesh-token";
+  std::vector<Address> seeds;
+  if (index != 0) {
+    seeds.push_back(AddressOf(0));
+  }
+  return std::make_unique<Membership>(Describe(index), settings, seeds, seed + index, now);
+}
+
+/// As SummariseServices makes it in a data centre of 260 members: nearly two targets a service.
+DataCentreSummary Summary(size_t data_centre, TimePoint now, SeededRandom* random) {
+  DataCentreSummary summary;
+  summary.data_centre = DataCentreId("ebro-" + std::to_string(data_centre));
+  summary.region = RegionId("ebro");
+  summary.made_at =
+      WallTime(1'700'000'000'000 + static_cast<uint64_t>((now - kStart).count()) / 1000);
+  for (size_t service = 0; service < kServices; ++service) {
+    ServiceSummary entry;
+    entry.service = ServiceName("service-" + std::to_string(service));
+    entry.ready_targets = 2;
+    entry.free_slots = FreeSlots(entry.ready_targets * kSlots, random);
+    entry.daemons = {AddressOf(service), AddressOf(service + kServices)};
+    summary.services.push_back(entry);
+  }
+  return summary;
+}
+
+/// One input of the measured member: a datagram, a tick (no bytes) or a load (no address).
+struct Event {
+  enum Kind : int { kTick, kReceive, kLoad };
+  Kind kind = kTick;
+  int64_t at = 0;
+  size_t from = 0;
+  std::string bytes;  // of a datagram
+  uint32_t load = 0;
+};
+
+void Write(std::ofstream& file, const Event& event) {
+  file << event.kind << ' ' << event.at << ' ' << event.from << ' ' << event.load << ' '
+       << event.bytes.size() << '\n';
+  file.write(event.bytes.data(), static_cast<std::streamsize>(event.bytes.size()));
+}
+
+bool Read(std::ifstream& file, Event* event) {
+  int kind = 0;
+  size_t size = 0;
+  if (!(file >> kind >> event->at >> event->from >> event->load >> size)) {
+    return false;
+  }
+  file.get();
+  event->kind = static_cast<Event::Kind>(kind);
+  event->bytes.resize(size);
+  file.read(event->bytes.data(), static_cast<std::streamsize>(size));
+  return true;
+}
+
+class Recorder {
+ public:
+  Recorder(size_t size, bool summaries, uint64_t seed, const std::string& file)
+      : seed_(seed),
+        summaries_(summaries),
+        random_(seed),
+        network_(seed + 1, {.min_delay = kHop, .max_delay = kHop}),
+        members_(size),
+        ticks_(size),
+        measured_(size - 1),
+        file_(file, std::ios::binary) {}
+
+  void Run() {
+    file_ << members_.size() << ' ' << summaries_ << ' ' << seed_ << '\n';
+    for (size_t i = 0; i < measured_; ++i) {
+      Start(i);
+    }
+    RunFor(kWarmUp);
+    file_ << now_.time_since_epoch().count() << '\n';
+    Start(measured_);
+    RunFor(kJoin + kSteady);
+  }
+
+ private:
+  static constexpr Duration kHop = std::chrono::microseconds(500);
+
+  void Start(size_t index) {
+    members_[index] = MakeMember(index, seed_, now_);
+    ticks_[index] = now_ + Duration(static_cast<int64_t>(random_.Below(100'000)));
+  }
+
+  void RunFor(Duration time) {
+    for (const TimePoint end = now_ + time; now_ < end;) {
+      now_ += kStep;
+      for (const auto& delivery : network_.TakeDue(now_)) {
+        Deliver(delivery);
+      }
+      for (size_t i = 0; i < members_.size(); ++i) {
+        if (members_[i] && ticks_[i] <= now_) {
+          ticks_[i] = now_ + kTick;
+          Keep(i, {Event::kTick, Now()});
+          Send(i, members_[i]->Tick(now_));
+        }
+      }
+      if (now_ >= next_second_) {
+        next_second_ = now_ + std::chrono::seconds(1);
+        ChangeLoads();
+      }
+    }
+  }
+
+  int64_t Now() const { return now_.time_since_epoch().count(); }
+
+  void Deliver(const FakeNetwork<std::string>::Delivery& delivery) {
+    const size_t to = IndexOf(delivery.to);
+    if (!members_[to]) {
+      return;
+    }
+    const size_t from = IndexOf(delivery.from);
+    Keep(to, {Event::kReceive, Now(), from, delivery.message});
+    Send(to, members_[to]->Receive(now_, AddressOf(from), delivery.message));
+  }
+
+  void ChangeLoads() {
+    for (size_t i = 1; i < members_.size(); ++i) {
+      if (!members_[i]) {
+        continue;
+      }
+      MemberRecord self = members_[i]->self();
+      self.load = FreeSlots(kSlots, &random_);
+      Keep(i, {Event::kLoad, Now(), 0, "", self.load});
+      members_[i]->UpdateSelf(now_, self);
+    }
+    second_ += 1;
+    if (summaries_ && second_ % 2 == 0) {  // the shortest interval between two summaries
+      for (size_t other = 0; other < kOtherDataCentres; ++other) {
+        members_[0]->MergeSummary(Summary(other, now_, &random_));
+      }
+    }
+  }
+
+  void Keep(size_t index, const Event& event) {
+    if (index == measured_) {
+      Write(file_, event);
+    }
+  }
+
+  void Send(size_t from, const std::vector<Datagram>& datagrams) {
+    for (const Datagram& datagram : datagrams) {
+      network_.Send(now_, Id(from), Id(IndexOf(datagram.to)), datagram.bytes);
+    }
+  }
+
+  uint64_t seed_;
+  bool summaries_;
+  SeededRandom random_;
+  FakeNetwork<std::string> network_;
+  std::vector<std::unique_ptr<Membership>> members_;
+  std::vector<TimePoint> ticks_;
+  size_t measured_;
+  std::ofstream file_;
+  TimePoint now_ = kStart;
+  TimePoint next_second_ = kStart + std::chrono::seconds(1);
+  uint64_t second_ = 0;
+};
+
+class Replay {
+ public:
+  explicit Replay(const std::string& file) : file_(file, std::ios::binary) {
+    int64_t start = 0;
+    file_ >> size_ >> summaries_ >> seed_ >> start;
+    start_ = TimePoint(Duration(start));
+  }
+
+  void Run() {
+    const double resident = ResidentBytes();
+    member_ = MakeMember(size_ - 1, seed_, start_);
+    Apply(start_ + kJoin);
+    Print("join_received", received_, "bytes");
+    Print("join_sent", sent_, "bytes");
+    Print("join_processor", processor_ * 1e6, "us");
+    Print("known_members_after_join", static_cast<double>(member_->members().size()), "members");
+    received_ = sent_ = processor_ = 0;
+    datagrams_ = 0;
+    Apply(start_ + kJoin + kSteady);
+    const double seconds = std::chrono::duration<double>(kSteady).count();
+    Print("steady_received", received_ / seconds, "bytes/s");
+    Print("steady_sent", sent_ / seconds, "bytes/s");
+    Print("steady_datagrams_received", datagrams_ / seconds, "datagrams/s");
+    Print("steady_processor", processor_ * 1e6 / seconds, "us/s");
+    Print("resident", ResidentBytes() - resident, "bytes");
+    Print("known_members", static_cast<double>(member_->members().size()), "members");
+    if (summaries_) {
+      PrintFreshness();
+    }
+    PrintViews();
+  }
+
+ private:
+  void Print(const std::string& name, double value, const std::string& unit) const {
+    PrintFigure(std::string("membership/") + (summaries_ ? "summaries/" : "members/") + name, value,
+                unit, size_, seed_);
+  }
+
+  void Apply(TimePoint end) {
+    Event event;
+    if (pending_) {
+      One(*std::exchange(pending_, nullptr));
+    }
+    while (Read(file_, &event)) {
+      if (TimePoint(Duration(event.at)) > end) {
+        pending_ = std::make_unique<Event>(event);
+        return;
+      }
+      One(event);
+    }
+  }
+
+  void One(const Event& event) {
+    const TimePoint now{Duration(event.at)};
+    const double start = ThreadSeconds();
+    std::vector<Datagram> out;
+    if (event.kind == Event::kTick) {
+      out = member_->Tick(now);
+    } else if (event.kind == Event::kReceive) {
+      out = member_->Receive(now, AddressOf(event.from), event.bytes);
+      received_ += static_cast<double>(event.bytes.size()) + kUdpOverhead;
+      datagrams_ += 1;
+    } else {
+      MemberRecord self = member_->self();
+      self.load = event.load;
+      member_->UpdateSelf(now, self);
+    }
+    processor_ += ThreadSeconds() - start;
+    for (const Datagram& datagram : out) {
+      sent_ += static_cast<double>(datagram.bytes.size()) + kUdpOverhead;
+    }
+    now_ = now;
+  }
+
+  /// How old the entries of other data centres are that this member holds at the end.
+  void PrintFreshness() const {
+    const uint64_t end = 1'700'000'000'000 + static_cast<uint64_t>((now_ - kStart).count()) / 1000;
+    double entries = 0;
+    double newest_age = 0;
+    for (const DataCentreSummary& summary : member_->summaries()) {
+      entries += static_cast<double>(summary.services.size());
+      newest_age = std::max(newest_age, static_cast<double>(end - summary.made_at.value()) / 1000);
+    }
+    Print("entries_held", entries, "entries");
+    Print("oldest_renewal", newest_age, "s");
+  }
+
+  /// What the processes compute from the membership at each of their ticks.
+  void PrintViews() const {
+    const auto each = [](auto action) {
+      return 1e6 * ProcessorSecondsOf([&] {
+               for (size_t i = 0; i < kRounds; ++i) {
+                 action();
+               }
+             }) /
+             static_cast<double>(kRounds);
+    };
+    size_t total = 0;
+    Print("peer_versions", each([&] { total += member_->peer_versions().size(); }), "us");
+    Print("own_summary", each([&] { total += member_->OwnSummary().services.size(); }), "us");
+    Print("summaries", each([&] { total += member_->summaries().size(); }), "us");
+    if (total == 0) {
+      std::cerr << "the replay lost all members\n";
+    }
+  }
+
+  std::ifstream file_;
+  size_t size_ = 0;
+  bool summaries_ = false;
+  uint64_t seed_ = 0;
+  TimePoint start_;
+  TimePoint now_;
+  std::unique_ptr<Membership> member_;
+  std::unique_ptr<Event> pending_;
+  double received_ = 0;
+  double sent_ = 0;
+  double processor_ = 0;
+  double datagrams_ = 0;
+};
+
+}  // namespace
+}  // namespace endivecleat::test
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  if (arguments.size() == 5 && arguments[0] == "record") {
+    endivecleat::test::Recorder(std::stoul(arguments[1]), arguments[2] == "summaries",
+                                std::stoull(arguments[4]), arguments[3])
+        .Run();
+    return 0;
+  }
+  if (arguments.size() == 2 && arguments[0] == "replay") {
+    endivecleat::test::Replay(arguments[1]).Run();
+    return 0;
+  }
+  std::cerr << "usage: record MEMBERS members|summaries FILE SEED, or replay FILE\n";
+  return 2;
+}
--- /dev/null
+++ b/test/performance/process_usage.h
@@ -0,0 +1,49 @@
+// What this process uses: processor time, resident set and allocated bytes, by its own accounting.
+#ifndef ENDIVECLEAT_TEST_PERFORMANCE_PROCESS_USAGE_H_
+#define ENDIVECLEAT_TEST_PERFORMANCE_PROCESS_USAGE_H_
+
+#include <malloc.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <ctime>
+#include <fstream>
+
+namespace endivecleat::test {
+
+/// User and system time of the process, in seconds.
+inline double ProcessorSeconds() {
+  struct rusage usage {};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+/// Processor time of the calling thread, in seconds. Finer than getrusage.
+inline double ThreadSeconds() {
+  struct timespec time {};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
+}
+
+inline double ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  double size = 0;
+  double resident = 0;
+  statm >> size >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+/// The processor time of one action, in seconds.
+template <class Action>
+double ProcessorSecondsOf(Action action) {
+  const double start = ThreadSeconds();
+  action();
+  return ThreadSeconds() - start;
+}
+
+}  // namespace endivecleat::test
+
+#endif  // ENDIVECLEAT_TEST_PERFORMANCE_PROCESS_USAGE_H_
