Measure the candidates of a service and the encoded summary

Change: the membership replay prints the bytes of the own summary and the processor time of the candidates of one service, which a daemon computes ten times a second for each service it calls.

--- a/test/performance/capacity_membership_benchmark.cc
+++ b/test/performance/capacity_membership_benchmark.cc
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include "balancer.h"
+#include "data_centre_summary.h"
 #include "fake_network.h"
 #include "membership.h"
 #include "performance/benchmark_output.h"
@@ -336,11 +338,40 @@
     Print("peer_versions", each([&] { total += member_->peer_versions().size(); }), "us");
     Print("own_summary", each([&] { total += member_->OwnSummary().services.size(); }), "us");
     Print("summaries", each([&] { total += member_->summaries().size(); }), "us");
+    Print("candidates_of_service", each([&] { total += RefreshOneService(); }), "us");
+    Print("encoded_summary", static_cast<double>(EncodeSummary(member_->OwnSummary()).size()),
+          "bytes");
     if (total == 0) {
       std::cerr << "the replay lost all members\n";
     }
   }
 
+  /// The work of CallerTask::RefreshCandidates for one service, which needs sockets to run itself.
+  size_t RefreshOneService() const {
+    const ServiceName service("service-7");
+    std::vector<Candidate> candidates;
+    for (const MemberRecord& member : member_->members()) {
+      if (member.service == service && !member_->IsSuspect(member)) {
+        candidates.push_back({{member.instance, member.address},
+                              member.target,
+                              Locality::kOwnDataCentre,
+                              {member.slots - member.load, member.slots}});
+      }
+    }
+    for (const DataCentreSummary& summary : member_->summaries()) {
+      for (const ServiceSummary& entry : summary.services) {
+        if (entry.service != service) {
+          continue;
+        }
+        for (const Address& address : entry.daemons) {
+          candidates.push_back(
+              {{InstanceId(address.text()), address}, TargetId(), Locality::kOtherRegion, {0, 1}});
+        }
+      }
+    }
+    return candidates.size();
+  }
+
   std::ifstream file_;
   size_t size_ = 0;
   bool summaries_ = false;
