Measure a rack failure and a restart against one configuration source

Change: capacity_failure_benchmark drives real memberships and one real ConfigSource in virtual time; measure_capacity.sh runs it as the part failure.

--- a/scripts/measure_capacity.sh
+++ b/scripts/measure_capacity.sh
@@ -40,6 +40,12 @@
   done
 }
 
+run_failure() {
+  for members in 65 130 260 520; do
+    "$build/capacity_failure_benchmark" "$members" "$seed"
+  done
+}
+
 run_distribution() {
   "$build/distribution_benchmark" "$seed"
 }
@@ -89,7 +95,7 @@
   trap 'rm -rf "$work"' EXIT
 }
 
-[ $# -gt 0 ] || set -- configuration log ledger members summaries distribution processes
+[ $# -gt 0 ] || set -- configuration log ledger members summaries failure distribution processes
 for part in "$@"; do
   case $part in
     members | summaries) run_membership "$part" > "$folder/$part.jsonl" ;;
--- /dev/null
+++ b/test/performance/capacity_failure_benchmark.cc
@@ -0,0 +1,187 @@
+// Load that failures make, `SIZE SEED`: a rack (15 in 100 members of a data centre) that stops at
+// once, over a FakeNetwork with 0.5 ms one way; and one ConfigSource that is the only one to serve
+// SIZE daemons that restarted together and have no configuration, with the transfers of 140
+// services. Virtual time; processor time is that of the objects.
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config_source.h"
+#include "configuration.h"
+#include "document_maker.h"
+#include "membership_cluster.h"
+#include "performance/benchmark_output.h"
+#include "performance/process_usage.h"
+#include "transfer_codec.h"
+
+namespace endivecleat::test {
+namespace {
+
+constexpr size_t kServices = 140;
+constexpr size_t kRackPercent = 15;
+constexpr Duration kHop = std::chrono::microseconds(500);
+constexpr Duration kLimit = std::chrono::seconds(60);
+constexpr Duration kSpread = std::chrono::seconds(2);  // jitter of the first messages
+constexpr size_t kFrameOverhead = 96;  // piece, sender, WebSocket, TCP with timestamps and IPv4
+
+double Seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+class Rack {
+ public:
+  Rack(size_t size, uint64_t seed)
+      : size_(size),
+        seed_(seed),
+        stopped_(size * kRackPercent / 100),
+        cluster_(size, 1, seed, {.min_delay = kHop, .max_delay = kHop}) {}
+
+  void Run() {
+    cluster_.Run(std::chrono::seconds(30));
+    const uint64_t before = Sent();
+    cluster_.Run(std::chrono::seconds(10));
+    const double live = static_cast<double>(size_ - stopped_);
+    Print("quiet_sent", static_cast<double>(Sent() - before) / 10 / static_cast<double>(size_),
+          "bytes/s per member");
+    const TimePoint start = cluster_.now();
+    const uint64_t sent = Sent();
+    const double processor = ThreadSeconds();
+    for (size_t i = size_ - stopped_; i < size_; ++i) {
+      cluster_.Crash(i);
+    }
+    while (!NoneListed() && cluster_.now() - start < kLimit) {
+      cluster_.Run(std::chrono::milliseconds(200));
+    }
+    const double seconds = Seconds(cluster_.now() - start);
+    Print("removed_everywhere", seconds, "s");
+    Print("sent", static_cast<double>(Sent() - sent) / seconds / live, "bytes/s per member");
+    Print("processor_with_network", 1e6 * (ThreadSeconds() - processor) / seconds / live,
+          "us/s per member");
+  }
+
+ private:
+  void Print(const std::string& name, double value, const std::string& unit) const {
+    PrintFigure("rack/" + name, value, unit, size_, seed_);
+  }
+
+  uint64_t Sent() {
+    uint64_t sent = 0;
+    for (size_t i = 0; i < size_; ++i) {
+      sent += cluster_.node(i).traffic.sent;
+    }
+    return sent;
+  }
+
+  bool NoneListed() {
+    for (size_t i = 0; i < size_ - stopped_; ++i) {
+      if (cluster_.at(i).members().size() > size_ - stopped_) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  size_t size_;
+  uint64_t seed_;
+  size_t stopped_;
+  MembershipCluster cluster_;
+};
+
+class Restart {
+ public:
+  Restart(size_t size, uint64_t seed)
+      : size_(size), seed_(seed), random_(seed), source_({}, MakeTransferCodec(), seed) {}
+
+  void Run() {
+    const auto text = std::make_shared<const ConfigText>(MakeText());
+    source_.Hold(now_, text);
+    for (size_t i = 0; i < size_; ++i) {
+      due_.emplace(now_ + Duration(static_cast<int64_t>(random_.Below(kSpread.count()))), i);
+    }
+    const TimePoint start = now_;
+    while (served_ < size_ && now_ - start < kLimit) {
+      now_ += kHop;
+      Use([this] { return source_.Tick(now_); });
+      TakeDue();
+    }
+    Print("all_served", Seconds(now_ - start), "s");
+    Print("served", static_cast<double>(served_), "daemons");
+    Print("busy_answers", static_cast<double>(busy_), "answers");
+    Print("source_sent", bytes_, "bytes");
+    Print("source_processor", 1e6 * processor_, "us");
+  }
+
+ private:
+  void Print(const std::string& name, double value, const std::string& unit) const {
+    PrintFigure("restart/" + name, value, unit, size_, seed_);
+  }
+
+  ConfigText MakeText() const {
+    const std::string text = LargeDocument(kServices, seed_).dump();
+    return {ConfigVersion(1), TextDigest(text), text};
+  }
+
+  static InstanceId Id(size_t index) { return InstanceId(std::to_string(index)); }
+
+  void TakeDue() {
+    while (!due_.empty() && due_.begin()->first <= now_) {
+      const size_t daemon = due_.begin()->second;
+      due_.erase(due_.begin());
+      Use([&] { return source_.Receive(now_, Id(daemon), {ConfigMessage::Kind::kPull}); });
+    }
+    while (!acknowledgements_.empty() && acknowledgements_.begin()->first <= now_) {
+      const size_t daemon = acknowledgements_.begin()->second;
+      acknowledgements_.erase(acknowledgements_.begin());
+      ConfigMessage notice = source_.Notice();
+      Use([&] { return source_.Receive(now_, Id(daemon), notice); });
+    }
+  }
+
+  template <class Action>
+  void Use(Action action) {
+    const double start = ThreadSeconds();
+    const std::vector<PeerMessage> out = action();
+    const double used = ThreadSeconds() - start;
+    processor_ += used;
+    // The source makes its transfers one after the other.
+    now_ += Duration(static_cast<int64_t>(used * 1e6));
+    for (const PeerMessage& sent : out) {
+      bytes_ += static_cast<double>(EncodeConfigMessage(sent.message).size() + kFrameOverhead);
+      const size_t daemon = std::stoul(sent.to.value());
+      if (sent.message.kind == ConfigMessage::Kind::kTransfer) {
+        ++served_;
+        acknowledgements_.emplace(now_ + 2 * kHop + kInstall, daemon);
+      } else if (sent.message.kind == ConfigMessage::Kind::kBusy) {
+        ++busy_;
+        due_.emplace(now_ + 2 * kHop + sent.message.retry_after, daemon);
+      }
+    }
+  }
+
+  static constexpr Duration kInstall = std::chrono::milliseconds(6);  // compile, as measured
+
+  size_t size_;
+  uint64_t seed_;
+  SeededRandom random_;
+  ConfigSource source_;
+  TimePoint now_ = TimePoint{} + std::chrono::seconds(1);
+  std::multimap<TimePoint, size_t> due_;
+  std::multimap<TimePoint, size_t> acknowledgements_;
+  size_t served_ = 0;
+  size_t busy_ = 0;
+  double bytes_ = 0;
+  double processor_ = 0;
+};
+
+}  // namespace
+}  // namespace endivecleat::test
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::cerr << "usage: SIZE SEED\n";
+    return 2;
+  }
+  endivecleat::test::Rack(std::stoul(argv[1]), std::stoull(argv[2])).Run();
+  endivecleat::test::Restart(std::stoul(argv[1]), std::stoull(argv[2])).Run();
+  return 0;
+}
--- a/test/performance/capacity_membership_benchmark.cc
+++ b/test/performance/capacity_membership_benchmark.cc
@@ -254,12 +254,13 @@
     Print("join_processor", processor_ * 1e6, "us");
     Print("known_members_after_join", static_cast<double>(member_->members().size()), "members");
     received_ = sent_ = processor_ = 0;
-    datagrams_ = 0;
+    datagrams_ = learned_ = 0;
     Apply(start_ + kJoin + kSteady);
     const double seconds = std::chrono::duration<double>(kSteady).count();
     Print("steady_received", received_ / seconds, "bytes/s");
     Print("steady_sent", sent_ / seconds, "bytes/s");
     Print("steady_datagrams_received", datagrams_ / seconds, "datagrams/s");
+    Print("steady_changes_learned", learned_ / seconds, "changes/s");
     Print("steady_processor", processor_ * 1e6 / seconds, "us/s");
     Print("resident", ResidentBytes() - resident, "bytes");
     Print("known_members", static_cast<double>(member_->members().size()), "members");
@@ -309,6 +310,18 @@
       sent_ += static_cast<double>(datagram.bytes.size()) + kUdpOverhead;
     }
     now_ = now;
+    if (event.kind == Event::kTick) {
+      CountLearned();
+    }
+  }
+
+  /// Changes of records of other members that became known since the last call.
+  void CountLearned() {
+    for (const MemberRecord& member : member_->members()) {
+      uint64_t& sequence = sequences_[member.instance];
+      learned_ += sequence != member.sequence ? 1 : 0;
+      sequence = member.sequence;
+    }
   }
 
   /// How old the entries of other data centres are that this member holds at the end.
@@ -384,6 +397,8 @@
   double sent_ = 0;
   double processor_ = 0;
   double datagrams_ = 0;
+  double learned_ = 0;
+  std::map<InstanceId, uint64_t> sequences_;
 };
 
 }  // namespace
