--- a/scripts/run_deployment.sh
+++ b/scripts/run_deployment.sh
@@ -40,7 +40,7 @@
     kill -TERM "$(cat "$file")" 2> /dev/null || true
   done
   for file in "$folder"/*.pid; do
-    for _ in $(seq 100); do
+    for _ in $(seq 150); do
       kill -0 "$(cat "$file")" 2> /dev/null || break
       sleep 0.1
     done
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -1,6 +1,7 @@
 #include "balancer.h"
 
 #include <algorithm>
+#include <array>
 
 #include "errors.h"
 #include "target_pattern.h"
@@ -46,23 +47,33 @@
 }
 
 std::optional<Endpoint> Balancer::Choose(TimePoint now, const std::vector<InstanceId>& tried) {
-  for (const Locality locality :
-       {Locality::kOwnDataCentre, Locality::kOwnRegion, Locality::kOtherRegion}) {
+  constexpr std::array kNearestFirst = {Locality::kOwnDataCentre, Locality::kOwnRegion,
+                                        Locality::kOtherRegion};
+  for (const Locality locality : kNearestFirst) {
     const std::vector<const Target*> usable = Usable(now, locality, tried);
-    if (usable.empty()) {
-      continue;
+    if (!usable.empty()) {
+      return BetterOfTwo(usable);
+    }
+  }
+  for (const Locality locality : kNearestFirst) {
+    const std::vector<const Target*> untried = Untried(locality, tried);
+    if (!untried.empty()) {
+      return BetterOfTwo(untried);
     }
-    const size_t first = random_.Below(usable.size());
-    const size_t step = 1 + random_.Below(usable.size() - 1);
-    const Target* one = usable[first];
-    const Target* other = usable[(first + step) % usable.size()];
-    const double one_score = Score(one->in_flight, one->candidate.load);
-    const double other_score = Score(other->in_flight, other->candidate.load);
-    return (other_score < one_score ? other : one)->candidate.endpoint;
   }
   return std::nullopt;
 }
 
+Endpoint Balancer::BetterOfTwo(const std::vector<const Target*>& usable) {
+  const size_t first = random_.Below(usable.size());
+  const size_t step = 1 + random_.Below(usable.size() - 1);
+  const Target* one = usable[first];
+  const Target* other = usable[(first + step) % usable.size()];
+  const double one_score = Score(one->in_flight, one->candidate.load);
+  const double other_score = Score(other->in_flight, other->candidate.load);
+  return (other_score < one_score ? other : one)->candidate.endpoint;
+}
+
 void Balancer::Sent(const InstanceId& instance) { ++targets_[instance].in_flight; }
 
 void Balancer::Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
@@ -76,12 +87,16 @@
     target.candidate.load = *load;
     target.load_at = now;
   }
+  if (result != AttemptResult::kAbandoned) {
+    target.unreachable = result == AttemptResult::kUnreachable;
+  }
   const bool error = result == AttemptResult::kErrorAnswered;
   if (error || result == AttemptResult::kAnswered) {
     target.error_share += kErrorWeight * ((error ? 1.0 : 0.0) - target.error_share);
   }
   if (error ? target.error_share >= kMostErrorShare
-            : result == AttemptResult::kRefused || result == AttemptResult::kFailed) {
+            : result == AttemptResult::kRefused || result == AttemptResult::kFailed ||
+                  result == AttemptResult::kUnreachable) {
     Avoid(now, target);
   } else if (result == AttemptResult::kAnswered) {
     target.failures = 0;
@@ -97,26 +112,43 @@
   if (found == targets_.end()) {
     return false;
   }
+  if (IsGone(now, found->second)) {
+    return true;
+  }
   const auto avoided = Avoided(now, found->second.candidate.locality);
   return std::find(avoided.begin(), avoided.end(), &found->second) != avoided.end();
 }
 
+// A locality whose targets are all gone has none; a locality whose other targets are all avoided
+// still has them.
 std::vector<const Balancer::Target*> Balancer::Usable(TimePoint now, Locality locality,
                                                       const std::vector<InstanceId>& tried) const {
   const std::vector<const Target*> avoided = Avoided(now, locality);
-  std::vector<const Target*> usable;
+  std::vector<const Target*> reachable = Untried(locality, tried);
+  std::erase_if(reachable, [&](const Target* target) { return IsGone(now, *target); });
+  std::vector<const Target*> usable = reachable;
+  std::erase_if(usable, [&](const Target* target) {
+    return std::find(avoided.begin(), avoided.end(), target) != avoided.end();
+  });
+  return usable.empty() ? reachable : usable;
+}
+
+std::vector<const Balancer::Target*> Balancer::Untried(Locality locality,
+                                                       const std::vector<InstanceId>& tried) const {
   std::vector<const Target*> untried;
   for (const auto& [instance, target] : targets_) {
     const bool was_tried = std::find(tried.begin(), tried.end(), instance) != tried.end();
-    if (!target.present || target.candidate.locality != locality || was_tried) {
-      continue;
-    }
-    untried.push_back(&target);
-    if (std::find(avoided.begin(), avoided.end(), &target) == avoided.end()) {
-      usable.push_back(&target);
+    if (target.present && target.candidate.locality == locality && !was_tried) {
+      untried.push_back(&target);
     }
   }
-  return usable.empty() ? untried : usable;
+  return untried;
+}
+
+// A daemon that accepts no connection is not there, so the limit of avoidance does not cover it:
+// calls to it can only fail, and each would use up the retry budget.
+bool Balancer::IsGone(TimePoint now, const Target& target) {
+  return target.unreachable && target.avoid_until > now;
 }
 
 // At most half of a locality's targets: when more of them fail, those whose avoidance ends first
@@ -125,7 +157,7 @@
   std::vector<const Target*> failing;
   size_t present = 0;
   for (const auto& [instance, target] : targets_) {
-    if (!target.present || target.candidate.locality != locality) {
+    if (!target.present || target.candidate.locality != locality || IsGone(now, target)) {
       continue;
     }
     ++present;
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -46,6 +46,7 @@
   kErrorAnswered,  // an answer with a status of 500 or more
   kRefused,        // the target's daemon ran nothing
   kFailed,         // the connection broke or the time ran out
+  kUnreachable,    // no connection to the target's daemon; nothing was sent
   kAbandoned,      // cancelled by the caller; says nothing about the target
 };
 
@@ -58,6 +59,7 @@
   void SetCandidates(TimePoint now, const std::vector<Candidate>& candidates,
                      const std::vector<std::string>& patterns);
   /// The better of two random candidates of the nearest locality that has one outside `tried`.
+  /// Candidates whose daemon was just found unreachable are the last resort.
   std::optional<Endpoint> Choose(TimePoint now, const std::vector<InstanceId>& tried);
   void Sent(const InstanceId& instance);
   /// Must follow each Sent. The load is the one that the answer or the refusal carried.
@@ -74,14 +76,18 @@
     uint64_t in_flight = 0;  // attempts of this daemon
     TimePoint load_at{};     // when an answer last carried the load
     TimePoint avoid_until{};
-    uint32_t failures = 0;   // refusals and failures since the last answer
-    double error_share = 0;  // moving share of answers with a status of 500 or more
+    uint32_t failures = 0;     // refusals and failures since the last answer
+    bool unreachable = false;  // the last attempt found no daemon
+    double error_share = 0;    // moving share of answers with a status of 500 or more
   };
   using Targets = std::map<InstanceId, Target>;
 
   std::vector<const Target*> Usable(TimePoint now, Locality locality,
                                     const std::vector<InstanceId>& tried) const;
+  std::vector<const Target*> Untried(Locality locality, const std::vector<InstanceId>& tried) const;
   std::vector<const Target*> Avoided(TimePoint now, Locality locality) const;
+  Endpoint BetterOfTwo(const std::vector<const Target*>& usable);
+  static bool IsGone(TimePoint now, const Target& target);
   void Avoid(TimePoint now, Target& target);
 
   SeededRandom random_;
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -310,7 +310,8 @@
   Exchange::Sent& sent = exchange->sent[effect.attempt];
   if (!sent.finished) {
     sent.finished = true;
-    exchange->state->balancer.Finished(now, sent.instance, AttemptResult::kFailed, std::nullopt);
+    const AttemptResult result = was_sent ? AttemptResult::kFailed : AttemptResult::kUnreachable;
+    exchange->state->balancer.Finished(now, sent.instance, result, std::nullopt);
   }
   Carry(exchange, was_sent ? exchange->call->LinkBroken(now, effect.attempt)
                            : exchange->call->Refused(now, effect.attempt,
--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -142,6 +142,43 @@
   CHECK_FALSE(balancer.avoided(kStart, Instance(1)));
 }
 
+TEST_GROUP(BalancerDaemonUnreachable){};
+
+// Each call to the dead daemon of a data centre's only target costs a retry; the budget for these
+// is used up before the membership removes the daemon.
+TEST(BalancerDaemonUnreachable, GoesToAnotherDataCentreWhenItWasTheOnlyTarget) {
+  Balancer balancer(3);
+  balancer.SetCandidates(
+      kStart, {Make(0), Make(1, Locality::kOwnRegion), Make(2, Locality::kOtherRegion)}, {"*"});
+  Report(balancer, kStart, 0, AttemptResult::kUnreachable);
+  CHECK(balancer.avoided(kStart, Instance(0)));
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(1));
+  CHECK(balancer.Choose(kStart + seconds(1), {})->instance == Instance(0));
+}
+
+TEST(BalancerDaemonUnreachable, IsNotChosenThoughItIsOneOfMoreThanHalf) {
+  Balancer balancer = WithTargets(4);
+  for (const int number : {0, 1, 2}) {
+    Report(balancer, kStart, number, AttemptResult::kUnreachable);
+  }
+  LONGS_EQUAL(300, Choices(balancer, kStart)[Instance(3)]);
+}
+
+TEST(BalancerDaemonUnreachable, IsTriedWhenNothingElseIsLeft) {
+  Balancer balancer = WithTargets(2);
+  Report(balancer, kStart, 0, AttemptResult::kUnreachable);
+  Report(balancer, kStart, 1, AttemptResult::kUnreachable);
+  CHECK(balancer.Choose(kStart, {}).has_value());
+}
+
+// An overloaded data centre keeps its calls: moving them would overload the next one.
+TEST(BalancerDaemonUnreachable, DiffersFromARefusal) {
+  Balancer balancer(3);
+  balancer.SetCandidates(kStart, {Make(0), Make(1, Locality::kOwnRegion)}, {"*"});
+  Report(balancer, kStart, 0, AttemptResult::kRefused);
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(0));
+}
+
 TEST_GROUP(BalancerTargetGone){};
 
 TEST(BalancerTargetGone, IsNotChosenAndItsAttemptsMayEnd) {
