Test targets, daemons and crashing requests as processes; use neighbours

Cause: the daemon read the setting "neighbours" and never used it, so a daemon that restarted while no control instance of any data centre lived found nobody to ask and stayed without a configuration. Ruled out: lost pulls, since it never learned of a member. Change: a member without a control instance of its data centre asks the neighbours for the others, besides the other data centres.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,3 +6,4 @@
 scripts/build.sh
 scripts/lint.sh
 ctest --test-dir build --output-on-failure
+[ ! -e KNOWN-RED.txt ] || cat KNOWN-RED.txt
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -46,7 +46,7 @@
                 .request =
                     [this](PeerChannel channel, const std::string& payload,
                            const PeerReplier& replier) { OnRequest(channel, payload, replier); }},
-            seed),
+            seed, settings_.neighbours),
       ledger_(node_.network(), settings_.common),
       context_{.loop = loop_,
                .settings = settings_,
--- a/src/member_table.cc
+++ b/src/member_table.cc
@@ -276,4 +276,16 @@
   peer.stable_hash = hash;
 }
 
+std::vector<Address> MemberTable::Absent(const std::vector<Address>& addresses) const {
+  std::vector<Address> absent;
+  for (const Address& address : addresses) {
+    const bool member = std::any_of(records().begin(), records().end(),
+                                    [&](const MemberRecord& m) { return m.address == address; });
+    if (!member) {
+      absent.push_back(address);
+    }
+  }
+  return absent;
+}
+
 }  // namespace endivecleat
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -52,6 +52,8 @@
   MemberKey self_key() const { return peers_.front().key; }
   const Peer& peer(size_t index) const { return peers_[index]; }
   std::optional<size_t> Find(MemberKey key) const;
+  /// Those of the addresses that no member has.
+  std::vector<Address> Absent(const std::vector<Address>& addresses) const;
   const Tombstone* FindTombstone(MemberKey key) const;
   const std::unordered_map<MemberKey, Tombstone>& tombstones() const { return tombstones_; }
   const std::array<uint64_t, kMemberBuckets>& buckets() const { return buckets_; }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -371,14 +371,7 @@
     return;
   }
   const bool alone = members().size() == 1;
-  std::vector<Address> absent;
-  for (const Address& seed : seeds_) {
-    const bool member = std::any_of(members().begin(), members().end(),
-                                    [&](const MemberRecord& m) { return m.address == seed; });
-    if (!member) {
-      absent.push_back(seed);
-    }
-  }
+  const std::vector<Address> absent = table_.Absent(seeds_);
   if (!absent.empty()) {
     SendSyncRequest(absent[random_.Below(absent.size())], out);
   }
@@ -389,6 +382,12 @@
   if (without_seeds && ask_remote && !settings_.remote_seeds.empty()) {
     SendSyncRequest(settings_.remote_seeds[random_.Below(settings_.remote_seeds.size())], out);
   }
+  // Without a control instance anywhere, a restarted member has nobody else to ask.
+  const std::vector<Address> neighbours =
+      without_seeds ? table_.Absent(settings_.neighbours) : std::vector<Address>();
+  if (!neighbours.empty()) {
+    SendSyncRequest(neighbours[random_.Below(neighbours.size())], out);
+  }
   const Duration pause = alone ? kAloneRetry : kSeedRetry;
   next_seed_contact_ =
       now_ + pause / 2 + Duration(random_.Below(static_cast<uint64_t>(pause.count())));
--- a/src/membership.h
+++ b/src/membership.h
@@ -42,6 +42,7 @@
   std::string mesh_token;
   /// Control instances of other data centres. They are asked only while no seed answers.
   std::vector<Address> remote_seeds;
+  std::vector<Address> neighbours;  // asked while no seed is a member
   FailureDetectorSettings detector;
   Duration suspicion = std::chrono::seconds(2);
   Duration tombstone_lifetime = std::chrono::minutes(10);
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -38,11 +38,12 @@
   return self;
 }
 
-MembershipSettings GossipSettings(const CommonSettings& settings) {
+MembershipSettings GossipSettings(const CommonSettings& settings, std::vector<Address> neighbours) {
   MembershipSettings gossip;
   gossip.data_centre = settings.place.data_centre;
   gossip.region = settings.place.region;
   gossip.mesh_token = settings.mesh_token;
+  gossip.neighbours = std::move(neighbours);
   for (const ControlPeer& peer : settings.control) {
     if (peer.place.data_centre != settings.place.data_centre) {
       gossip.remote_seeds.push_back(peer.peers);
@@ -65,12 +66,12 @@
 }  // namespace
 
 MeshNode::MeshNode(EventLoop& loop, const CommonSettings& settings, const Address& listen,
-                   MeshHandlers handlers, uint64_t seed)
+                   MeshHandlers handlers, uint64_t seed, std::vector<Address> neighbours)
     : loop_(loop),
       self_(settings.instance),
       handlers_(std::move(handlers)),
-      membership_(SelfRecord(settings, listen), GossipSettings(settings), LocalSeeds(settings),
-                  seed, loop.now()),
+      membership_(SelfRecord(settings, listen), GossipSettings(settings, std::move(neighbours)),
+                  LocalSeeds(settings), seed, loop.now()),
       network_(
           loop, listen, settings.mesh_token,
           PeerHandler{
--- a/src/mesh_node.h
+++ b/src/mesh_node.h
@@ -26,9 +26,10 @@
 
 class MeshNode {
  public:
-  /// Listens at once on the address for peers.
+  /// Listens at once on the address for peers. Neighbours are members of the data centre that are
+  /// asked for the others while no control instance of it is a member.
   MeshNode(EventLoop& loop, const CommonSettings& settings, const Address& listen,
-           MeshHandlers handlers, uint64_t seed);
+           MeshHandlers handlers, uint64_t seed, std::vector<Address> neighbours = {});
   MeshNode(const MeshNode&) = delete;
   MeshNode& operator=(const MeshNode&) = delete;
   ~MeshNode();
--- /dev/null
+++ b/test/failure/process_target_test.cc
@@ -0,0 +1,240 @@
+// Targets that freeze, die or leave, daemons that stop or restart, and requests that kill targets.
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <set>
+#include <thread>
+
+#include "process_cluster.h"
+
+namespace endivecleat::test {
+namespace {
+
+constexpr int kOk = 0;
+constexpr int kDaemons = ProcessCluster::kDaemons;
+
+bool Answered(const HttpResponse& response) {
+  return response.status == 200 && ResultOf(response) == kOk;
+}
+
+std::string AnsweredBy(const HttpResponse& response) {
+  const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+  return body.is_object() ? body.value("target", "") : "";
+}
+
+// Reads through every daemon, one thread each, until stopped.
+class Readers {
+ public:
+  explicit Readers(const ProcessCluster& cluster) : cluster_(cluster) {
+    for (int daemon = 1; daemon <= kDaemons; ++daemon) {
+      threads_.emplace_back([this, daemon] { Run(daemon); });
+    }
+  }
+  ~Readers() { Stop(); }
+  Readers(const Readers&) = delete;
+  Readers& operator=(const Readers&) = delete;
+
+  void Stop() {
+    stop_ = true;
+    for (std::thread& thread : threads_) {
+      if (thread.joinable()) {
+        thread.join();
+      }
+    }
+  }
+
+  int answered(int daemon) const { return answered_.at(static_cast<size_t>(daemon)); }
+  int failed() const { return failed_; }
+
+ private:
+  void Run(int daemon) {
+    while (!stop_) {
+      const bool answered = Answered(cluster_.Call(daemon, GetRequest("/bins")));
+      ++(answered ? answered_.at(static_cast<size_t>(daemon)) : failed_);
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  const ProcessCluster& cluster_;
+  std::atomic<bool> stop_ = false;
+  std::array<std::atomic<int>, kDaemons + 1> answered_{};
+  std::atomic<int> failed_ = 0;
+  std::vector<std::thread> threads_;
+};
+
+// Each daemon answers this many more reads.
+bool KeepAnswering(const Readers& readers, int more) {
+  std::array<int, kDaemons + 1> before{};
+  for (int daemon = 1; daemon <= kDaemons; ++daemon) {
+    before.at(static_cast<size_t>(daemon)) = readers.answered(daemon);
+  }
+  return WaitFor([&] {
+    for (int daemon = 1; daemon <= kDaemons; ++daemon) {
+      if (readers.answered(daemon) < before.at(static_cast<size_t>(daemon)) + more) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+// Sends reads and at-most-once requests through every daemon; the targets that answered.
+std::set<std::string> WhoAnswers(const ProcessCluster& cluster, const std::string& prefix) {
+  std::set<std::string> targets;
+  for (int count = 0; count < 25; ++count) {
+    for (int daemon = 1; daemon <= kDaemons; ++daemon) {
+      const std::string key = prefix + std::to_string(count) + "-" + std::to_string(daemon);
+      targets.insert(AnsweredBy(cluster.Call(daemon, GetRequest("/bins"))));
+      targets.insert(AnsweredBy(cluster.Call(daemon, PostRequest("/invoices", key))));
+    }
+  }
+  return targets;
+}
+
+void KillDaemons(ProcessCluster& cluster, const std::vector<int>& daemons) {
+  for (const int daemon : daemons) {
+    cluster.Kill(ProcessCluster::Daemon(daemon));
+  }
+}
+
+void LaunchDaemons(ProcessCluster& cluster, const std::vector<int>& daemons) {
+  for (const int daemon : daemons) {
+    cluster.Launch(ProcessCluster::Daemon(daemon));
+  }
+}
+
+// The lowest version above 0 that any of the daemons has shown until all have `wanted`; 0 when
+// that does not come about.
+uint64_t LowestUntil(const ProcessCluster& cluster, const std::vector<int>& daemons,
+                     uint64_t wanted) {
+  uint64_t lowest = wanted;
+  const bool reached = WaitFor([&] {
+    bool all = true;
+    for (const int daemon : daemons) {
+      const uint64_t version = cluster.Version(daemon);
+      all = all && version >= wanted;
+      lowest = version == 0 ? lowest : std::min(lowest, version);
+    }
+    return all;
+  });
+  return reached ? lowest : 0;
+}
+
+}  // namespace
+
+TEST_GROUP(ProcessTargets) {
+  ProcessCluster cluster;
+
+  void setup() override { CHECK(cluster.Start()); }
+};
+
+// Guards against new work for a target that froze, died or left, and against reads that stop
+// while it is being dropped.
+TEST(ProcessTargets, TargetsFrozenKilledAndLeavingGetNoNewWorkWhileReadsAreAnswered) {
+  Readers readers(cluster);
+  CHECK(KeepAnswering(readers, 20));
+  cluster.Signal("target-3", SIGTERM);
+  CHECK(WaitFor([&] { return !cluster.Listed(3); }));
+  CHECK(cluster.WaitForEnd("target-3"));
+  CHECK(KeepAnswering(readers, 20));
+  CHECK_EQUAL(0, readers.failed());  // leaving by the signal is a planned stop
+  cluster.Kill("target-2");
+  cluster.Signal("target-1", SIGSTOP);
+  CHECK(KeepAnswering(readers, 20));
+  CHECK(WaitFor([&] { return !cluster.Listed(1) && !cluster.Listed(2); }));
+  CHECK(KeepAnswering(readers, 50));
+  readers.Stop();
+  // A summary to the other data centre is sent every 2 s and names daemons, not targets; what is
+  // chosen by an old one must not be lost.
+  CHECK(WaitFor([&] { return WhoAnswers(cluster, "warm-") == std::set<std::string>{"target-4"}; }));
+  const std::set<std::string> targets = WhoAnswers(cluster, "after-");
+  CHECK(targets == std::set<std::string>{"target-4"});
+  cluster.Signal("target-1", SIGCONT);
+  CHECK(WaitFor([&] { return cluster.Listed(1); }));
+  for (const std::string& key : cluster.Journal(1)) {
+    CHECK(key.rfind("after-", 0) != 0);
+  }
+}
+
+// Guards against a planned stop of a daemon that interrupts requests in flight, its own callers'
+// and those that others sent to its target.
+TEST(ProcessTargets, DaemonStoppedWithSlowRequestsInFlightInterruptsNone) {
+  constexpr size_t kEach = 6;
+  std::array<HttpResponse, kEach * kDaemons> answers;
+  std::vector<std::thread> threads;
+  for (size_t index = 0; index < answers.size(); ++index) {
+    const int daemon = 1 + static_cast<int>(index) % kDaemons;
+    threads.emplace_back(
+        [&, index, daemon] { answers.at(index) = cluster.Call(daemon, GetRequest("/slow")); });
+  }
+  const bool in_flight = WaitFor([&] {
+    const nlohmann::json health = cluster.Health(1);
+    return health.is_object() && health["running"] > 0;
+  });
+  cluster.Signal("daemon-1", SIGTERM);
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(in_flight);
+  for (const HttpResponse& answer : answers) {
+    CHECK_EQUAL(200, answer.status);
+    CHECK_EQUAL(kOk, ResultOf(answer));
+  }
+  CHECK(cluster.WaitForEnd("daemon-1"));
+}
+
+// Guards against daemons that stay without a configuration, or go back to an older one, when all
+// of them restart while no control instance of their data centre lives.
+TEST(ProcessTargets, AllDaemonsRestartedWithoutTheirControlRecoverTheNewestVersion) {
+  CHECK_EQUAL(0, cluster.SubmitUntilKnown("second", 1, ProcessCluster::Document(2)).code);
+  CHECK_EQUAL(0, cluster.SubmitUntilKnown("third", 2, ProcessCluster::Document(3)).code);
+  CHECK(LowestUntil(cluster, {1, 2, 3, 4}, 3) != 0);  // from whichever version each started
+  // The data centre with one control instance; the majority lives in the other one.
+  cluster.Kill("control-3");
+  KillDaemons(cluster, {3, 4});
+  LaunchDaemons(cluster, {3, 4});
+  CHECK(LowestUntil(cluster, {3, 4}, 3) == 3);
+  CHECK_EQUAL(0, cluster.SubmitUntilKnown("fourth", 3, ProcessCluster::Document(4)).code);
+  CHECK(LowestUntil(cluster, {3, 4}, 4) != 0);
+  // A data centre without any control instance, while the other one has no majority.
+  cluster.Launch("control-3");
+  CHECK(WaitFor([&] { return cluster.History(3).size() == 4; }));
+  cluster.Kill("control-1");
+  cluster.Kill("control-2");
+  KillDaemons(cluster, {1, 2});
+  LaunchDaemons(cluster, {1, 2});
+  CHECK(LowestUntil(cluster, {1, 2}, 4) == 4);
+  // No control instance at all: one daemon of the data centre still has the configuration.
+  cluster.Kill("control-3");
+  KillDaemons(cluster, {2});
+  LaunchDaemons(cluster, {2});
+  CHECK(LowestUntil(cluster, {2}, 4) == 4);
+}
+
+// Guards against a request that kills each target that runs it while its caller sends it again
+// and again through different daemons.
+TEST(ProcessTargets, CrashingRequestSentAgainAndAgainLosesAtMostThreeTargets) {
+  constexpr int kSends = 24;
+  constexpr int kMostLost = 3;
+  int lost = 0;
+  for (int send = 0; send < kSends; ++send) {
+    cluster.Call(1 + send % kDaemons, GetRequest("/crash"));
+    for (int target = 1; target <= kDaemons; ++target) {
+      if (!cluster.Runs(ProcessCluster::Target(target))) {
+        ++lost;
+        cluster.Launch(ProcessCluster::Target(target));
+        CHECK(WaitFor([&] { return cluster.TargetReady(target); }));
+      }
+    }
+  }
+  CHECK(lost > 0);
+  CHECK(lost <= kMostLost);
+  for (int daemon = 1; daemon <= kDaemons; ++daemon) {
+    CHECK(WaitFor([&] { return Answered(cluster.Call(daemon, GetRequest("/bins"))); }));
+  }
+}
+
+}  // namespace endivecleat::test
--- a/test/process_cluster.cc
+++ b/test/process_cluster.cc
@@ -451,6 +451,8 @@
                   {{"callers", LoopbackText(ports.first)},
                    {"peers", LoopbackText(ports.second)},
                    {"local", LoopbackText(ports.third)}}},
+                 {"neighbours",
+                  {LoopbackText(daemons_.at(number % 2 == 1 ? number + 1 : number - 1).second)}},
                  {"announce_token_file", "announce.token"}},
                 InEast("daemon", number));
   processes_[name].command = {ENDIVECLEAT_BINARY, "daemon", "--settings",
