Keep the metrics of a service instead of looking them up for each call

CallerTask::Respond looked two metrics up by name and labels for each call, which copies the labels several times and hashes them. The references stay valid, so they are kept by service and result code; the names and labels that /metrics shows are the same.

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -349,16 +349,7 @@
 }
 
 void CallerTask::Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer) {
-  const std::string service = exchange.service == nullptr ? "" : exchange.service->name.value();
-  const Metrics::Labels labels = {{"service", service},
-                                  {"result", std::string(Describe(code).name)}};
-  context_.metrics.Counter("endivecleat_calls_total", "Calls by service and result", labels)
-      .Increment();
-  const Duration taken = context_.loop.now() - exchange.started;
-  context_.metrics
-      .Seconds("endivecleat_call_seconds", "Time from the request to its answer",
-               {{"service", service}})
-      .Observe(std::chrono::duration<double>(taken).count());
+  Count(exchange, code);
   if (code != ResultCode::kOk || answer == nullptr) {
     exchange.sink.Send(ErrorResponse(code));
     return;
@@ -377,6 +368,25 @@
   exchange.sink.Send(std::move(response));
 }
 
+void CallerTask::Count(const Exchange& exchange, ResultCode code) {
+  const ServiceName service = exchange.service == nullptr ? ServiceName() : exchange.service->name;
+  ServiceMetrics& metrics = metrics_[service];
+  if (metrics.seconds == nullptr) {
+    metrics.seconds =
+        &context_.metrics.Seconds("endivecleat_call_seconds", "Time from the request to its answer",
+                                  {{"service", service.value()}});
+  }
+  prometheus::Counter*& calls = metrics.calls[code];
+  if (calls == nullptr) {
+    calls = &context_.metrics.Counter(
+        "endivecleat_calls_total", "Calls by service and result",
+        {{"service", service.value()}, {"result", std::string(Describe(code).name)}});
+  }
+  calls->Increment();
+  const Duration taken = context_.loop.now() - exchange.started;
+  metrics.seconds->Observe(std::chrono::duration<double>(taken).count());
+}
+
 void CallerTask::ArmTimer(const std::shared_ptr<Exchange>& exchange) {
   if (exchange->timer) {
     context_.loop.Cancel(*exchange->timer);
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -41,6 +41,11 @@
     Balancer balancer;
     RetryBudget budget;
   };
+  /// The metrics of one service, kept because a look-up by name and labels copies them all.
+  struct ServiceMetrics {
+    prometheus::Histogram* seconds = nullptr;
+    std::map<ResultCode, prometheus::Counter*> calls;
+  };
   struct Exchange;
 
   std::optional<ResultCode> Prepare(Exchange& exchange);
@@ -57,11 +62,13 @@
   void Refuse(const std::shared_ptr<Exchange>& exchange, const RefuseInLedger& effect);
   void Finish(const std::shared_ptr<Exchange>& exchange, const FinishCall& effect);
   void Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer);
+  void Count(const Exchange& exchange, ResultCode code);
   void ArmTimer(const std::shared_ptr<Exchange>& exchange);
 
   DaemonContext& context_;
   TargetTask& target_;
   std::map<ServiceName, std::unique_ptr<ServiceState>> services_;
+  std::map<ServiceName, ServiceMetrics> metrics_;  // an empty name stands for no service
   std::map<RequestNumber, std::shared_ptr<Exchange>> exchanges_;  // not finished
 };
 
