--- a/test/performance/call_load.cc
+++ b/test/performance/call_load.cc
@@ -21,7 +21,6 @@
 
 namespace {
 
-using endivecleat::Address;
 using endivecleat::Duration;
 using endivecleat::EventLoop;
 using endivecleat::HttpClient;
