--- a/scripts/measure_capacity.sh
+++ b/scripts/measure_capacity.sh
@@ -21,6 +21,14 @@
   done
 }
 
+run_services() {  # services of each other data centre, among 260 members
+  for services in 2 5 10 35 70 140; do
+    "$build/capacity_membership_benchmark" record 260 "$services" "$work/datagrams" "$seed"
+    "$build/capacity_membership_benchmark" replay "$work/datagrams"
+    rm "$work/datagrams"
+  done
+}
+
 run_configuration() {
   for services in 10 35 70 140; do
     "$build/capacity_configuration_benchmark" "$services" "$seed"
@@ -95,7 +103,7 @@
   trap 'rm -rf "$work"' EXIT
 }
 
-[ $# -gt 0 ] || set -- configuration log ledger members summaries failure distribution processes
+[ $# -gt 0 ] || set -- configuration log ledger members summaries services failure distribution processes
 for part in "$@"; do
   case $part in
     members | summaries) run_membership "$part" > "$folder/$part.jsonl" ;;
--- a/test/performance/capacity_membership_benchmark.cc
+++ b/test/performance/capacity_membership_benchmark.cc
@@ -2,8 +2,8 @@
 // a whole data centre over a FakeNetwork with 0.5 ms one way and writes every datagram that
 // reaches one member; `replay FILE` drives that member alone in a process of its own with the same
 // seed and times, so that resident set and processor time are those of one membership. LOAD is
-// "members" (each member's load changes every second) or "summaries" (the services of four other
-// data centres change as well).
+// "members" (each member's load changes every second), "summaries" (140 services of four other data
+// centres change as well) or a number of such services, which is then the size that is printed.
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -72,6 +72,14 @@
   return free;
 }
 
+/// The services of each other data centre that a load spreads.
+size_t ServicesOf(const std::string& load) {
+  if (load == "members") {
+    return 0;
+  }
+  return load == "summaries" ? kServices : std::stoul(load);
+}
+
 std::unique_ptr<Membership> MakeMember(size_t index, uint64_t seed, TimePoint now) {
   MembershipSettings settings;
   settings.data_centre = DataCentreId("cant-a");
@@ -85,13 +93,14 @@
 }
 
 /// As SummariseServices makes it in a data centre of 260 members: nearly two targets a service.
-DataCentreSummary Summary(size_t data_centre, TimePoint now, SeededRandom* random) {
+DataCentreSummary Summary(size_t data_centre, size_t services, TimePoint now,
+                          SeededRandom* random) {
   DataCentreSummary summary;
   summary.data_centre = DataCentreId("ebro-" + std::to_string(data_centre));
   summary.region = RegionId("ebro");
   summary.made_at =
       WallTime(1'700'000'000'000 + static_cast<uint64_t>((now - kStart).count()) / 1000);
-  for (size_t service = 0; service < kServices; ++service) {
+  for (size_t service = 0; service < services; ++service) {
     ServiceSummary entry;
     entry.service = ServiceName("service-" + std::to_string(service));
     entry.ready_targets = 2;
@@ -133,9 +142,10 @@
 
 class Recorder {
  public:
-  Recorder(size_t size, bool summaries, uint64_t seed, const std::string& file)
+  Recorder(size_t size, const std::string& load, uint64_t seed, const std::string& file)
       : seed_(seed),
-        summaries_(summaries),
+        load_(load),
+        services_(ServicesOf(load)),
         random_(seed),
         network_(seed + 1, {.min_delay = kHop, .max_delay = kHop}),
         members_(size),
@@ -144,7 +154,7 @@
         file_(file, std::ios::binary) {}
 
   void Run() {
-    file_ << members_.size() << ' ' << summaries_ << ' ' << seed_ << '\n';
+    file_ << members_.size() << ' ' << load_ << ' ' << seed_ << '\n';
     for (size_t i = 0; i < measured_; ++i) {
       Start(i);
     }
@@ -205,9 +215,9 @@
       members_[i]->UpdateSelf(now_, self);
     }
     second_ += 1;
-    if (summaries_ && second_ % 2 == 0) {  // the shortest interval between two summaries
+    if (services_ > 0 && second_ % 2 == 0) {  // the shortest interval between two summaries
       for (size_t other = 0; other < kOtherDataCentres; ++other) {
-        members_[0]->MergeSummary(Summary(other, now_, &random_));
+        members_[0]->MergeSummary(Summary(other, services_, now_, &random_));
       }
     }
   }
@@ -225,7 +235,8 @@
   }
 
   uint64_t seed_;
-  bool summaries_;
+  std::string load_;
+  size_t services_;
   SeededRandom random_;
   FakeNetwork<std::string> network_;
   std::vector<std::unique_ptr<Membership>> members_;
@@ -241,7 +252,7 @@
  public:
   explicit Replay(const std::string& file) : file_(file, std::ios::binary) {
     int64_t start = 0;
-    file_ >> size_ >> summaries_ >> seed_ >> start;
+    file_ >> size_ >> load_ >> seed_ >> start;
     start_ = TimePoint(Duration(start));
   }
 
@@ -264,7 +275,7 @@
     Print("steady_processor", processor_ * 1e6 / seconds, "us/s");
     Print("resident", ResidentBytes() - resident, "bytes");
     Print("known_members", static_cast<double>(member_->members().size()), "members");
-    if (summaries_) {
+    if (ServicesOf(load_) > 0) {
       PrintFreshness();
     }
     PrintViews();
@@ -272,8 +283,9 @@
 
  private:
   void Print(const std::string& name, double value, const std::string& unit) const {
-    PrintFigure(std::string("membership/") + (summaries_ ? "summaries/" : "members/") + name, value,
-                unit, size_, seed_);
+    const bool named = load_ == "members" || load_ == "summaries";
+    PrintFigure("membership/" + (named ? load_ : "services") + "/" + name, value, unit,
+                named ? size_ : ServicesOf(load_), seed_);
   }
 
   void Apply(TimePoint end) {
@@ -387,7 +399,7 @@
 
   std::ifstream file_;
   size_t size_ = 0;
-  bool summaries_ = false;
+  std::string load_;
   uint64_t seed_ = 0;
   TimePoint start_;
   TimePoint now_;
@@ -407,8 +419,8 @@
 int main(int argc, char** argv) {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   if (arguments.size() == 5 && arguments[0] == "record") {
-    endivecleat::test::Recorder(std::stoul(arguments[1]), arguments[2] == "summaries",
-                                std::stoull(arguments[4]), arguments[3])
+    endivecleat::test::Recorder(std::stoul(arguments[1]), arguments[2], std::stoull(arguments[4]),
+                                arguments[3])
         .Run();
     return 0;
   }
