--- a/test/performance/capacity_ledger_benchmark.cc
+++ b/test/performance/capacity_ledger_benchmark.cc
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr size_t kBodyBytes = 200;
-constexpr size_t kSample = 1000;
 
 /// The length of a UUID, which callers use as keys.
 IdempotencyKey KeyOfRecord(SeededRandom* random) {
