Relay crash totals between data centres; copy summaries once a refresh

Cause: crash reports were gossiped inside a data centre only, so each of two data centres lost two targets to one request: 4 lost, at most 3 allowed. Ruled out: gossip across data centres, whose traffic grows with the members. Change: control instances send the changed totals of their data centre; one instance reports the sum of the others. The candidates of all services are built from one copy of the summaries.

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -123,11 +123,13 @@
   if (!context_.configuration) {
     return;
   }
+  const std::vector<DataCentreSummary> summaries = context_.node.membership().summaries();
   for (const CompiledService& service : context_.configuration->services()) {
     const auto found = services_.find(service.name);
     if (found != services_.end()) {
       found->second->budget.SetPercent(service.policy.retry_percent);
-      found->second->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service), {"*"});
+      found->second->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service, summaries),
+                                            {"*"});
     }
   }
 }
@@ -197,12 +199,14 @@
     state = std::make_unique<ServiceState>(
         std::hash<std::string>()(context_.run_id) ^ std::hash<ServiceName>()(service.name),
         service.policy.retry_percent);
-    state->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service), {"*"});
+    state->balancer.SetCandidates(
+        context_.loop.now(), CandidatesFor(service, context_.node.membership().summaries()), {"*"});
   }
   return *state;
 }
 
-std::vector<Candidate> CallerTask::CandidatesFor(const CompiledService& service) const {
+std::vector<Candidate> CallerTask::CandidatesFor(
+    const CompiledService& service, const std::vector<DataCentreSummary>& summaries) const {
   std::vector<Candidate> candidates;
   for (const MemberRecord& member : context_.node.membership().members()) {
     const bool usable = member.service == service.name && TakesWork(member.state) &&
@@ -215,7 +219,7 @@
                             LoadOf(member)});
     }
   }
-  for (const DataCentreSummary& summary : context_.node.membership().summaries()) {
+  for (const DataCentreSummary& summary : summaries) {
     const Locality locality = summary.region == context_.settings.common.place.region
                                   ? Locality::kOwnRegion
                                   : Locality::kOtherRegion;
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -52,7 +52,8 @@
   std::optional<ResultCode> PrepareOnce(Exchange& exchange);
   TimePoint OwnDeadline(Exchange& exchange, const ServicePolicy& policy);
   ServiceState& StateOf(const CompiledService& service);
-  std::vector<Candidate> CandidatesFor(const CompiledService& service) const;
+  std::vector<Candidate> CandidatesFor(const CompiledService& service,
+                                       const std::vector<DataCentreSummary>& summaries) const;
   void Carry(const std::shared_ptr<Exchange>& exchange, const CallEffects& effects);
   void Send(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect);
   void OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -1,8 +1,10 @@
 #include "control_process.h"
 
+#include <algorithm>
 #include <chrono>
 #include <filesystem>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "configuration.h"
@@ -40,6 +42,14 @@
   return folder;
 }
 
+std::set<InstanceId> ControlInstances(const ControlSettings& settings) {
+  std::set<InstanceId> instances;
+  for (const ControlPeer& peer : settings.common.control) {
+    instances.insert(peer.instance);
+  }
+  return instances;
+}
+
 }  // namespace
 
 ControlProcess::ControlProcess(EventLoop& loop, ControlSettings settings, uint64_t seed)
@@ -63,7 +73,8 @@
             [this](const InstanceId& to, const std::string& message) {
               node_.Send(to, PeerChannel::kOnceLog, message);
             }),
-      source_(ConfigSourceSettings{}, MakeTransferCodec(), seed) {
+      source_(ConfigSourceSettings{}, MakeTransferCodec(), seed),
+      crash_relay_(ControlInstances(settings_)) {
   operators_ = std::make_unique<OperatorService>(loop_, settings_, config_, node_, metrics_);
   loop_.SetAfterBatch([this] { Flush(); });
   metrics_.SetCollector([this] { UpdateMetrics(); });
@@ -104,6 +115,9 @@
         node_.membership().MergeSummary(*summary);
       }
       return;
+    case PeerChannel::kCrashTotals:
+      OnCrashTotals(from, bytes);
+      return;
     case PeerChannel::kCall:
     case PeerChannel::kLedger:
     case PeerChannel::kOperations:
@@ -171,6 +185,7 @@
   }
   SendConfigMessages(source_.Tick(now));
   ExchangeSummaries();
+  ExchangeCrashTotals();
 }
 
 void ControlProcess::Flush() {
@@ -216,10 +231,54 @@
   if (!summary_schedule_.Due(loop_.now(), summary)) {
     return;
   }
-  const std::string bytes = EncodeSummary(summary);
+  SendToOtherDataCentres(PeerChannel::kSummary, EncodeSummary(summary));
+}
+
+void ControlProcess::ExchangeCrashTotals() {
+  const std::vector<CrashTotal> changes =
+      crash_relay_.TakeChanges(node_.membership().crash_reports());
+  if (!changes.empty()) {
+    SendToOtherDataCentres(PeerChannel::kCrashTotals, EncodeCrashTotals(changes));
+  }
+}
+
+void ControlProcess::OnCrashTotals(const InstanceId& from, const std::string& bytes) {
+  const auto& control = settings_.common.control;
+  const auto sender = std::find_if(control.begin(), control.end(),
+                                   [&](const ControlPeer& peer) { return peer.instance == from; });
+  if (sender == control.end()) {
+    return;
+  }
+  const std::vector<CrashTotal> totals =
+      crash_relay_.Merge(sender->place.data_centre, DecodeCrashTotals(bytes));
+  if (!ReportsForOthers()) {
+    return;
+  }
+  for (const CrashTotal& total : totals) {
+    node_.membership().ReportCrash(loop_.now(), total.fingerprint, total.crashes);
+  }
+}
+
+bool ControlProcess::ReportsForOthers() const {
+  const std::vector<MemberRecord>& members = node_.membership().members();
+  for (const ControlPeer& peer : settings_.common.control) {
+    if (peer.place.data_centre != settings_.common.place.data_centre) {
+      continue;
+    }
+    const bool alive = std::any_of(members.begin(), members.end(), [&](const MemberRecord& each) {
+      return each.instance == peer.instance;
+    });
+    if (alive) {
+      return peer.instance == settings_.common.instance;
+    }
+  }
+  return true;
+}
+
+void ControlProcess::SendToOtherDataCentres(PeerChannel channel, const std::string& bytes) {
   for (const ControlPeer& peer : settings_.common.control) {
     if (peer.place.data_centre != settings_.common.place.data_centre) {
-      node_.Send(peer.instance, PeerChannel::kSummary, bytes);
+      node_.Send(peer.instance, channel, bytes);
     }
   }
 }
--- a/src/control_process.h
+++ b/src/control_process.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "config_source.h"
+#include "crash_relay.h"
 #include "event_loop.h"
 #include "mesh_node.h"
 #include "metrics.h"
@@ -39,6 +40,12 @@
   void PublishNewVersion();
   void SendConfigMessages(const std::vector<PeerMessage>& messages);
   void ExchangeSummaries();
+  void ExchangeCrashTotals();
+  void OnCrashTotals(const InstanceId& from, const std::string& bytes);
+  /// Of several control instances of a data centre, the first that is alive reports the crashes of
+  /// others; each of them would count as a reporter of its own.
+  bool ReportsForOthers() const;
+  void SendToOtherDataCentres(PeerChannel channel, const std::string& bytes);
   void UpdateMetrics();
   void FinishDrain(TimePoint limit);
   ReplicatedLogSettings LogSettingsOf(uint64_t seed) const;
@@ -51,6 +58,7 @@
   ReplicaTask<OnceState> once_;
   ConfigSource source_;
   SummarySchedule summary_schedule_;
+  CrashRelay crash_relay_;
   std::unique_ptr<OperatorService> operators_;
   TimerId timer_;
   uint64_t ledger_requests_ = 0;  // not answered
--- /dev/null
+++ b/src/crash_relay.cc
@@ -0,0 +1,92 @@
+#include "crash_relay.h"
+
+#include <algorithm>
+
+#include "byte_codec.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr uint64_t kMostCrashes = 1000;
+
+/// Crashes reported after the newest success, by fingerprint.
+std::map<uint64_t, uint32_t> TotalsOf(const std::vector<MemberCrashReport>& reports,
+                                      const std::set<InstanceId>& without) {
+  std::map<uint64_t, WallTime> success;
+  for (const MemberCrashReport& report : reports) {
+    if (report.count == 0) {
+      success[report.fingerprint] = std::max(success[report.fingerprint], report.reported_at);
+    }
+  }
+  std::map<uint64_t, uint32_t> totals;
+  for (const MemberCrashReport& report : reports) {
+    if (without.contains(report.reporter)) {
+      continue;
+    }
+    const bool counts = report.reported_at > success[report.fingerprint];
+    totals[report.fingerprint] += counts ? report.count : 0;
+  }
+  return totals;
+}
+
+}  // namespace
+
+std::string EncodeCrashTotals(const std::vector<CrashTotal>& totals) {
+  ByteWriter writer;
+  writer.Number(totals.size());
+  for (const CrashTotal& total : totals) {
+    writer.Number(total.fingerprint);
+    writer.Number(total.crashes);
+  }
+  return writer.Take();
+}
+
+std::vector<CrashTotal> DecodeCrashTotals(std::string_view bytes) {
+  ByteReader reader(bytes);
+  std::vector<CrashTotal> totals(reader.Count());
+  for (CrashTotal& total : totals) {
+    total.fingerprint = reader.Number();
+    total.crashes = static_cast<uint32_t>(reader.NumberUpTo(kMostCrashes));
+  }
+  reader.ExpectEnd();
+  return totals;
+}
+
+std::vector<CrashTotal> CrashRelay::TakeChanges(const std::vector<MemberCrashReport>& reports) {
+  std::vector<CrashTotal> changes;
+  std::map<uint64_t, uint32_t> totals = TotalsOf(reports, control_instances_);
+  for (const auto& [fingerprint, crashes] : totals) {
+    const auto known = sent_.find(fingerprint);
+    if (known == sent_.end() ? crashes > 0 : known->second != crashes) {
+      changes.push_back({fingerprint, crashes});
+    }
+  }
+  sent_ = std::move(totals);
+  return changes;
+}
+
+std::vector<CrashTotal> CrashRelay::Merge(const DataCentreId& from,
+                                          const std::vector<CrashTotal>& totals) {
+  std::vector<CrashTotal> changes;
+  for (const CrashTotal& total : totals) {
+    received_[{total.fingerprint, from}] = total.crashes;
+    const uint32_t sum = SumOf(total.fingerprint);
+    const auto known = reported_.find(total.fingerprint);
+    if (known == reported_.end() || known->second != sum) {
+      reported_[total.fingerprint] = sum;
+      changes.push_back({total.fingerprint, sum});
+    }
+  }
+  return changes;
+}
+
+uint32_t CrashRelay::SumOf(uint64_t fingerprint) const {
+  uint32_t sum = 0;
+  for (auto it = received_.lower_bound({fingerprint, DataCentreId()});
+       it != received_.end() && it->first.first == fingerprint; ++it) {
+    sum += it->second;
+  }
+  return sum;
+}
+
+}  // namespace endivecleat
--- /dev/null
+++ b/src/crash_relay.h
@@ -0,0 +1,56 @@
+// Carries crash counts between data centres, from control instance to control instance, so that a
+// request that crashed targets in one data centre does not pay for two more in each of the others.
+#ifndef ENDIVECLEAT_CRASH_RELAY_H_
+#define ENDIVECLEAT_CRASH_RELAY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "member_record.h"
+#include "units.h"
+
+namespace endivecleat {
+
+/// Crashes of one fingerprint since its last success, over all targets of a data centre.
+struct CrashTotal {
+  uint64_t fingerprint = 0;
+  uint32_t crashes = 0;  // 0: the request succeeded since
+
+  bool operator==(const CrashTotal&) const = default;
+};
+
+std::string EncodeCrashTotals(const std::vector<CrashTotal>& totals);
+/// Throws UserError (kMessageMalformed).
+std::vector<CrashTotal> DecodeCrashTotals(std::string_view bytes);
+
+class CrashRelay {
+ public:
+  /// Reports of control instances are those that relays made; passing them on would count a crash
+  /// twice.
+  explicit CrashRelay(std::set<InstanceId> control_instances)
+      : control_instances_(std::move(control_instances)) {}
+
+  /// The totals of the own data centre that changed since the last call, for the others.
+  std::vector<CrashTotal> TakeChanges(const std::vector<MemberCrashReport>& reports);
+  /// Takes the totals of another data centre. Returns the sums over all others that changed, to be
+  /// reported in the own one.
+  std::vector<CrashTotal> Merge(const DataCentreId& from, const std::vector<CrashTotal>& totals);
+
+ private:
+  uint32_t SumOf(uint64_t fingerprint) const;
+
+  std::set<InstanceId> control_instances_;
+  std::map<uint64_t, uint32_t> sent_;
+  std::map<std::pair<uint64_t, DataCentreId>, uint32_t> received_;
+  std::map<uint64_t, uint32_t> reported_;
+};
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_CRASH_RELAY_H_
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -18,7 +18,8 @@
 
 // In the order of PeerChannel.
 constexpr std::array<const char*, kPeerChannels> kChannelNames = {
-    "config_log", "once_log", "distribution", "call", "ledger", "summary", "operations"};
+    "config_log", "once_log", "distribution", "call",
+    "ledger",     "summary",  "operations",   "crash_totals"};
 
 void AddTo(ByteCounters& sum, const ByteCounters& more) {
   sum.sent += more.sent;
--- a/src/peer_frame.h
+++ b/src/peer_frame.h
@@ -23,8 +23,9 @@
   kLedger,
   kSummary,
   kOperations,  // what operators ask of a daemon
+  kCrashTotals,
 };
-constexpr size_t kPeerChannels = 7;
+constexpr size_t kPeerChannels = 8;
 
 enum class PeerKind : uint8_t { kMessage, kRequest, kResponse, kCancel };
 
