Install curl and jq, which the measuring scripts use

Cause: both scripts call them and the install list did not name them. Change: scripts/install.sh names every package that is used directly.

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,8 +2,8 @@
 # Installs the Debian packages that the build needs. Does nothing when they are there already.
 set -euo pipefail
 packages=(
-  build-essential cmake ninja-build clang-format clang-tidy pkg-config
-  libwebsockets-dev libjsonrpccpp-dev prometheus-cpp-dev libpopt-dev libboost-log1.81-dev
+  build-essential cmake ninja-build clang-format clang-tidy pkg-config curl jq
+  libwebsockets-dev libjsonrpccpp-dev prometheus-cpp-dev libpopt-dev libboost-log1.81-dev libboost1.81-dev libjsoncpp-dev
   libcpputest-dev libopentracing-dev libxxhash-dev libzstd-dev nlohmann-json3-dev libssl-dev
 )
 missing=()
