Let some deadlines pass on arrival in the at-most-once process test

Cause: the test asks that some keys end as not run, so that its check of them is not empty. Ruled out: dropping the check; it guards against a run that proves nothing. Change: one deadline in five is 0 ms, which passes before any claim. Conclusion: the check is as strict as before and does not depend on speed.

--- a/test/failure/process_once_test.cc
+++ b/test/failure/process_once_test.cc
@@ -69,7 +69,9 @@
       const std::string key = "key-" + std::to_string(number) + "-" + std::to_string(count);
       HttpRequest request = PostRequest("/invoices", key);
       if (random.Chance(30)) {  // a deadline of the caller's, so that some keys end as not run
-        request.headers.Add("endivecleat-timeout-ms", std::to_string(1 + random.Below(60)));
+        // One in five has passed on arrival: a fast machine meets every later deadline.
+        const uint64_t milliseconds = random.Chance(20) ? 0 : 1 + random.Below(60);
+        request.headers.Add("endivecleat-timeout-ms", std::to_string(milliseconds));
       }
       Post(key, request, random);
     }
