Remove a function that only returned default limits

Cause: CallerLimits in the daemon wrapped HttpServerLimits{}, which the local server beside it uses directly. Change: the callers' server takes HttpServerLimits{}; no behaviour changes. Conclusion: one name less to look up.

--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -20,11 +20,6 @@
 constexpr ByteCount kMaxConfigMessage{8U << 20U};
 constexpr uint64_t kMostSlots = 100000;
 
-HttpServerLimits CallerLimits() {
-  HttpServerLimits limits;
-  return limits;
-}
-
 std::string RunId(const CommonSettings& settings, uint64_t seed) {
   constexpr char kDigits[] = "0123456789abcdef";
   std::string id = settings.instance.value() + ".";
@@ -64,7 +59,7 @@
           settings_.common.instance, ReplicaSettings(), MakeTransferCodec(),
           [this](ConfigVersion version, const std::string& text) { return Install(version, text); },
           seed, loop.now()),
-      caller_server_(loop, settings_.callers, CallerLimits(),
+      caller_server_(loop, settings_.callers, HttpServerLimits{},
                      [this](HttpRequest request, const ResponseSink& sink) {
                        callers_.Handle(std::move(request), sink);
                      }),
