--- a/src/admission.cc
+++ b/src/admission.cc
@@ -1,10 +1,17 @@
 #include "admission.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "errors.h"
 
 namespace endivecleat {
+namespace {
+
+// Weight of the newest request in the moving mean of service times.
+constexpr Duration::rep kServiceTimeWeight = 16;
+
+}  // namespace
 
 void Admission::Open(TimePoint now) {
   if (state_ != State::kOpen) {
@@ -16,18 +23,25 @@
 std::vector<AdmissionDecision> Admission::Close() {
   state_ = State::kClosed;
   std::vector<AdmissionDecision> decisions;
-  for (Queue* queue : {&once_queue_, &other_queue_}) {
-    for (const Waiting& waiting : *queue) {
+  for (const auto& [priority, queue] : queues_) {
+    for (const Waiting& waiting : queue) {
       decisions.push_back({waiting.request.number, ResultCode::kTargetUnreachable});
     }
-    queue->clear();
   }
+  queues_.clear();
+  queued_ = 0;
   return decisions;
 }
 
-void Admission::Drain() {
+void Admission::Drain(TimePoint now) {
   if (state_ == State::kOpen) {
     state_ = State::kDraining;
+    drain_limit_ = now + kLongestWaitAfterDrain;
+    for (auto& [priority, queue] : queues_) {
+      for (Waiting& waiting : queue) {
+        waiting.expires = std::min(waiting.expires, drain_limit_);
+      }
+    }
   }
 }
 
@@ -48,40 +62,56 @@
     decisions.push_back({request.number, ResultCode::kDeadlinePassed});
     return decisions;
   }
-  const bool free_slot = running() < slots(now);
-  if (!free_slot && !MakeRoomFor(request, decisions)) {
+  const bool free_slot = running() < slots(now) && queued() == 0;
+  const bool too_long = ExpectedWait(now, request.priority) > MaxWait(request);
+  if (!free_slot && (too_long || !MakeRoomFor(request, decisions))) {
     decisions.push_back({request.number, ResultCode::kOverloaded});
     return decisions;
   }
-  const TimePoint expires = std::min(request.deadline, now + policy_.queue_wait);
-  (request.at_most_once ? once_queue_ : other_queue_).push_back({request, expires});
+  const TimePoint expires = std::min(request.deadline, now + MaxWait(request));
+  queues_[request.priority].push_back({request, expires});
+  ++queued_;
   FillSlots(now, decisions);
   return decisions;
 }
 
 std::vector<AdmissionDecision> Admission::Finish(TimePoint now, RequestNumber number) {
-  ENDIVECLEAT_CHECK(running_.erase(number) == 1, "a request that does not run has finished");
+  const auto found = running_.find(number);
+  ENDIVECLEAT_CHECK(found != running_.end(), "a request that does not run has finished");
+  const Duration took = now - found->second;
+  running_.erase(found);
+  service_time_ = service_time_ == Duration{}
+                      ? took
+                      : service_time_ + (took - service_time_) / kServiceTimeWeight;
   return Tick(now);
 }
 
 void Admission::Withdraw(RequestNumber number) {
-  for (Queue* queue : {&once_queue_, &other_queue_}) {
-    std::erase_if(*queue, [&](const Waiting& waiting) { return waiting.request.number == number; });
+  for (auto place = queues_.begin(); place != queues_.end(); ++place) {
+    Queue& queue = place->second;
+    const size_t erased = std::erase_if(
+        queue, [&](const Waiting& waiting) { return waiting.request.number == number; });
+    if (erased > 0) {
+      queued_ -= erased;
+      if (queue.empty()) {
+        queues_.erase(place);
+      }
+      return;
+    }
   }
 }
 
 std::vector<AdmissionDecision> Admission::Tick(TimePoint now) {
   std::vector<AdmissionDecision> decisions;
-  Expire(now, once_queue_, decisions);
-  Expire(now, other_queue_, decisions);
+  Expire(now, decisions);
   FillSlots(now, decisions);
   return decisions;
 }
 
 TimePoint Admission::next_timer(TimePoint now) const {
   TimePoint next = TimePoint::max();
-  for (const Queue* queue : {&once_queue_, &other_queue_}) {
-    for (const Waiting& waiting : *queue) {
+  for (const auto& [priority, queue] : queues_) {
+    for (const Waiting& waiting : queue) {
       next = std::min(next, waiting.expires);
     }
   }
@@ -112,41 +142,67 @@
   return limit > running() ? limit - running() : 0;
 }
 
-void Admission::Expire(TimePoint now, Queue& queue, std::vector<AdmissionDecision>& decisions) {
-  std::erase_if(queue, [&](const Waiting& waiting) {
-    if (waiting.expires > now) {
-      return false;
-    }
-    const bool too_late = waiting.request.deadline <= now;
-    decisions.push_back(
-        {waiting.request.number, too_late ? ResultCode::kDeadlinePassed : ResultCode::kOverloaded});
-    return true;
-  });
+void Admission::Expire(TimePoint now, std::vector<AdmissionDecision>& decisions) {
+  for (auto& [priority, queue] : queues_) {
+    queued_ -= std::erase_if(queue, [&](const Waiting& waiting) {
+      if (waiting.expires > now) {
+        return false;
+      }
+      const bool too_late = waiting.request.deadline <= now;
+      decisions.push_back({waiting.request.number,
+                           too_late ? ResultCode::kDeadlinePassed : ResultCode::kOverloaded});
+      return true;
+    });
+  }
+  std::erase_if(queues_, [](const auto& item) { return item.second.empty(); });
 }
 
 void Admission::FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions) {
   const size_t limit = slots(now);
   while (running() < limit && queued() > 0) {
-    Queue& queue = once_queue_.empty() ? other_queue_ : once_queue_;
+    Queue& queue = queues_.begin()->second;
     const RequestNumber number = queue.front().request.number;
     queue.pop_front();
-    ENDIVECLEAT_CHECK(running_.insert(number).second, "a request number is used twice");
+    --queued_;
+    if (queue.empty()) {
+      queues_.erase(queues_.begin());
+    }
+    ENDIVECLEAT_CHECK(running_.emplace(number, now).second, "a request number is used twice");
     decisions.push_back({number, std::nullopt});
   }
 }
 
-// A full queue gives the place of its newest read to an at-most-once request: nothing of the read
-// has run, and its caller may send it elsewhere.
+// The time until a slot is free for a request of this priority, behind those that go before it. 0
+// while no service time is known.
+Duration Admission::ExpectedWait(TimePoint now, Priority priority) const {
+  const size_t limit = slots(now);
+  if (limit == 0) {
+    return Duration{};
+  }
+  size_t ahead = 0;
+  for (const auto& [each, queue] : queues_) {
+    ahead += each <= priority ? queue.size() : 0;
+  }
+  return service_time_ * static_cast<Duration::rep>(ahead + 1) / static_cast<Duration::rep>(limit);
+}
+
+// A full queue gives the place of its newest and least urgent request to a more urgent one: nothing
+// of it has run, and its caller may send it elsewhere.
 bool Admission::MakeRoomFor(const AdmissionRequest& request,
                             std::vector<AdmissionDecision>& decisions) {
   if (queued() < policy_.queue_length.value()) {
     return true;
   }
-  if (!request.at_most_once || other_queue_.empty()) {
+  if (queues_.empty() || queues_.rbegin()->first <= request.priority) {
     return false;
   }
-  decisions.push_back({other_queue_.back().request.number, ResultCode::kOverloaded});
-  other_queue_.pop_back();
+  Queue& queue = queues_.rbegin()->second;
+  decisions.push_back({queue.back().request.number, ResultCode::kOverloaded});
+  queue.pop_back();
+  --queued_;
+  if (queue.empty()) {
+    queues_.erase(std::prev(queues_.end()));
+  }
   return true;
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -1,9 +1,12 @@
 // Decides which requests may use a target. The daemon beside the target asks it about every
-// request, and there is no other way to the target, so its limits hold exactly.
+// request, and there is no other way to the target, so its limits hold exactly. The load pattern
+// that it answers: more requests than slots, of unequal urgency. The most urgent ones wait in
+// front, and a request that would wait longer than its answer is worth is refused at once.
 #ifndef ENDIVECLEAT_ADMISSION_H_
 #define ENDIVECLEAT_ADMISSION_H_
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -17,8 +20,9 @@
 
 struct AdmissionRequest {
   RequestNumber number;
-  bool at_most_once = false;
+  Priority priority{1};
   TimePoint deadline = TimePoint::max();
+  std::optional<Duration> max_wait;  // nullopt: the service's
 };
 
 /// The decision about one request. No code: it is admitted and holds a slot until Finish. With a
@@ -34,6 +38,9 @@
 /// requests than the one named.
 class Admission {
  public:
+  /// A leaving target serves for a few seconds more; what starts later may be cut off.
+  static constexpr Duration kLongestWaitAfterDrain = std::chrono::seconds(1);
+
   /// Closed until Open: a target that has not announced itself takes nothing.
   explicit Admission(const ServicePolicy& policy) : policy_(policy) {}
 
@@ -42,8 +49,9 @@
   /// The target is gone: refuses what waits and what comes with kTargetUnreachable. Requests that
   /// run keep their slots until Finish.
   std::vector<AdmissionDecision> Close();
-  /// Takes nothing new from now on. Requests that wait were accepted before and keep their places.
-  void Drain();
+  /// Takes nothing new from now on. Requests that wait were accepted before and keep their places
+  /// for kLongestWaitAfterDrain.
+  void Drain(TimePoint now);
   std::vector<AdmissionDecision> SetPolicy(TimePoint now, const ServicePolicy& policy);
 
   std::vector<AdmissionDecision> Arrive(TimePoint now, const AdmissionRequest& request);
@@ -58,7 +66,7 @@
   size_t slots(TimePoint now) const;
   size_t free_slots(TimePoint now) const;
   size_t running() const { return running_.size(); }
-  size_t queued() const { return once_queue_.size() + other_queue_.size(); }
+  size_t queued() const { return queued_; }
   /// A draining target that is empty can be stopped without interrupting a request.
   bool empty() const { return running() == 0 && queued() == 0; }
   bool draining() const { return state_ == State::kDraining; }
@@ -67,20 +75,27 @@
   enum class State { kClosed, kOpen, kDraining };
   struct Waiting {
     AdmissionRequest request;
-    TimePoint expires;  // the earlier of the deadline and the end of queue_wait
+    TimePoint expires;  // the earlier of the deadline and the end of the longest wait
   };
   using Queue = std::deque<Waiting>;
 
-  void Expire(TimePoint now, Queue& queue, std::vector<AdmissionDecision>& decisions);
+  void Expire(TimePoint now, std::vector<AdmissionDecision>& decisions);
+  Duration ExpectedWait(TimePoint now, Priority priority) const;
+  Duration MaxWait(const AdmissionRequest& request) const {
+    return request.max_wait.value_or(policy_.queue_wait);
+  }
   void FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions);
   bool MakeRoomFor(const AdmissionRequest& request, std::vector<AdmissionDecision>& decisions);
 
   ServicePolicy policy_;
   State state_ = State::kClosed;
   TimePoint opened_{};
-  std::set<RequestNumber> running_;  // never more than slots(now) when a request is added
-  Queue once_queue_;                 // at-most-once requests; served before the others
-  Queue other_queue_;
+  std::map<RequestNumber, TimePoint>
+      running_;                               // since; never more than slots(now) when one is added
+  std::map<Priority, Queue> queues_;          // none of them empty
+  size_t queued_ = 0;                         // sum over queues_
+  Duration service_time_{};                   // moving mean; 0 before the first request has ended
+  TimePoint drain_limit_ = TimePoint::max();  // nothing that waits starts later
 };
 
 }  // namespace endivecleat
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -18,9 +18,36 @@
 // A target that answers errors fast has free slots and would draw most calls.
 constexpr double kMostErrorShare = 0.5;
 
-double Score(uint64_t in_flight, const TargetLoad& load) {
-  const auto work = static_cast<double>(in_flight + load.busy);
-  return work / static_cast<double>(std::max<uint64_t>(load.slots, 1));
+// Weight of the newest answer in the moving means of service times.
+constexpr int kServiceTimeWeight = 8;
+// An answer time of a target counts for this long; then the target is tried again like the others.
+constexpr Duration kServiceTimeValid = std::chrono::seconds(5);
+// Traffic between data centres is billed, so a free slot in the own one is worth a short wait.
+constexpr double kOwnRegionCost = 15'000;  // microseconds
+// The round trip of 60 ms and the bill of the link between the regions, which is several times that
+// of the link between data centres.
+constexpr double kOtherRegionCost = 200'000;  // microseconds
+// Targets slow down when they are nearly full.
+constexpr double kUtilisationCost = 0.3;  // of the service time, with all slots taken
+// The time to try again elsewhere and the load of a request that runs twice.
+constexpr double kErrorCost = 1'000'000;  // microseconds, with every answer an error
+// Daemons with the same reports must not all choose the same target.
+constexpr uint64_t kSpreadPercent = 10;
+
+double DistanceCost(Locality locality) {
+  switch (locality) {
+    case Locality::kOwnDataCentre:
+      return 0;
+    case Locality::kOwnRegion:
+      return kOwnRegionCost;
+    case Locality::kOtherRegion:
+      break;
+  }
+  return kOtherRegionCost;
+}
+
+Duration MovingMean(Duration mean, Duration newest) {
+  return mean + (newest - mean) / kServiceTimeWeight;
 }
 
 }  // namespace
@@ -47,37 +74,73 @@
 }
 
 std::optional<Endpoint> Balancer::Choose(TimePoint now, const std::vector<InstanceId>& tried) {
-  constexpr std::array kNearestFirst = {Locality::kOwnDataCentre, Locality::kOwnRegion,
-                                        Locality::kOtherRegion};
-  for (const Locality locality : kNearestFirst) {
-    const std::vector<const Target*> usable = Usable(now, locality, tried);
-    if (!usable.empty()) {
-      return BetterOfTwo(usable);
-    }
+  constexpr std::array kLocalities = {Locality::kOwnDataCentre, Locality::kOwnRegion,
+                                      Locality::kOtherRegion};
+  std::vector<const Target*> usable;
+  for (const Locality locality : kLocalities) {
+    const std::vector<const Target*> here = Usable(now, locality, tried);
+    usable.insert(usable.end(), here.begin(), here.end());
   }
-  for (const Locality locality : kNearestFirst) {
-    const std::vector<const Target*> untried = Untried(locality, tried);
-    if (!untried.empty()) {
-      return BetterOfTwo(untried);
+  for (size_t next = 0; usable.empty() && next < kLocalities.size(); ++next) {
+    usable = Untried(kLocalities[next], tried);
+  }
+  return usable.empty() ? std::nullopt : std::optional(Best(now, usable));
+}
+
+Endpoint Balancer::Best(TimePoint now, const std::vector<const Target*>& usable) {
+  const Target* best = nullptr;
+  double best_cost = 0;
+  for (const Target* target : usable) {
+    const double spread = 1 + static_cast<double>(random_.Below(kSpreadPercent)) / 100.0;
+    const double cost = Cost(now, *target) * spread;
+    if (best == nullptr || cost < best_cost) {
+      best = target;
+      best_cost = cost;
     }
   }
-  return std::nullopt;
+  return best->candidate.endpoint;
+}
+
+double Balancer::Cost(TimePoint now, const Target& target) const {
+  const double service = ServiceTime(now, target);
+  const auto slots = static_cast<double>(std::max<uint64_t>(target.candidate.load.slots, 1));
+  const double busy = std::max(static_cast<double>(target.candidate.load.busy),
+                               static_cast<double>(target.in_flight));
+  const double utilisation = std::min(busy / slots, 1.0);
+  return DistanceCost(target.candidate.locality) + kErrorCost * target.error_share +
+         service * (1 + WaitingTurns(target) + kUtilisationCost * utilisation);
+}
+
+double Balancer::ServiceTime(TimePoint now, const Target& target) const {
+  const bool known =
+      target.service_time > Duration{} && now - target.service_time_at < kServiceTimeValid;
+  return static_cast<double>((known ? target.service_time : service_time_).count());
 }
 
-Endpoint Balancer::BetterOfTwo(const std::vector<const Target*>& usable) {
-  const size_t first = random_.Below(usable.size());
-  const size_t step = 1 + random_.Below(usable.size() - 1);
-  const Target* one = usable[first];
-  const Target* other = usable[(first + step) % usable.size()];
-  const double one_score = Score(one->in_flight, one->candidate.load);
-  const double other_score = Score(other->in_flight, other->candidate.load);
-  return (other_score < one_score ? other : one)->candidate.endpoint;
+// How many service times pass before a slot is free.
+double Balancer::WaitingTurns(const Target& target) {
+  const auto slots = static_cast<double>(std::max<uint64_t>(target.candidate.load.slots, 1));
+  const double busy = std::max(static_cast<double>(target.candidate.load.busy),
+                               static_cast<double>(target.in_flight));
+  return std::max(busy + 1 - slots, 0.0) / slots;
+}
+
+Duration Balancer::ExpectedWait() const {
+  std::optional<double> shortest;
+  for (const auto& [instance, target] : targets_) {
+    if (target.present) {
+      const double turns = WaitingTurns(target);
+      shortest = shortest ? std::min(*shortest, turns) : turns;
+    }
+  }
+  const double wait = shortest.value_or(0) * static_cast<double>(service_time_.count());
+  return Duration(static_cast<Duration::rep>(wait));
 }
 
 void Balancer::Sent(const InstanceId& instance) { ++targets_[instance].in_flight; }
 
 void Balancer::Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
-                        std::optional<TargetLoad> load) {
+                        std::optional<TargetLoad> load, std::optional<Duration> service_time) {
   const auto found = targets_.find(instance);
   ENDIVECLEAT_CHECK(found != targets_.end() && found->second.in_flight > 0,
                     "an attempt to " + instance.value() + " finished that was not sent");
@@ -90,6 +153,12 @@
   if (result != AttemptResult::kAbandoned) {
     target.unreachable = result == AttemptResult::kUnreachable;
   }
+  if (service_time) {
+    service_time_ = MovingMean(service_time_, *service_time);
+    const bool first = target.service_time == Duration{};
+    target.service_time = first ? *service_time : MovingMean(target.service_time, *service_time);
+    target.service_time_at = now;
+  }
   const bool error = result == AttemptResult::kErrorAnswered;
   if (error || result == AttemptResult::kAnswered) {
     target.error_share += kErrorWeight * ((error ? 1.0 : 0.0) - target.error_share);
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -1,5 +1,8 @@
 // Chooses the target of an attempt. Each calling daemon has one balancer for each service; it
 // knows its own calls in flight exactly and the load of the targets from reports that are late.
+// The load pattern that it answers: data centres and targets that are loaded unequally, targets of
+// unequal or changing speed, and a link between regions that costs time and money. It compares
+// candidates by the time to the answer that it expects of each, with the distance counted as time.
 #ifndef ENDIVECLEAT_BALANCER_H_
 #define ENDIVECLEAT_BALANCER_H_
 
@@ -45,6 +48,7 @@
   kAnswered,       // an answer with a status below 500
   kErrorAnswered,  // an answer with a status of 500 or more
   kRefused,        // the target's daemon ran nothing
+  kBusy,           // the target's daemon ran nothing since its slots and queue are taken
   kFailed,         // the connection broke or the time ran out
   kUnreachable,    // no connection to the target's daemon; nothing was sent
   kAbandoned,      // cancelled by the caller; says nothing about the target
@@ -58,13 +62,18 @@
   /// target that stays is kept.
   void SetCandidates(TimePoint now, const std::vector<Candidate>& candidates,
                      const std::vector<std::string>& patterns);
-  /// The better of two random candidates of the nearest locality that has one outside `tried`.
-  /// Candidates whose daemon was just found unreachable are the last resort.
+  /// The candidate outside `tried` from which the answer is expected first, with a penalty for
+  /// distance and for errors. Candidates whose daemon was just found unreachable are the last
+  /// resort.
   std::optional<Endpoint> Choose(TimePoint now, const std::vector<InstanceId>& tried);
   void Sent(const InstanceId& instance);
   /// Must follow each Sent. The load is the one that the answer or the refusal carried.
   void Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
-                std::optional<TargetLoad> load);
+                std::optional<TargetLoad> load,
+                std::optional<Duration> service_time = std::nullopt);
+  /// The shortest time that a request waits for a slot at any candidate, by the newest reports; 0
+  /// without a candidate.
+  Duration ExpectedWait() const;
 
   bool avoided(TimePoint now, const InstanceId& instance) const;
   size_t size() const { return targets_.size(); }
@@ -79,6 +88,8 @@
     uint32_t failures = 0;     // refusals and failures since the last answer
     bool unreachable = false;  // the last attempt found no daemon
     double error_share = 0;    // moving share of answers with a status of 500 or more
+    Duration service_time{};   // moving mean at this target; 0 before the first answer
+    TimePoint service_time_at{};
   };
   using Targets = std::map<InstanceId, Target>;
 
@@ -86,12 +97,16 @@
                                     const std::vector<InstanceId>& tried) const;
   std::vector<const Target*> Untried(Locality locality, const std::vector<InstanceId>& tried) const;
   std::vector<const Target*> Avoided(TimePoint now, Locality locality) const;
-  Endpoint BetterOfTwo(const std::vector<const Target*>& usable);
+  Endpoint Best(TimePoint now, const std::vector<const Target*>& usable);
+  double Cost(TimePoint now, const Target& target) const;
+  double ServiceTime(TimePoint now, const Target& target) const;
+  static double WaitingTurns(const Target& target);
   static bool IsGone(TimePoint now, const Target& target);
   void Avoid(TimePoint now, Target& target);
 
   SeededRandom random_;
   Targets targets_;
+  Duration service_time_ = std::chrono::milliseconds(100);  // moving mean over all targets
 };
 
 }  // namespace endivecleat
--- a/src/call.cc
+++ b/src/call.cc
@@ -15,6 +15,9 @@
 // The number of crashes after which the crash guard blocks a request. Counting here too stops a
 // call with many attempts before the gossip has spread.
 constexpr uint32_t kMostDeaths = 2;
+constexpr int kLeastErrorStatus = 500;
+// With less time left, another target cannot answer either.
+constexpr Duration kLeastRetryTime = std::chrono::milliseconds(20);
 
 const StateChart& Chart() {
   static const StateChart chart(
@@ -82,13 +85,21 @@
   return {SendAttempt{*endpoint, attempt}};
 }
 
-CallEffects Call::Answered(TimePoint, const AttemptId& attempt, const TargetAnswer& answer) {
+CallEffects Call::Answered(TimePoint now, const AttemptId& attempt, const TargetAnswer& answer) {
   // The ledger stands behind every answer to an at-most-once attempt, so that a late one is as
   // good as that of the current attempt.
   const bool late_but_definite = request_.kind == CallKind::kAtMostOnce && Mine(attempt);
   if (finished() || !(Current(attempt) || late_but_definite)) {
     return {};
   }
+  if (request_.retry_error_answers && request_.kind == CallKind::kIdempotent &&
+      answer.status >= kLeastErrorStatus) {
+    ++reached_;
+    error_answer_ = answer;
+    return now + kLeastRetryTime < request_.deadline && MayReachAnother()
+               ? ChooseAgain()
+               : Finish(ResultCode::kOk, answer);
+  }
   CallEffects effects;
   if (state_ == "waiting" && !Current(attempt)) {
     effects.emplace_back(CancelAttempt{sent_.back().endpoint, sent_.back().attempt});
@@ -108,7 +119,7 @@
   if (refusal.code == ResultCode::kDeadlinePassed) {
     return DeadlinePassed(now);
   }
-  return TryAgainOrFinish(refusal.code);
+  return TryAgainOrFinish(refusal.code, refusal.reached_target);
 }
 
 CallEffects Call::LinkBroken(TimePoint, const AttemptId& attempt) {
@@ -116,7 +127,7 @@
     return {};
   }
   unresolved_ = true;
-  return TryAgainOrFinish(ResultCode::kAnswerBroken);
+  return TryAgainOrFinish(ResultCode::kAnswerBroken, true);
 }
 
 CallEffects Call::CallerGone(TimePoint) {
@@ -175,18 +186,30 @@
                      [&](const Sent& sent) { return sent.attempt == attempt; });
 }
 
-bool Call::MayTryAgain(ResultCode code) {
+bool Call::MayTryAgain(ResultCode code, bool reached) {
   const bool broken = code == ResultCode::kAnswerBroken;
   const bool safe = StatesNothingRan(code) || (broken && request_.kind != CallKind::kOther);
-  const bool another = sent_.size() < request_.max_attempts.value();
-  return safe && another && deaths_ < kMostDeaths && budget_->TryTake();
+  if (!safe) {
+    return false;
+  }
+  if (!reached && request_.max_placements > 0) {
+    return sent_.size() < request_.max_placements;
+  }
+  return MayReachAnother();
+}
+
+bool Call::MayReachAnother() {
+  const uint64_t used = request_.max_placements > 0 ? reached_ : sent_.size();
+  return used < request_.max_attempts.value() && deaths_ < kMostDeaths && budget_->TryTake();
 }
 
-CallEffects Call::TryAgainOrFinish(ResultCode code) {
+CallEffects Call::TryAgainOrFinish(ResultCode code, bool reached) {
   last_refusal_ = code;
-  if (!MayTryAgain(code)) {
-    return Finish(FinalCode(code));
-  }
+  reached_ += reached ? 1 : 0;
+  return MayTryAgain(code, reached) ? ChooseAgain() : Finish(FinalCode(code));
+}
+
+CallEffects Call::ChooseAgain() {
   Move("try_again");
   ChooseCandidate choose;
   for (const Sent& sent : sent_) {
@@ -217,6 +240,9 @@
 
 CallEffects Call::Finish(ResultCode code, std::optional<TargetAnswer> answer) {
   Move("finish");
+  if (code != ResultCode::kOk && code != ResultCode::kCancelled && error_answer_) {
+    return {FinishCall{ResultCode::kOk, std::move(error_answer_)}};
+  }
   return {FinishCall{code, std::move(answer)}};
 }
 
--- a/src/call.h
+++ b/src/call.h
@@ -27,6 +27,11 @@
   // deadline passes; the default timeout of a service is no decision of the caller.
   bool deadline_from_caller = false;
   AttemptCount max_attempts = ServicePolicy{}.max_attempts;
+  // Daemons that may be asked while none has passed the request on to its target. Asking another
+  // one costs no target anything, so it does not count as a retry. 0: every attempt counts as one.
+  uint64_t max_placements = 0;
+  // Tries another target when one answers an idempotent request with a status of 500 or more.
+  bool retry_error_answers = false;
 };
 
 /// Answer with Chosen: the balancer's choice outside `tried`.
@@ -85,8 +90,10 @@
   void Move(const std::string& event);
   bool Current(const AttemptId& attempt) const;
   bool Mine(const AttemptId& attempt) const;
-  bool MayTryAgain(ResultCode code);
-  CallEffects TryAgainOrFinish(ResultCode code);
+  bool MayTryAgain(ResultCode code, bool reached);
+  bool MayReachAnother();
+  CallEffects TryAgainOrFinish(ResultCode code, bool reached);
+  CallEffects ChooseAgain();
   CallEffects DeadlinePassed(TimePoint now);
   CallEffects WriteRefusal(TimePoint now);
   CallEffects Finish(ResultCode code, std::optional<TargetAnswer> answer = std::nullopt);
@@ -103,7 +110,9 @@
   std::string state_;
   std::vector<Sent> sent_;  // the last one is the current attempt while waiting
   std::optional<ResultCode> last_refusal_;
-  uint32_t deaths_ = 0;  // targets that died while they ran this call
+  uint64_t reached_ = 0;                      // attempts that may have reached a target
+  std::optional<TargetAnswer> error_answer_;  // given to the caller when no better one comes
+  uint32_t deaths_ = 0;                       // targets that died while they ran this call
   // An at-most-once attempt may have run and no definite answer has come.
   bool unresolved_ = false;
   TimePoint refusal_limit_ = TimePoint::max();  // while refusing: when to answer without the ledger
--- /dev/null
+++ b/src/call_headers.cc
@@ -0,0 +1,36 @@
+#include "call_headers.h"
+
+namespace endivecleat {
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr int kServiceUnavailable = 503;
+constexpr int kTooManyRequests = 429;
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+AnswerKind ClassifyAnswer(const CallHeaders& headers, const HttpResponse& response) {
+  const bool states_not_run =
+      !headers.not_run.empty() && response.headers.Contains(headers.not_run);
+  const bool misdirected = !headers.target.empty() && response.status == kMisdirected;
+  if (states_not_run || misdirected) {
+    return AnswerKind::kNotRun;
+  }
+  if (headers.answer_mark.empty()) {
+    return AnswerKind::kAnswer;
+  }
+  const bool marked = response.headers.Contains(headers.answer_mark);
+  // Requests ask for no content coding, so an encoded body is not the target's.
+  const bool encoded = response.headers.Contains("content-encoding");
+  if (IsSuccess(response.status) && (!marked || encoded)) {
+    return AnswerKind::kSpoilt;
+  }
+  // These statuses tell callers that nothing ran, which only a target that says so can know.
+  const bool promises =
+      response.status == kServiceUnavailable || response.status == kTooManyRequests;
+  return promises && !marked ? AnswerKind::kSpoilt : AnswerKind::kAnswer;
+}
+
+}  // namespace endivecleat
--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -6,8 +6,8 @@
 namespace endivecleat {
 namespace {
 
-constexpr uint64_t kAttemptFormat = 1;
-constexpr uint64_t kReplyFormat = 1;
+constexpr uint64_t kAttemptFormat = 2;
+constexpr uint64_t kReplyFormat = 2;
 constexpr uint64_t kMaxStatus = 999;
 constexpr uint64_t kMaxResultCode = 999;
 
@@ -77,9 +77,10 @@
 Refusal ReadRefusal(ByteReader& reader) {
   const uint64_t number = reader.NumberUpTo(kMaxResultCode);
   const bool target_died = reader.NumberUpTo(1) == 1;
+  const bool reached_target = reader.NumberUpTo(1) == 1;
   for (const ResultCodeInfo& row : ResultCodeTable()) {
     if (static_cast<uint64_t>(row.code) == number) {
-      return {row.code, target_died};
+      return {row.code, target_died, reached_target};
     }
   }
   throw UserError(ResultCode::kMessageMalformed, "unknown result code in a reply");
@@ -95,7 +96,10 @@
   writer.Text(message.key.value());
   writer.Text(message.digest);
   writer.Text(message.attempt.value());
+  writer.Text(message.request_id);
   writer.Number(static_cast<uint64_t>(std::max<Duration::rep>(message.time_left.count(), 0)));
+  writer.Number(message.priority.value());
+  writer.Number(message.max_wait ? static_cast<uint64_t>(message.max_wait->count()) + 1 : 0);
   WriteRequest(writer, message.request);
   return writer.Take();
 }
@@ -110,8 +114,13 @@
   message.key = IdempotencyKey(reader.Text());
   message.digest = reader.Text();
   message.attempt = AttemptId(reader.Text());
+  message.request_id = reader.Text();
   const auto longest = static_cast<uint64_t>(Duration(std::chrono::hours(24)).count());
   message.time_left = Duration(static_cast<Duration::rep>(reader.NumberUpTo(longest)));
+  message.priority = Priority(reader.Number());
+  if (const uint64_t wait = reader.NumberUpTo(longest); wait > 0) {
+    message.max_wait = Duration(static_cast<Duration::rep>(wait - 1));
+  }
   message.request = ReadRequest(reader);
   reader.ExpectEnd();
   return message;
@@ -129,6 +138,7 @@
     const auto& refusal = std::get<Refusal>(reply.outcome);
     writer.Number(static_cast<uint64_t>(refusal.code));
     writer.Number(refusal.target_died ? 1 : 0);
+    writer.Number(refusal.reached_target ? 1 : 0);
   }
   return writer.Take();
 }
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVECLEAT_CALL_MESSAGE_H_
 #define ENDIVECLEAT_CALL_MESSAGE_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -10,6 +11,7 @@
 #include "balancer.h"
 #include "call_types.h"
 #include "http_message.h"
+#include "service_policy.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -21,7 +23,10 @@
   IdempotencyKey key;  // of an at-most-once call
   std::string digest;  // of an at-most-once call
   AttemptId attempt;
-  Duration time_left{};  // until the deadline
+  std::string request_id;  // the caller's own, for logs; empty where callers name none
+  Duration time_left{};    // until the deadline
+  Priority priority{1};
+  std::optional<Duration> max_wait;  // for a slot; nullopt: the service's
   HttpRequest request;
 };
 
--- a/src/call_types.h
+++ b/src/call_types.h
@@ -39,7 +39,8 @@
 /// Why the daemon beside a target gave no answer of the target.
 struct Refusal {
   ResultCode code = ResultCode::kInternal;
-  bool target_died = false;  // the target died while it ran this request
+  bool target_died = false;     // the target died while it ran this request
+  bool reached_target = false;  // the request was sent to the target, whatever became of it
 
   bool operator==(const Refusal&) const = default;
 };
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -18,6 +18,24 @@
 // itself, so the network waits a little longer.
 constexpr Duration kNetworkGrace = std::chrono::seconds(1);
 
+// Daemons that a request of a route with its own attempts is offered to while none takes it. Each
+// offer costs a millisecond inside a region.
+constexpr uint64_t kMostPlacements = 5;
+// A request waits for a slot for at most this part of its objective; the rest is for the target.
+constexpr int kWaitPartOfObjective = 2;
+// The rest of the shared burst stays for daemons that this one does not know of yet.
+constexpr uint64_t kBurstPercentUsed = 80;
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(2);
+constexpr size_t kSuccessSample = 64;  // one in so many successful calls is logged
+
+// Seconds with a fraction, as Retry-After takes them here.
+std::string FormatSeconds(Duration duration) {
+  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  const std::string fraction = std::to_string(1000 + milliseconds % 1000).substr(1);
+  return std::to_string(milliseconds / 1000) + "." + fraction;
+}
+
 std::string HostWithoutPort(const HeaderList& headers) {
   std::string host = headers.ValueOr("host", "");
   const size_t colon = host.rfind(':');
@@ -44,23 +62,40 @@
   return {slots - free, slots};
 }
 
+Locality LocalityOf(const MemberRecord& member, const Place& here) {
+  if (member.data_centre == here.data_centre) {
+    return Locality::kOwnDataCentre;
+  }
+  return member.region == here.region ? Locality::kOwnRegion : Locality::kOtherRegion;
+}
+
 bool TakesWork(TargetState state) {
   return state == TargetState::kReady || state == TargetState::kWarming;
 }
 
+AttemptResult ResultOf(const AttemptReply& reply) {
+  if (const auto* answer = std::get_if<TargetAnswer>(&reply.outcome)) {
+    return answer->status >= 500 ? AttemptResult::kErrorAnswered : AttemptResult::kAnswered;
+  }
+  const Refusal& refusal = std::get<Refusal>(reply.outcome);
+  return refusal.code == ResultCode::kOverloaded ? AttemptResult::kBusy : AttemptResult::kRefused;
+}
+
 }  // namespace
 
 struct CallerTask::Exchange {
   struct Sent {
     InstanceId instance;
     std::optional<PeerRequestId> request;  // nothing for the own target
-    bool finished = false;                 // the balancer knows the result
+    TimePoint at;
+    bool finished = false;  // the balancer knows the result
   };
 
   Exchange(HttpRequest incoming, ResponseSink way_back, TraceSpan hop)
       : request(std::move(incoming)), sink(std::move(way_back)), span(std::move(hop)) {}
 
   RequestNumber number;
+  std::string request_id;  // the caller's own
   HttpRequest request;
   ResponseSink sink;
   TraceSpan span;
@@ -77,7 +112,10 @@
 };
 
 CallerTask::CallerTask(DaemonContext& context, TargetTask& target)
-    : context_(context), target_(target) {}
+    : context_(context),
+      target_(target),
+      splits_(std::hash<std::string>()(context.run_id)),
+      random_(std::hash<std::string>()(context.run_id) + 1) {}
 
 CallerTask::~CallerTask() = default;
 
@@ -88,6 +126,9 @@
       std::make_shared<Exchange>(std::move(request), sink, context_.tracer.Start("call", parent));
   exchange->number = context_.NextNumber();
   exchange->started = context_.loop.now();
+  if (const std::string& name = context_.settings.headers.request_id; !name.empty()) {
+    exchange->request_id = exchange->request.headers.ValueOr(name, "");
+  }
   try {
     if (const std::optional<ResultCode> fault = Prepare(*exchange)) {
       Respond(*exchange, *fault, nullptr);
@@ -124,10 +165,12 @@
     return;
   }
   const std::vector<DataCentreSummary> summaries = context_.node.membership().summaries();
+  const uint64_t most_tokens = MostRetryTokens();
   for (const CompiledService& service : context_.configuration->services()) {
     const auto found = services_.find(service.name);
     if (found != services_.end()) {
       found->second->budget.SetPercent(service.policy.retry_percent);
+      found->second->budget.SetMostTokens(most_tokens);
       found->second->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service, summaries),
                                             {"*"});
     }
@@ -145,9 +188,10 @@
   if (exchange.route == nullptr) {
     return ResultCode::kNoRoute;
   }
-  exchange.service = exchange.configuration->FindService(exchange.route->service);
+  exchange.service = exchange.configuration->FindService(splits_.Choose(*exchange.route));
   ENDIVECLEAT_CHECK(exchange.service != nullptr, "a compiled route names an unknown service");
   const ServicePolicy& policy = exchange.service->policy;
+  const RoutePolicy& route = exchange.route->policy;
   if (request.body.size() > policy.body_limit.value()) {
     return ResultCode::kBodyTooLarge;
   }
@@ -157,14 +201,19 @@
   call.kind = KindOf(*exchange.route);
   call.id = context_.run_id + "-" + std::to_string(exchange.number.value());
   call.max_attempts = policy.max_attempts;
+  if (route.max_attempts.value() > 0) {
+    call.max_attempts = route.max_attempts;
+    call.retry_error_answers = true;
+    call.max_placements = kMostPlacements;
+  }
   if (call.kind == CallKind::kAtMostOnce) {
     if (const std::optional<ResultCode> fault = PrepareOnce(exchange)) {
       return fault;
     }
   }
   exchange.fingerprint = FingerprintOf(digest);
-  call.deadline = context_.calls.Join(exchange.number, exchange.span.context().trace,
-                                      OwnDeadline(exchange, policy));
+  call.deadline =
+      context_.calls.Join(exchange.number, exchange.span.context().trace, OwnDeadline(exchange));
   exchange.state = &StateOf(*exchange.service);
   exchange.call = std::make_unique<Call>(call, exchange.state->budget);
   return std::nullopt;
@@ -184,13 +233,28 @@
   return std::nullopt;
 }
 
-TimePoint CallerTask::OwnDeadline(Exchange& exchange, const ServicePolicy& policy) {
-  const auto timeout = exchange.request.headers.Find(kTimeoutHeader);
+TimePoint CallerTask::OwnDeadline(Exchange& exchange) const {
+  const Duration of_route = exchange.route->policy.timeout;
+  const auto timeout = exchange.request.headers.Find(context_.settings.headers.timeout);
   if (!timeout) {
-    return exchange.started + policy.timeout;
+    return exchange.started + (of_route > Duration{} ? of_route : exchange.service->policy.timeout);
   }
   exchange.call_request.deadline_from_caller = true;
-  return exchange.started + ParseTimeout(*timeout);
+  const Duration of_caller = ParseTimeout(*timeout);
+  return exchange.started + (of_route > Duration{} ? std::min(of_route, of_caller) : of_caller);
+}
+
+// This daemon's part of the burst that all daemons share.
+uint64_t CallerTask::MostRetryTokens() const {
+  const uint64_t burst = context_.settings.shared_retry_burst;
+  if (burst == 0) {
+    return RetryBudget::kMostTokens;
+  }
+  uint64_t daemons = 0;
+  for (const MemberRecord& member : context_.node.membership().members()) {
+    daemons += member.control ? 0 : 1;
+  }
+  return std::max<uint64_t>(burst * kBurstPercentUsed / 100 / std::max<uint64_t>(daemons, 1), 1);
 }
 
 CallerTask::ServiceState& CallerTask::StateOf(const CompiledService& service) {
@@ -198,7 +262,7 @@
   if (!state) {
     state = std::make_unique<ServiceState>(
         std::hash<std::string>()(context_.run_id) ^ std::hash<ServiceName>()(service.name),
-        service.policy.retry_percent);
+        service.policy.retry_percent, MostRetryTokens());
     state->balancer.SetCandidates(
         context_.loop.now(), CandidatesFor(service, context_.node.membership().summaries()), {"*"});
   }
@@ -215,7 +279,7 @@
     if (usable) {
       candidates.push_back({{member.instance, member.address},
                             member.target,
-                            Locality::kOwnDataCentre,
+                            LocalityOf(member, context_.settings.common.place),
                             LoadOf(member)});
     }
   }
@@ -263,13 +327,27 @@
   message.digest = exchange->call_request.digest;
   message.attempt = effect.attempt;
   message.time_left = exchange->call_request.deadline - context_.loop.now();
+  const RoutePolicy& route = exchange->route->policy;
+  message.priority =
+      exchange->call_request.kind == CallKind::kAtMostOnce ? Priority(0) : route.priority;
+  if (route.objective > Duration{}) {
+    message.max_wait = route.objective / kWaitPartOfObjective;
+  }
+  const CallHeaders& names = context_.settings.headers;
+  message.request_id = exchange->request_id;
   message.request = exchange->request;
   RemoveHopByHopHeaders(message.request.headers);
-  message.request.headers.Set(std::string(kTraceparentHeader),
-                              FormatTraceparent(exchange->span.context()));
+  if (names.diagnostics) {
+    message.request.headers.Set(std::string(kTraceparentHeader),
+                                FormatTraceparent(exchange->span.context()));
+  }
+  if (!names.origin_service.empty()) {
+    message.request.headers.Set(names.origin_service, context_.settings.service.value());
+  }
   exchange->state->balancer.Sent(effect.endpoint.instance);
   Exchange::Sent& sent = exchange->sent[effect.attempt];
   sent.instance = effect.endpoint.instance;
+  sent.at = context_.loop.now();
   if (effect.endpoint.instance == context_.settings.common.instance) {
     target_.HandleLocal(message, [this, exchange, effect](const AttemptReply& reply) {
       OnReply(exchange, effect, reply);
@@ -299,10 +377,10 @@
   const auto* answer = std::get_if<TargetAnswer>(&reply.outcome);
   if (!sent.finished) {
     sent.finished = true;
-    const AttemptResult result = answer == nullptr       ? AttemptResult::kRefused
-                                 : answer->status >= 500 ? AttemptResult::kErrorAnswered
-                                                         : AttemptResult::kAnswered;
-    exchange->state->balancer.Finished(now, sent.instance, result, reply.load);
+    const AttemptResult result = ResultOf(reply);
+    const bool answered = result == AttemptResult::kAnswered;
+    exchange->state->balancer.Finished(now, sent.instance, result, reply.load,
+                                       answered ? std::optional(now - sent.at) : std::nullopt);
   }
   Carry(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
                                     : exchange->call->Refused(now, effect.attempt,
@@ -356,8 +434,9 @@
 
 void CallerTask::Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer) {
   Count(exchange, code);
+  LogCall(exchange, code, answer);
   if (code != ResultCode::kOk || answer == nullptr) {
-    exchange.sink.Send(ErrorResponse(code));
+    exchange.sink.Send(ErrorResponse(code, "", RetryAfter(exchange)));
     return;
   }
   HttpResponse response;
@@ -366,7 +445,9 @@
     response.headers.Add(name, value);
   }
   RemoveHopByHopHeaders(response.headers);
-  response.headers.Set(kResultHeader, "0");
+  if (context_.settings.headers.diagnostics) {
+    response.headers.Set(kResultHeader, "0");
+  }
   if (answer->replayed) {
     response.headers.Set("endivecleat-replayed", "true");
   }
@@ -374,6 +455,47 @@
   exchange.sink.Send(std::move(response));
 }
 
+// When there will be room, by the backlog of the least loaded target. Callers that were refused
+// together are spread over as long again, or they would return together.
+Duration CallerTask::RetryAfter(const Exchange& exchange) {
+  const Duration wait =
+      exchange.state == nullptr ? Duration{} : exchange.state->balancer.ExpectedWait();
+  const Duration least = std::clamp(wait, kShortestRetryAfter, kLongestRetryAfter);
+  return least + Duration(random_.Below(static_cast<uint64_t>(least.count())));
+}
+
+// Every failure, and a sample of the successes that is the same in every process.
+void CallerTask::LogCall(const Exchange& exchange, ResultCode code,
+                         const TargetAnswer* answer) const {
+  const bool failed = code != ResultCode::kOk || answer == nullptr || answer->status >= 500;
+  const bool sampled = std::hash<std::string>()(exchange.request_id) % kSuccessSample == 0;
+  if (!failed && !sampled) {
+    return;
+  }
+  const Duration taken = context_.loop.now() - exchange.started;
+  LogFields fields = {
+      {"request", exchange.request_id},
+      {"result", std::string(Describe(code).name)},
+      {"status",
+       static_cast<int64_t>(answer == nullptr ? Describe(code).http_status : answer->status)},
+      {"route", exchange.route == nullptr ? "" : exchange.route->name.value()},
+      {"service", exchange.service == nullptr ? "" : exchange.service->name.value()},
+      {"version", exchange.configuration ? exchange.configuration->version().value() : 0},
+      {"attempts", exchange.call ? exchange.call->attempts() : 0},
+      {"taken_ms", static_cast<int64_t>(taken.count() / 1000)}};
+  if (exchange.state != nullptr) {
+    fields.emplace_back(
+        "expected_wait_ms",
+        static_cast<int64_t>(exchange.state->balancer.ExpectedWait().count() / 1000));
+    fields.emplace_back("retry_tokens", exchange.state->budget.tokens());
+    fields.emplace_back("candidates", static_cast<uint64_t>(exchange.state->balancer.size()));
+  }
+  if (!exchange.sent.empty()) {
+    fields.emplace_back("last_daemon", exchange.sent.rbegin()->second.instance.value());
+  }
+  Log(failed ? LogLevel::kWarning : LogLevel::kInfo, failed ? "call_failed" : "call", fields);
+}
+
 void CallerTask::Count(const Exchange& exchange, ResultCode code) {
   const ServiceName service = exchange.service == nullptr ? ServiceName() : exchange.service->name;
   ServiceMetrics& metrics = metrics_[service];
@@ -410,7 +532,7 @@
   });
 }
 
-HttpResponse ErrorResponse(ResultCode code, const std::string& detail) {
+HttpResponse ErrorResponse(ResultCode code, const std::string& detail, Duration retry_after) {
   const ResultCodeInfo& info = Describe(code);
   HttpResponse response;
   response.status =
@@ -418,7 +540,7 @@
   response.headers.Add("content-type", "application/json");
   response.headers.Add(kResultHeader, std::to_string(static_cast<int>(code)));
   if (response.status == 503) {
-    response.headers.Add("retry-after", "1");
+    response.headers.Add("retry-after", FormatSeconds(retry_after));
   }
   response.body = nlohmann::json{{"code", static_cast<int>(code)},
                                  {"name", info.name},
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -15,6 +15,7 @@
 #include "daemon_context.h"
 #include "http_server.h"
 #include "retry_budget.h"
+#include "split_chooser.h"
 #include "target_task.h"
 
 namespace endivecleat {
@@ -36,8 +37,8 @@
 
  private:
   struct ServiceState {
-    explicit ServiceState(uint64_t seed, Percent retry_percent)
-        : balancer(seed), budget(retry_percent) {}
+    ServiceState(uint64_t seed, Percent retry_percent, uint64_t most_tokens)
+        : balancer(seed), budget(retry_percent, most_tokens) {}
     Balancer balancer;
     RetryBudget budget;
   };
@@ -50,7 +51,8 @@
 
   std::optional<ResultCode> Prepare(Exchange& exchange);
   std::optional<ResultCode> PrepareOnce(Exchange& exchange);
-  TimePoint OwnDeadline(Exchange& exchange, const ServicePolicy& policy);
+  TimePoint OwnDeadline(Exchange& exchange) const;
+  uint64_t MostRetryTokens() const;
   ServiceState& StateOf(const CompiledService& service);
   std::vector<Candidate> CandidatesFor(const CompiledService& service,
                                        const std::vector<DataCentreSummary>& summaries) const;
@@ -63,18 +65,24 @@
   void Refuse(const std::shared_ptr<Exchange>& exchange, const RefuseInLedger& effect);
   void Finish(const std::shared_ptr<Exchange>& exchange, const FinishCall& effect);
   void Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer);
+  Duration RetryAfter(const Exchange& exchange);
+  void LogCall(const Exchange& exchange, ResultCode code, const TargetAnswer* answer) const;
   void Count(const Exchange& exchange, ResultCode code);
   void ArmTimer(const std::shared_ptr<Exchange>& exchange);
 
   DaemonContext& context_;
   TargetTask& target_;
+  SplitChooser splits_;
+  SeededRandom random_;
   std::map<ServiceName, std::unique_ptr<ServiceState>> services_;
   std::map<ServiceName, ServiceMetrics> metrics_;  // an empty name stands for no service
   std::map<RequestNumber, std::shared_ptr<Exchange>> exchanges_;  // not finished
 };
 
 /// An answer that states a result code, as JSON with the header endivecleat-result.
-HttpResponse ErrorResponse(ResultCode code, const std::string& detail = "");
+/// One that states that nothing ran asks the caller to come back after the given time.
+HttpResponse ErrorResponse(ResultCode code, const std::string& detail = "",
+                           Duration retry_after = std::chrono::seconds(1));
 
 }  // namespace endivecleat
 
--- a/src/command_line.cc
+++ b/src/command_line.cc
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <sstream>
 
 #include "command_options.h"
@@ -16,28 +14,15 @@
 #include "control_process.h"
 #include "daemon_process.h"
 #include "errors.h"
-#include "event_loop.h"
 #include "json_reader.h"
 #include "log.h"
 #include "operator_commands.h"
+#include "process_runner.h"
 #include "settings.h"
-#include "signal_watch.h"
 
 namespace endivecleat {
 namespace {
 
-using Command = int (*)(const CommandOptions&);
-
-struct Subcommand {
-  CommandUsage usage;
-  Command run;
-};
-
-uint64_t RandomSeed() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32U) | device();
-}
-
 const std::string& RequiredSettings(const CommandOptions& options) {
   if (options.settings.empty()) {
     throw UserError(ResultCode::kUsage, "--settings is missing");
@@ -45,46 +30,13 @@
   return options.settings;
 }
 
-// Only the level of the log is taken up at run time; everything else needs a restart.
-template <class Settings>
-void ReloadLog(const std::string& path, Settings (*load)(const std::string&)) {
-  try {
-    const Settings settings = load(path);
-    StartLog(settings.common.instance, settings.common.log);
-    Log(LogLevel::kInfo, "settings_reloaded");
-  } catch (const UserError& error) {
-    Log(LogLevel::kError, "settings_not_reloaded", {{"reason", std::string(error.what())}});
-  }
-}
-
-template <class Process, class Settings>
-int RunProcess(const CommandOptions& options, Settings (*load)(const std::string&)) {
-  const std::string path = RequiredSettings(options);
-  const Settings settings = load(path);
-  StartLog(settings.common.instance, settings.common.log);
-  EventLoop loop;
-  std::unique_ptr<Process> process;
-  bool draining = false;
-  const SignalWatch signals(loop, {SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
-    if (signal == SIGHUP) {
-      ReloadLog(path, load);
-    } else if (!draining) {
-      draining = true;
-      process->Drain();
-    }
-  });
-  process = std::make_unique<Process>(loop, settings, RandomSeed());
-  loop.Run();
-  Log(LogLevel::kInfo, "stopped");
-  return 0;
-}
-
 int RunControl(const CommandOptions& options) {
-  return RunProcess<ControlProcess, ControlSettings>(options, LoadControlSettings);
+  return RunProcess<ControlProcess, ControlSettings>(RequiredSettings(options),
+                                                     LoadControlSettings);
 }
 
 int RunDaemon(const CommandOptions& options) {
-  return RunProcess<DaemonProcess, DaemonSettings>(options, LoadDaemonSettings);
+  return RunProcess<DaemonProcess, DaemonSettings>(RequiredSettings(options), LoadDaemonSettings);
 }
 
 int RunInit(const CommandOptions& options) {
@@ -117,9 +69,9 @@
   return commands;
 }
 
-int PrintHelp(std::ostream& out) {
+int PrintHelp(std::ostream& out, const std::vector<Subcommand>& commands) {
   out << "Usage: endivecleat COMMAND [OPTION...]\n\nCommands:\n";
-  for (const Subcommand& command : Subcommands()) {
+  for (const Subcommand& command : commands) {
     std::string head = command.usage.name + " " + command.usage.arguments;
     head.resize(std::max<size_t>(head.size(), 32), ' ');
     out << "  " << head << command.usage.summary << "\n";
@@ -153,19 +105,20 @@
 
 }  // namespace
 
-int RunCommandLine(int argc, const char** argv) {
+int RunCommandLine(int argc, const char** argv, const std::vector<Subcommand>& additional) {
+  std::vector<Subcommand> commands = Subcommands();
+  commands.insert(commands.end(), additional.begin(), additional.end());
   const std::string name = argc > 1 ? argv[1] : "";
   if (name == "--help" || name == "help" || name == "-?") {
-    return PrintHelp(std::cout);
+    return PrintHelp(std::cout, commands);
   }
-  const auto& commands = Subcommands();
   const auto command = std::find_if(commands.begin(), commands.end(), [&](const Subcommand& each) {
     return each.usage.name == name;
   });
   if (command == commands.end()) {
     std::cerr << "endivecleat: " << (name.empty() ? "COMMAND is missing" : "no command " + name)
               << "\n\n";
-    PrintHelp(std::cerr);
+    PrintHelp(std::cerr, commands);
     return Describe(ResultCode::kUsage).exit_status;
   }
   bool json = false;
--- a/src/config_replica.cc
+++ b/src/config_replica.cc
@@ -290,6 +290,12 @@
   std::sort(peers_.begin(), peers_.end());
 }
 
+void ConfigReplica::SetControls(std::vector<InstanceId> controls) {
+  if (!controls.empty()) {
+    settings_.local_controls = std::move(controls);
+  }
+}
+
 void ConfigReplica::Prune(TimePoint now) {
   std::erase_if(candidates_, [&](const auto& item) {
     return now - item.second.heard_at > settings_.candidate_lifetime;
--- a/src/config_replica.h
+++ b/src/config_replica.h
@@ -67,6 +67,9 @@
   /// To be called every 100 ms with the versions of the other members of the data centre.
   std::vector<PeerMessage> Tick(TimePoint now, const std::vector<PeerVersion>& peers);
 
+  /// Replaces the control instances that are asked like those of the own data centre. An empty list
+  /// changes nothing: those known so far may still answer.
+  void SetControls(std::vector<InstanceId> controls);
   /// Null before the first version. Never replaced by an older version.
   ConfigTextPtr in_force() const { return source_.newest(); }
   const Counters& counters() const { return counters_; }
--- a/src/config_store.cc
+++ b/src/config_store.cc
@@ -117,16 +117,13 @@
     if (const auto* submitted = std::get_if<SubmitDocument>(&change.what)) {
       const std::string document = ApplyDelta(text(), submitted->delta, kMaxDocumentBytes);
       const CheckedConfiguration checked = ParseAndCheck({document});
-      PresetName preset = ChoosePreset(checked, preset_);
-      std::string next = Compile(checked, version_.next(), preset)->text();
-      return Install(change, std::move(next), std::move(preset));
+      return Install(change, *Compile(checked, version_.next(), ChoosePreset(checked, preset_)));
     }
     const PresetName& preset = std::get<SwitchPreset>(change.what).preset;
     if (texts_.empty()) {
       return Refusal(ResultCode::kUnknownPreset, "no configuration has been submitted yet");
     }
-    std::string next = Compile(ParseAndCheck({text()}), version_.next(), preset)->text();
-    return Install(change, std::move(next), preset);
+    return Install(change, *Compile(ParseAndCheck({text()}), version_.next(), preset));
   } catch (const UserError& error) {
     return Refusal(error.code(), Describe(error));
   }
@@ -151,7 +148,8 @@
               std::to_string(version_.value()) + ", and submit again under a new operation id"};
 }
 
-ChangeResult ConfigStore::Install(const Change& change, std::string text, PresetName preset) {
+ChangeResult ConfigStore::Install(const Change& change, const CompiledConfiguration& next) {
+  const std::string& text = next.text();
   if (text == this->text()) {
     return {ResultCode::kOk, version_, newest_operation(),
             "no difference from version " + std::to_string(version_.value())};
@@ -162,15 +160,16 @@
                        " bytes; the limit is " + std::to_string(kMaxDocumentBytes));
   }
   version_ = version_.next();
-  preset_ = std::move(preset);
+  preset_ = next.preset();
+  revision_ = next.revision();
   history_.push_back({version_, change.operation, CutText(change.author, kMaxAuthorBytes),
                       change.at, preset_, std::holds_alternative<SwitchPreset>(change.what),
-                      TextDigest(text)});
+                      next.digest()});
   if (history_.size() > kMaxHistory) {
     history_.pop_front();
   }
   text_bytes_ += text.size();
-  texts_.push_back(std::move(text));
+  texts_.push_back(text);
   DropOldTexts();
   return {ResultCode::kOk, version_, change.operation, ""};
 }
@@ -204,6 +203,11 @@
   return texts_.empty() ? none : texts_.back();
 }
 
+const ChangeResult* ConfigStore::FindResult(const OperationId& operation) const {
+  const auto found = results_.find(operation);
+  return found == results_.end() ? nullptr : &found->second;
+}
+
 const std::string* ConfigStore::TextAt(ConfigVersion version) const {
   if (version > version_) {
     return nullptr;
@@ -257,6 +261,9 @@
     }
     reader.ExpectEnd();
     store.CheckRestored();
+    if (!store.texts_.empty()) {
+      store.revision_ = CompileStored(store.text(), store.version_)->revision();
+    }
     return store;
   } catch (const UserError& error) {
     throw UserError(ResultCode::kDataCorrupt,
--- a/src/config_store.h
+++ b/src/config_store.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <variant>
 
+#include "configuration.h"
 #include "result_code.h"
 #include "units.h"
 
@@ -86,6 +87,10 @@
   const PresetName& preset() const { return preset_; }
   /// The last kMaxHistory accepted changes, oldest first.
   const std::deque<HistoryEntry>& history() const { return history_; }
+  /// The revision that the newest document names; empty where it names none.
+  const std::string& revision() const { return revision_; }
+  /// The result of an operation that is still kept; null otherwise. Valid until the next Apply.
+  const ChangeResult* FindResult(const OperationId& operation) const;
   /// Null when the version is not kept. Valid until the next Apply.
   const std::string* TextAt(ConfigVersion version) const;
 
@@ -96,7 +101,7 @@
  private:
   ChangeResult Decide(const Change& change);
   ChangeResult Conflict(const Change& change) const;
-  ChangeResult Install(const Change& change, std::string text, PresetName preset);
+  ChangeResult Install(const Change& change, const CompiledConfiguration& next);
   ChangeResult Refusal(ResultCode code, const std::string& message) const;
   OperationId newest_operation() const;
   void Remember(const OperationId& operation, const ChangeResult& result);
@@ -105,6 +110,7 @@
 
   ConfigVersion version_;
   PresetName preset_;
+  std::string revision_;              // of the text of version_
   std::deque<HistoryEntry> history_;  // ends with version_; versions are consecutive
   std::deque<std::string> texts_;     // ends with the text of version_
   size_t text_bytes_ = 0;             // sum over texts_
--- a/src/configuration.cc
+++ b/src/configuration.cc
@@ -38,12 +38,43 @@
   return name ? Json(name->value()) : Json(nullptr);
 }
 
+Json SplitJson(const std::optional<std::vector<ParsedShare>>& split) {
+  if (!split) {
+    return nullptr;
+  }
+  Json parts = Json::array();
+  for (const ParsedShare& share : *split) {
+    parts.push_back({{"service", OptionalJson(share.service)}, {"weight", share.weight}});
+  }
+  return parts;
+}
+
+Json SharesJson(const std::vector<RouteShare>& shares) {
+  Json parts = Json::array();
+  for (const RouteShare& share : shares) {
+    parts.push_back({{"service", share.service.value()}, {"weight", share.weight}});
+  }
+  return parts;
+}
+
+/// The figures of a policy by their keys in the document.
+template <class Policy>
+Json FiguresJson(std::span<const Figure<Policy>> table, const Policy& policy) {
+  Json figures = Json::object();
+  for (const Figure<Policy>& figure : table) {
+    figures[std::string(figure.key)] = figure.read(policy);
+  }
+  return figures;
+}
+
 Json ParsedRouteJson(const ParsedRoute& route) {
   return {{"name", OptionalJson(route.name)},
           {"host", OptionalJson(route.host)},
           {"path_prefix", OptionalJson(route.path_prefix)},
           {"methods", route.methods ? Json(*route.methods) : Json(nullptr)},
           {"service", OptionalJson(route.service)},
+          {"split", SplitJson(route.split)},
+          {"policy", route.figures},
           {"idempotent", route.idempotent},
           {"at_most_once", route.at_most_once}};
 }
@@ -66,10 +97,9 @@
   Json result = Json::object();
   for (const CompiledService& service : services) {
     Json& entry = result[service.name.value()];
+    entry = FiguresJson(PolicyFigures(), service.policy);
     entry["targets"] = service.target_patterns;
-    for (const PolicyFigure& figure : PolicyFigures()) {
-      entry[std::string(figure.key)] = figure.read(service.policy);
-    }
+    entry["health_path"] = service.policy.health_path;
   }
   return result;
 }
@@ -81,7 +111,8 @@
                       {"host", route.host},
                       {"path_prefix", route.path_prefix},
                       {"methods", route.methods},
-                      {"service", route.service.value()},
+                      {"split", SharesJson(route.shares)},
+                      {"policy", FiguresJson(RouteFigures(), route.policy)},
                       {"idempotent", route.idempotent},
                       {"at_most_once", route.at_most_once}});
   }
@@ -141,7 +172,9 @@
     compiled->service_positions_[preset->services[position].name] = position;
   }
   compiled->routes_ = RouteTable(preset->routes);
-  compiled->text_ = CanonicalText(checked.presets_text, in_force);
+  compiled->callers_ = checked.callers;
+  compiled->revision_ = checked.revision.value_or("");
+  compiled->text_ = CanonicalText(checked, in_force);
   compiled->digest_ = TextDigest(compiled->text_);
   compiled->preset_ = std::move(in_force);
   return compiled;
@@ -157,9 +190,17 @@
   return Compile(checked, version, *checked.preset_in_force);
 }
 
-std::string CanonicalText(const std::string& presets_text, const PresetName& in_force) {
-  return "{\"preset_in_force\":" + Json(in_force.value()).dump() + ",\"presets\":" + presets_text +
-         "}";
+std::string CanonicalText(const CheckedConfiguration& checked, const PresetName& in_force) {
+  std::string text = "{";
+  if (!checked.callers_text.empty()) {
+    text += "\"callers\":" + checked.callers_text + ",";
+  }
+  text += "\"preset_in_force\":" + Json(in_force.value()).dump();
+  text += ",\"presets\":" + checked.presets_text;
+  if (checked.revision) {
+    text += ",\"revision\":" + Json(*checked.revision).dump();
+  }
+  return text + "}";
 }
 
 std::string TextDigest(std::string_view text) {
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -34,17 +34,27 @@
   ServiceName name;
   std::optional<std::vector<std::string>> targets;
   std::map<std::string, int64_t> figures;
+  std::optional<std::string> health_path;
 };
 
-/// A route as written. After Parse only `host` can be absent.
+/// A part of a route as written.
+struct ParsedShare {
+  std::optional<std::string> service;
+  int64_t weight = 1;
+};
+
+/// A route as written. After Parse only `host`, `methods` and one of `service` and `split` can be
+/// absent.
 struct ParsedRoute {
   std::optional<std::string> name;
   std::optional<std::string> host;
   std::optional<std::string> path_prefix;
   std::optional<std::vector<std::string>> methods;
   std::optional<std::string> service;
+  std::optional<std::vector<ParsedShare>> split;
   bool idempotent = false;
   bool at_most_once = false;
+  std::map<std::string, int64_t> figures;
 };
 
 struct ParsedPreset {
@@ -57,6 +67,9 @@
   std::optional<PresetName> preset_in_force;  // absent: the document leaves the choice as it is
   std::vector<ParsedPreset> presets;
   std::string presets_text;  // canonical JSON of "presets"
+  std::map<std::string, int64_t> caller_figures;
+  std::string callers_text;             // canonical JSON of "callers"; empty when it is absent
+  std::optional<std::string> revision;  // the submitter's own name for this document
 };
 
 struct CompiledService {
@@ -79,6 +92,9 @@
   std::optional<PresetName> preset_in_force;
   std::vector<CheckedPreset> presets;
   std::string presets_text;
+  std::string callers_text;
+  CallerLimits callers;
+  std::optional<std::string> revision;
 
   const CheckedPreset* FindPreset(const PresetName& name) const;
 };
@@ -97,6 +113,9 @@
   const CompiledService* FindService(const ServiceName& name) const;
   const std::vector<CompiledService>& services() const { return services_; }
   const std::vector<CompiledRoute>& routes() const { return routes_.routes(); }
+  const CallerLimits& callers() const { return callers_; }
+  /// The submitter's own name for this version; empty where the document has none.
+  const std::string& revision() const { return revision_; }
 
   /// XXH3-128 of text() as 32 hexadecimal digits.
   const std::string& digest() const { return digest_; }
@@ -112,7 +131,9 @@
   PresetName preset_;
   std::vector<CompiledService> services_;
   std::unordered_map<ServiceName, size_t> service_positions_;  // in services_
-  RouteTable routes_;  // every route names a service in services_
+  RouteTable routes_;  // every route names services in services_
+  CallerLimits callers_;
+  std::string revision_;
   std::string digest_;
   std::string text_;
 };
@@ -136,8 +157,9 @@
 std::shared_ptr<const CompiledConfiguration> CompileStored(const std::string& text,
                                                            ConfigVersion version);
 
-/// The stored form of a configuration: {"preset_in_force":..,"presets":..}, sorted keys, no spaces.
-std::string CanonicalText(const std::string& presets_text, const PresetName& in_force);
+/// The stored form of a configuration: {"preset_in_force":..,"presets":..}, sorted keys, no spaces,
+/// with "callers" before and "revision" after them where the document has these.
+std::string CanonicalText(const CheckedConfiguration& checked, const PresetName& in_force);
 
 /// XXH3-128 as 32 hexadecimal digits.
 std::string TextDigest(std::string_view text);
--- a/src/configuration_check.cc
+++ b/src/configuration_check.cc
@@ -18,6 +18,10 @@
 constexpr size_t kMaxQuotedBytes = 128;
 constexpr int64_t kMaxTimeoutMs = 600'000;
 constexpr int64_t kMaxBodyBytes = int64_t{4} << 20;  // listeners buffer at most 4 MiB
+// An objective a minute above the timeout cannot be meant: no answer comes so late.
+constexpr Duration kMaxObjectiveExcess = std::chrono::minutes(1);
+constexpr int64_t kMostWeight = 1'000'000;
+constexpr size_t kMaxRevisionBytes = 64;
 
 constexpr std::string_view kAlphanumeric =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789";
@@ -32,7 +36,7 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-const std::array<PolicyFigure, 9> kPolicyFigures = {{
+const std::array<Figure<ServicePolicy>, 9> kPolicyFigures = {{
     {"slots", 1, 10'000,
      [](ServicePolicy& policy, int64_t value) {
        policy.slots = SlotCount(static_cast<uint64_t>(value));
@@ -76,6 +80,46 @@
      [](const ServicePolicy& policy) { return static_cast<int64_t>(policy.body_limit.value()); }},
 }};
 
+const std::array<Figure<RoutePolicy>, 4> kRouteFigures = {{
+    {"timeout_ms", 1, kMaxTimeoutMs,
+     [](RoutePolicy& policy, int64_t value) { policy.timeout = Milliseconds(value); },
+     [](const RoutePolicy& policy) { return ToMilliseconds(policy.timeout); }},
+    {"objective_ms", 1, 2 * kMaxTimeoutMs,
+     [](RoutePolicy& policy, int64_t value) { policy.objective = Milliseconds(value); },
+     [](const RoutePolicy& policy) { return ToMilliseconds(policy.objective); }},
+    {"max_attempts", 1, 1'000,
+     [](RoutePolicy& policy, int64_t value) {
+       policy.max_attempts = AttemptCount(static_cast<uint64_t>(value));
+     },
+     [](const RoutePolicy& policy) { return static_cast<int64_t>(policy.max_attempts.value()); }},
+    {"priority", 0, 1'000,
+     [](RoutePolicy& policy, int64_t value) {
+       policy.priority = Priority(static_cast<uint64_t>(value));
+     },
+     [](const RoutePolicy& policy) { return static_cast<int64_t>(policy.priority.value()); }},
+}};
+
+constexpr int64_t kMaxByteFigure = int64_t{1} << 40;
+
+const std::array<Figure<CallerLimits>, 4> kCallerFigures = {{
+    {"header_bytes", 1, kMaxByteFigure,
+     [](CallerLimits& limits, int64_t value) {
+       limits.header_bytes = ByteCount(static_cast<uint64_t>(value));
+     },
+     [](const CallerLimits& limits) { return static_cast<int64_t>(limits.header_bytes.value()); }},
+    {"body_bytes", 1, kMaxByteFigure,
+     [](CallerLimits& limits, int64_t value) {
+       limits.body_bytes = ByteCount(static_cast<uint64_t>(value));
+     },
+     [](const CallerLimits& limits) { return static_cast<int64_t>(limits.body_bytes.value()); }},
+    {"header_timeout_ms", 1, 10 * kMaxTimeoutMs,
+     [](CallerLimits& limits, int64_t value) { limits.header_timeout = Milliseconds(value); },
+     [](const CallerLimits& limits) { return ToMilliseconds(limits.header_timeout); }},
+    {"idle_timeout_ms", 1, 10 * kMaxTimeoutMs,
+     [](CallerLimits& limits, int64_t value) { limits.idle_timeout = Milliseconds(value); },
+     [](const CallerLimits& limits) { return ToMilliseconds(limits.idle_timeout); }},
+}};
+
 std::string Quoted(const std::string& value) {
   return "\"" + CutText(value, kMaxQuotedBytes) + "\"";
 }
@@ -93,15 +137,35 @@
   const bool visible = std::all_of(prefix.begin(), prefix.end(), [](char letter) {
     return letter > ' ' && letter < '\x7f' && letter != '?' && letter != '#';
   });
-  const bool ends_in_segment = prefix.size() == 1 || !prefix.ends_with('/');
   return prefix.starts_with('/') && prefix.size() <= kMaxPrefixBytes && visible &&
-         ends_in_segment && prefix.find("//") == std::string_view::npos;
+         prefix.find("//") == std::string_view::npos;
 }
 
 bool IsValidHost(std::string_view host) {
   return !host.empty() && host.size() <= kMaxHostBytes && ConsistsOf(host, kHostLetters);
 }
 
+/// Sets the figures that the document gives, and reports those out of range.
+template <class Policy>
+void ApplyFigures(const std::string& path, std::span<const Figure<Policy>> table,
+                  const std::map<std::string, int64_t>& figures, Policy& policy,
+                  std::vector<Problem>& problems) {
+  for (const Figure<Policy>& figure : table) {
+    const auto found = figures.find(std::string(figure.key));
+    if (found == figures.end()) {
+      continue;
+    }
+    if (found->second < figure.least || found->second > figure.most) {
+      problems.push_back(
+          {JsonPathAppend(path, figure.key), "must be from " + std::to_string(figure.least) +
+                                                 " to " + std::to_string(figure.most) + ", not " +
+                                                 std::to_string(found->second)});
+      continue;
+    }
+    figure.set(policy, found->second);
+  }
+}
+
 // Checks one preset and appends to the problems of the whole document.
 class PresetCheck {
  public:
@@ -148,10 +212,11 @@
       checked.target_patterns = *service.targets;
       CheckPatterns(path + "/targets", *service.targets);
     }
-    for (const PolicyFigure& figure : kPolicyFigures) {
-      if (const auto found = service.figures.find(std::string(figure.key));
-          found != service.figures.end()) {
-        CheckFigure(path, figure, found->second, checked.policy);
+    ApplyFigures<ServicePolicy>(path, kPolicyFigures, service.figures, checked.policy, problems_);
+    if (service.health_path) {
+      checked.policy.health_path = *service.health_path;
+      if (!service.health_path->starts_with('/')) {
+        Report(path + "/health_path", "must start with \"/\"");
       }
     }
     if (checked.policy.slots.value() > checked.policy.connections.value()) {
@@ -181,27 +246,21 @@
     }
   }
 
-  void CheckFigure(const std::string& path, const PolicyFigure& figure, int64_t value,
-                   ServicePolicy& policy) {
-    if (value < figure.least || value > figure.most) {
-      Report(JsonPathAppend(path, figure.key), "must be from " + std::to_string(figure.least) +
-                                                   " to " + std::to_string(figure.most) + ", not " +
-                                                   std::to_string(value));
-      return;
-    }
-    figure.set(policy, value);
-  }
-
   CompiledRoute CheckRoute(const std::string& path, const ParsedRoute& route) {
     CompiledRoute checked;
     checked.name = RouteName(route.name.value_or(""));
     checked.host = route.host.value_or("");
     checked.path_prefix = route.path_prefix.value_or("");
     checked.methods = route.methods.value_or(std::vector<std::string>());
-    checked.service = ServiceName(route.service.value_or(""));
     checked.idempotent = route.idempotent;
     checked.at_most_once = route.at_most_once;
+    ApplyFigures<RoutePolicy>(path, kRouteFigures, route.figures, checked.policy, problems_);
+    const bool both = checked.policy.timeout > Duration{} && checked.policy.objective > Duration{};
+    if (both && checked.policy.objective >= checked.policy.timeout + kMaxObjectiveExcess) {
+      Report(path + "/objective_ms", "must be less than a minute above timeout_ms");
+    }
     CheckRouteNames(path, route);
+    CheckShares(path, route, checked);
     CheckRoutePlace(path, route);
     CheckMethods(path + "/methods", route);
     if (route.idempotent && route.at_most_once) {
@@ -218,9 +277,52 @@
         Report(path + "/name", "route " + Quoted(*route.name) + " is defined twice");
       }
     }
-    if (route.service && !service_names_.contains(*route.service)) {
-      Report(path + "/service", "preset " + Quoted(preset_.name.value()) + " has no service " +
-                                    Quoted(*route.service));
+  }
+
+  void CheckServiceName(const std::string& path, const std::string& service) {
+    if (!service_names_.contains(service)) {
+      Report(path, "preset " + Quoted(preset_.name.value()) + " has no service " + Quoted(service));
+    }
+  }
+
+  void CheckShares(const std::string& path, const ParsedRoute& route, CompiledRoute& checked) {
+    if (route.service) {
+      CheckServiceName(path + "/service", *route.service);
+      checked.shares.push_back({ServiceName(*route.service), 1});
+    }
+    if (!route.split) {
+      return;
+    }
+    if (route.service) {
+      Report(path, "has both a service and a split");
+    }
+    if (route.split->empty()) {
+      Report(path + "/split", "must have at least one part");
+    }
+    std::set<std::string> seen;
+    uint64_t sum = 0;
+    for (size_t position = 0; position < route.split->size(); ++position) {
+      const ParsedShare& share = (*route.split)[position];
+      const std::string share_path = JsonPathAppend(path + "/split", position);
+      if (share.weight < 0 || share.weight > kMostWeight) {
+        Report(share_path + "/weight", "must be from 0 to " + std::to_string(kMostWeight));
+        continue;
+      }
+      if (!share.service) {
+        continue;  // reported by Parse
+      }
+      CheckServiceName(share_path + "/service", *share.service);
+      if (!seen.insert(*share.service).second) {
+        Report(share_path + "/service", "service " + Quoted(*share.service) + " is listed twice");
+      }
+      sum += static_cast<uint64_t>(share.weight);
+      if (share.weight > 0) {
+        checked.shares.push_back(
+            {ServiceName(*share.service), static_cast<uint64_t>(share.weight)});
+      }
+    }
+    if (!route.split->empty() && sum == 0) {
+      Report(path + "/split", "must have a part with a weight above 0");
     }
   }
 
@@ -231,10 +333,10 @@
                                  "without a port");
     }
     if (route.path_prefix && !IsValidPrefix(*route.path_prefix)) {
-      Report(path + "/path_prefix",
-             "path prefix " + Quoted(*route.path_prefix) +
-                 " must start with \"/\", must not end with \"/\" unless it is \"/\", and must "
-                 "be at most 512 visible characters without \"?\", \"#\" or \"//\"");
+      Report(path + "/path_prefix", "path prefix " + Quoted(*route.path_prefix) +
+                                        " must start with \"/\" and must be at most 512 visible "
+                                        "characters without \"?\", \"#\" "
+                                        "or \"//\"");
     }
   }
 
@@ -260,11 +362,14 @@
 
   // Two routes of one host, prefix and method would make the choice depend on their order.
   void CheckEqualRoutes(const std::string& path, const ParsedRoute& route) {
-    if (!route.path_prefix || !route.methods) {
+    if (!route.path_prefix) {
       return;
     }
     std::set<std::string> reported;
-    const std::set<std::string> methods(route.methods->begin(), route.methods->end());
+    std::set<std::string> methods(kMethods.begin(), kMethods.end());
+    if (route.methods) {
+      methods = std::set<std::string>(route.methods->begin(), route.methods->end());
+    }
     for (const std::string& method : methods) {
       const auto [place, is_new] = route_places_.try_emplace(
           {route.host.value_or(""), *route.path_prefix, method}, route.name.value_or(""));
@@ -287,12 +392,21 @@
 
 }  // namespace
 
-std::span<const PolicyFigure> PolicyFigures() { return kPolicyFigures; }
+std::span<const Figure<ServicePolicy>> PolicyFigures() { return kPolicyFigures; }
+std::span<const Figure<RoutePolicy>> RouteFigures() { return kRouteFigures; }
+std::span<const Figure<CallerLimits>> CallerFigures() { return kCallerFigures; }
 
 CheckedConfiguration CheckValues(const ParsedConfiguration& parsed,
                                  std::vector<Problem>& problems) {
   CheckedConfiguration checked{.preset_in_force = parsed.preset_in_force,
-                               .presets_text = parsed.presets_text};
+                               .presets_text = parsed.presets_text,
+                               .callers_text = parsed.callers_text,
+                               .revision = parsed.revision};
+  ApplyFigures<CallerLimits>("/callers", kCallerFigures, parsed.caller_figures, checked.callers,
+                             problems);
+  if (checked.revision && checked.revision->size() > kMaxRevisionBytes) {
+    problems.push_back({"/revision", "must have at most 64 bytes"});
+  }
   for (const ParsedPreset& preset : parsed.presets) {
     checked.presets.push_back(PresetCheck(preset, problems).Run());
   }
--- a/src/configuration_check.h
+++ b/src/configuration_check.h
@@ -11,16 +11,19 @@
 
 namespace endivecleat {
 
-/// One figure of a service policy: its key in the document, its range, and its place in the policy.
-struct PolicyFigure {
+/// One figure of a policy: its key in the document, its range, and its place in the policy.
+template <class Policy>
+struct Figure {
   std::string_view key;
   int64_t least;
   int64_t most;
-  void (*set)(ServicePolicy&, int64_t);
-  int64_t (*read)(const ServicePolicy&);
+  void (*set)(Policy&, int64_t);
+  int64_t (*read)(const Policy&);
 };
 
-std::span<const PolicyFigure> PolicyFigures();
+std::span<const Figure<ServicePolicy>> PolicyFigures();
+std::span<const Figure<RoutePolicy>> RouteFigures();
+std::span<const Figure<CallerLimits>> CallerFigures();
 
 /// The checked form, with every problem appended to `problems`. Values that Parse could not read
 /// are absent and are passed over, since Parse has reported them.
--- a/src/configuration_parse.cc
+++ b/src/configuration_parse.cc
@@ -12,6 +12,8 @@
 
 using Json = nlohmann::json;
 
+// Members that the system keeps as they are and does not read.
+constexpr std::string_view kAnnotations = "annotations";
 constexpr int64_t kLargest = std::numeric_limits<int64_t>::max();
 
 std::string TypeName(const Json& value) {
@@ -31,7 +33,11 @@
     if (!IsObject("", document)) {
       return parsed;
     }
-    CheckKeys("", document, {"preset_in_force", "presets"});
+    CheckKeys("", document, {"callers", "preset_in_force", "presets", "revision"});
+    parsed.revision = OptionalText("", document, "revision");
+    if (const auto callers = document.find("callers"); callers != document.end()) {
+      ReadCallers(*callers, parsed);
+    }
     if (auto name = OptionalText("", document, "preset_in_force")) {
       parsed.preset_in_force = PresetName(std::move(*name));
     }
@@ -149,6 +155,16 @@
     return parsed;
   }
 
+  void ReadCallers(const Json& callers, ParsedConfiguration& parsed) {
+    if (!IsObject("/callers", callers)) {
+      return;
+    }
+    std::vector<std::string_view> known = {kAnnotations};
+    ReadFigures<CallerLimits>("/callers", CallerFigures(), callers, known, parsed.caller_figures);
+    CheckKeys("/callers", callers, known);
+    parsed.callers_text = callers.dump();
+  }
+
   ParsedService ReadService(const std::string& parent, const std::string& name,
                             const Json& service) {
     ParsedService parsed{.name = ServiceName(name)};
@@ -156,25 +172,36 @@
     if (!IsObject(path, service)) {
       return parsed;
     }
-    std::vector<std::string_view> known = {"targets"};
-    for (const PolicyFigure& figure : PolicyFigures()) {
-      known.push_back(figure.key);
-      if (const auto found = service.find(figure.key); found != service.end()) {
-        ReadFigure(JsonPathAppend(path, figure.key), figure, *found, parsed);
-      }
-    }
+    std::vector<std::string_view> known = {"targets", "health_path", kAnnotations};
+    ReadFigures<ServicePolicy>(path, PolicyFigures(), service, known, parsed.figures);
     CheckKeys(path, service, known);
+    parsed.health_path = OptionalText(path, service, "health_path");
     parsed.targets = RequiredTexts(path, service, "targets");
     return parsed;
   }
 
-  void ReadFigure(const std::string& path, const PolicyFigure& figure, const Json& value,
-                  ParsedService& service) {
+  template <class Policy>
+  void ReadFigures(const std::string& path, std::span<const Figure<Policy>> table,
+                   const Json& object, std::vector<std::string_view>& known,
+                   std::map<std::string, int64_t>& figures) {
+    for (const Figure<Policy>& figure : table) {
+      known.push_back(figure.key);
+      const auto found = object.find(figure.key);
+      if (found == object.end()) {
+        continue;
+      }
+      if (const auto number = WholeNumber(JsonPathAppend(path, figure.key), *found)) {
+        figures[std::string(figure.key)] = *number;
+      }
+    }
+  }
+
+  std::optional<int64_t> WholeNumber(const std::string& path, const Json& value) {
     if (!HasType(path, value, value.is_number_integer(), "a whole number")) {
-      return;
+      return std::nullopt;
     }
     const bool too_large = value.is_number_unsigned() && value.get<uint64_t>() > kLargest;
-    service.figures[std::string(figure.key)] = too_large ? kLargest : value.get<int64_t>();
+    return too_large ? kLargest : value.get<int64_t>();
   }
 
   ParsedRoute ReadRoute(const std::string& path, const Json& route) {
@@ -182,18 +209,48 @@
     if (!IsObject(path, route)) {
       return parsed;
     }
-    CheckKeys(path, route,
-              {"name", "host", "path_prefix", "methods", "service", "idempotent", "at_most_once"});
+    std::vector<std::string_view> known = {"name",       "host",         "path_prefix",
+                                           "methods",    "service",      "split",
+                                           "idempotent", "at_most_once", kAnnotations};
+    ReadFigures<RoutePolicy>(path, RouteFigures(), route, known, parsed.figures);
+    CheckKeys(path, route, known);
     parsed.name = RequiredText(path, route, "name");
     parsed.host = OptionalText(path, route, "host");
     parsed.path_prefix = RequiredText(path, route, "path_prefix");
-    parsed.methods = RequiredTexts(path, route, "methods");
-    parsed.service = RequiredText(path, route, "service");
+    if (route.contains("methods")) {
+      parsed.methods = RequiredTexts(path, route, "methods");
+    }
+    if (const auto split = route.find("split"); split != route.end()) {
+      parsed.split = ReadSplit(path + "/split", *split);
+      parsed.service = OptionalText(path, route, "service");
+    } else {
+      parsed.service = RequiredText(path, route, "service");
+    }
     parsed.idempotent = FlagOf(path, route, "idempotent");
     parsed.at_most_once = FlagOf(path, route, "at_most_once");
     return parsed;
   }
 
+  std::vector<ParsedShare> ReadSplit(const std::string& path, const Json& split) {
+    std::vector<ParsedShare> shares;
+    if (!HasType(path, split, split.is_array(), "an array")) {
+      return shares;
+    }
+    for (size_t position = 0; position < split.size(); ++position) {
+      const std::string own_path = JsonPathAppend(path, position);
+      ParsedShare& share = shares.emplace_back();
+      if (!IsObject(own_path, split[position])) {
+        continue;
+      }
+      CheckKeys(own_path, split[position], {"service", "weight"});
+      share.service = RequiredText(own_path, split[position], "service");
+      if (const Json* weight = Required(own_path, split[position], "weight")) {
+        share.weight = WholeNumber(own_path + "/weight", *weight).value_or(1);
+      }
+    }
+    return shares;
+  }
+
   std::vector<Problem>& problems_;
 };
 
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -31,11 +31,30 @@
   return Incarnation(((high << 32U) | device()) | 1U);  // never 0, which is that of a new cluster
 }
 
+std::vector<InstanceId> SeedInstances(const CommonSettings& settings) {
+  std::vector<InstanceId> instances;
+  for (const Address& seed : settings.discovery->seeds) {
+    instances.emplace_back(seed.ip);
+  }
+  return instances;
+}
+
+bool IsFirstVoter(const CommonSettings& settings) {
+  if (!settings.discovery || !settings.discovery->bootstrap) {
+    return false;
+  }
+  const std::vector<InstanceId> seeds = SeedInstances(settings);
+  return std::find(seeds.begin(), seeds.end(), settings.instance) != seeds.end();
+}
+
 // A folder without a log belongs to a new cluster only if an operator says so (init); otherwise its
 // disk was lost, and the instance must not vote before it is admitted again.
 std::filesystem::path OpenFolder(const ControlSettings& settings, const std::string& log) {
   std::filesystem::path folder = LogFolder(settings, log);
-  if (!HoldsLog(folder)) {
+  if (!HoldsLog(folder) && IsFirstVoter(settings.common)) {
+    Log(LogLevel::kInfo, "deployment_bootstrapped", {{"log", log}, {"role", std::string("voter")}});
+    InitializeLog(folder, SeedInstances(settings.common));
+  } else if (!HoldsLog(folder)) {
     Log(LogLevel::kWarning, "data_folder_empty", {{"log", log}, {"role", std::string("learner")}});
     InitializeLearnerLog(folder, NewIncarnation());
   }
@@ -55,7 +74,7 @@
 ControlProcess::ControlProcess(EventLoop& loop, ControlSettings settings, uint64_t seed)
     : loop_(loop),
       settings_(std::move(settings)),
-      node_(loop, settings_.common, settings_.peers,
+      node_(loop, settings_.common, settings_.peers, MeshRole::kControl,
             MeshHandlers{
                 .message = [this](const InstanceId& from, PeerChannel channel,
                                   const std::string& bytes) { OnMessage(from, channel, bytes); },
@@ -68,13 +87,15 @@
               [this](const InstanceId& to, const std::string& message) {
                 node_.Send(to, PeerChannel::kConfigLog, message);
               }),
-      once_(settings_.common.instance, LogSettingsOf(seed + 1), OpenFolder(settings_, "once"),
-            loop.now(),
-            [this](const InstanceId& to, const std::string& message) {
-              node_.Send(to, PeerChannel::kOnceLog, message);
-            }),
       source_(ConfigSourceSettings{}, MakeTransferCodec(), seed),
       crash_relay_(ControlInstances(settings_)) {
+  if (settings_.ledger) {
+    once_ = std::make_unique<ReplicaTask<OnceState>>(
+        settings_.common.instance, LogSettingsOf(seed + 1), OpenFolder(settings_, "once"),
+        loop.now(), [this](const InstanceId& to, const std::string& message) {
+          node_.Send(to, PeerChannel::kOnceLog, message);
+        });
+  }
   operators_ = std::make_unique<OperatorService>(loop_, settings_, config_, node_, metrics_);
   loop_.SetAfterBatch([this] { Flush(); });
   metrics_.SetCollector([this] { UpdateMetrics(); });
@@ -103,7 +124,9 @@
       config_.Receive(now, from, bytes);
       return;
     case PeerChannel::kOnceLog:
-      once_.Receive(now, from, bytes);
+      if (once_) {
+        once_->Receive(now, from, bytes);
+      }
       return;
     case PeerChannel::kDistribution:
       if (const auto message = DecodeConfigMessage(bytes, kMaxConfigMessage)) {
@@ -130,6 +153,10 @@
   if (channel != PeerChannel::kLedger) {
     return;
   }
+  if (!once_) {
+    replier.Reply(EncodeLedgerReply(std::nullopt));
+    return;
+  }
   try {
     OnLedgerRequest(payload, replier);
   } catch (const UserError& error) {
@@ -142,11 +169,11 @@
   LedgerRequest request = DecodeLedgerRequest(payload);
   request.command.at = WallNow();
   ++ledger_requests_;
-  const bool proposed = once_.Propose(loop_.now(), EncodeLedgerCommand(request.command),
-                                      [this, replier](const std::optional<LedgerAnswer>& answer) {
-                                        --ledger_requests_;
-                                        replier.Reply(EncodeLedgerReply(answer));
-                                      });
+  const bool proposed = once_->Propose(loop_.now(), EncodeLedgerCommand(request.command),
+                                       [this, replier](const std::optional<LedgerAnswer>& answer) {
+                                         --ledger_requests_;
+                                         replier.Reply(EncodeLedgerReply(answer));
+                                       });
   if (proposed) {
     return;
   }
@@ -159,7 +186,7 @@
 }
 
 void ControlProcess::ForwardLedgerRequest(LedgerCommand command, const PeerReplier& replier) {
-  const std::optional<InstanceId> leader = once_.log().leader();
+  const std::optional<InstanceId> leader = once_->log().leader();
   const std::optional<Address> address = leader ? node_.FindAddress(*leader) : std::nullopt;
   if (!address) {
     replier.Reply(EncodeLedgerReply(std::nullopt));
@@ -178,18 +205,38 @@
 void ControlProcess::Tick() {
   timer_ = loop_.After(kTick, [this] { Tick(); });
   const TimePoint now = loop_.now();
+  FollowMembers();
   config_.Tick(now);
-  once_.Tick(now);
+  if (once_) {
+    once_->Tick(now);
+  }
   for (const PeerVersion& peer : node_.membership().peer_versions()) {
     source_.Heard(now, peer.version);
   }
   SendConfigMessages(source_.Tick(now));
-  ExchangeSummaries();
-  ExchangeCrashTotals();
+  if (!settings_.common.discovery) {
+    ExchangeSummaries();
+    ExchangeCrashTotals();
+  }
+}
+
+// Where control instances are discovered, those that gossip knows may become voters.
+void ControlProcess::FollowMembers() {
+  if (settings_.common.discovery) {
+    std::vector<InstanceId> members = SeedInstances(settings_.common);
+    for (const InstanceId& instance : node_.control_instances()) {
+      if (std::find(members.begin(), members.end(), instance) == members.end()) {
+        members.push_back(instance);
+      }
+    }
+    config_.SetMembers(std::move(members));
+  }
 }
 
 void ControlProcess::Flush() {
-  once_.Flush();
+  if (once_) {
+    once_->Flush();
+  }
   if (config_.Flush()) {
     PublishNewVersion();
   }
@@ -294,30 +341,35 @@
       static_cast<double>(config_.log().term().value()));
   set("endivecleat_config_leader", "1 while this instance leads the log config",
       config_.log().role() == ReplicaRole::kLeader ? 1 : 0);
-  set("endivecleat_once_leader", "1 while this instance leads the log once",
-      once_.log().role() == ReplicaRole::kLeader ? 1 : 0);
   set("endivecleat_config_voter",
       "1 while this instance counts towards majorities of the log config",
       config_.log().is_voter() ? 1 : 0);
-  set("endivecleat_once_voter", "1 while this instance counts towards majorities of the log once",
-      once_.log().is_voter() ? 1 : 0);
-  set("endivecleat_once_records", "At-most-once records kept",
-      static_cast<double>(once_.state().ledger.record_count()));
+  if (once_) {
+    set("endivecleat_once_leader", "1 while this instance leads the log once",
+        once_->log().role() == ReplicaRole::kLeader ? 1 : 0);
+    set("endivecleat_once_voter", "1 while this instance counts towards majorities of the log once",
+        once_->log().is_voter() ? 1 : 0);
+    set("endivecleat_once_records", "At-most-once records kept",
+        static_cast<double>(once_->state().ledger.record_count()));
+  }
   set("endivecleat_members", "Members of the data centre that are alive",
       static_cast<double>(node_.membership().members().size()));
 }
 
 // Requests whose outcome is not known yet are answered before the process ends.
 void ControlProcess::FinishDrain(TimePoint limit) {
-  const bool idle = operators_->in_flight() == 0 && ledger_requests_ == 0;
+  const size_t others = other_in_flight_ ? other_in_flight_() : 0;
+  const bool idle = operators_->in_flight() == 0 && ledger_requests_ == 0 && others == 0;
   if (!idle && loop_.now() < limit) {
     loop_.After(kTick, [this, limit] { FinishDrain(limit); });
     return;
   }
   config_.TransferLeadership(loop_.now());
-  once_.TransferLeadership(loop_.now());
-  const bool leads =
-      config_.log().role() == ReplicaRole::kLeader || once_.log().role() == ReplicaRole::kLeader;
+  bool leads = config_.log().role() == ReplicaRole::kLeader;
+  if (once_) {
+    once_->TransferLeadership(loop_.now());
+    leads = leads || once_->log().role() == ReplicaRole::kLeader;
+  }
   const bool alone = settings_.common.control.size() == 1;
   if (leads && !alone && loop_.now() < limit) {
     loop_.After(kTick, [this, limit] { FinishDrain(limit); });
@@ -333,6 +385,9 @@
   for (const ControlPeer& peer : settings_.common.control) {
     log.members.push_back(peer.instance);
   }
+  if (settings_.common.discovery) {
+    log.voters_wanted = 2 * settings_.common.discovery->tolerated_losses + 1;
+  }
   log.seed = seed;
   log.heartbeat_interval = settings_.heartbeat;
   log.election_timeout_min = settings_.election_timeout;
--- a/src/control_process.h
+++ b/src/control_process.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVECLEAT_CONTROL_PROCESS_H_
 #define ENDIVECLEAT_CONTROL_PROCESS_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,13 @@
   ControlProcess& operator=(const ControlProcess&) = delete;
   ~ControlProcess();
 
+  /// The replicated configuration, for other interfaces of this instance to operators.
+  ReplicaTask<ConfigState>& config() { return config_; }
+  const ReplicaTask<ConfigState>& config() const { return config_; }
+  Metrics& metrics() { return metrics_; }
+  /// Requests of such interfaces that are not answered yet; a planned stop waits for them.
+  void SetOtherInFlight(std::function<size_t()> count) { other_in_flight_ = std::move(count); }
+
   /// Takes no new operators' requests, answers those in flight, then stops the loop.
   void Drain();
 
@@ -49,18 +57,20 @@
   void UpdateMetrics();
   void FinishDrain(TimePoint limit);
   ReplicatedLogSettings LogSettingsOf(uint64_t seed) const;
+  void FollowMembers();
 
   EventLoop& loop_;
   ControlSettings settings_;
   Metrics metrics_;
   MeshNode node_;
   ReplicaTask<ConfigState> config_;
-  ReplicaTask<OnceState> once_;
+  std::unique_ptr<ReplicaTask<OnceState>> once_;  // null when the settings switch the ledger off
   ConfigSource source_;
   SummarySchedule summary_schedule_;
   CrashRelay crash_relay_;
   std::unique_ptr<OperatorService> operators_;
   TimerId timer_;
+  std::function<size_t()> other_in_flight_;
   uint64_t ledger_requests_ = 0;  // not answered
 };
 
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
-// Gossip tells the data centre that the target drains; until then callers still send to it.
-constexpr Duration kDrainNotice = std::chrono::seconds(2);
 constexpr ByteCount kMaxConfigMessage{8U << 20U};
 constexpr uint64_t kMostSlots = 100000;
 
@@ -35,7 +33,7 @@
     : loop_(loop),
       settings_(std::move(settings)),
       tracer_(settings_.common.instance, settings_.common.trace_file, seed),
-      node_(loop, settings_.common, settings_.peers,
+      node_(loop, settings_.common, settings_.peers, MeshRole::kDaemon,
             MeshHandlers{
                 .message = [this](const InstanceId& from, PeerChannel channel,
                                   const std::string& bytes) { OnMessage(from, channel, bytes); },
@@ -67,6 +65,7 @@
                     [this](const HttpRequest& request, const ResponseSink& sink) {
                       OnLocalRequest(request, sink);
                     }) {
+  target_.SetStateListener([this] { UpdateSelf(); });
   target_.SetCancelOutgoing(
       [this](const std::vector<RequestNumber>& calls) { callers_.Cancel(calls); });
   metrics_.SetCollector([this] { UpdateMetrics(); });
@@ -78,11 +77,30 @@
 DaemonProcess::~DaemonProcess() { loop_.Cancel(timer_); }
 
 void DaemonProcess::Drain() {
-  Log(LogLevel::kInfo, "daemon_draining");
+  Log(LogLevel::kInfo, "daemon_draining",
+      {{"calls_in_flight", static_cast<uint64_t>(callers_.in_flight())},
+       {"target_in_flight", static_cast<uint64_t>(target_.in_flight())}});
+  draining_ = true;
+  caller_server_.CloseConnectionsAfterAnswers();
   target_.DrainAndHold();
   UpdateSelf();
   const TimePoint now = loop_.now();
-  FinishDrain(now + kDrainNotice, now + settings_.common.drain_timeout);
+  FinishDrain(now + settings_.common.drain_notice, now + settings_.common.drain_timeout);
+}
+
+void DaemonProcess::Announce(const Announcement& announcement) {
+  target_.Announce(announcement);
+  UpdateSelf();
+}
+
+void DaemonProcess::DrainTarget() {
+  target_.Drain();
+  UpdateSelf();
+}
+
+void DaemonProcess::ForgetTarget() {
+  target_.Leave();
+  UpdateSelf();
 }
 
 void DaemonProcess::OnMessage(const InstanceId& from, PeerChannel channel,
@@ -169,6 +187,9 @@
   }
   Log(LogLevel::kInfo, "version_in_force",
       {{"version", version.value()}, {"preset", context_.configuration->preset().value()}});
+  if (const Duration idle = context_.configuration->callers().idle_timeout; idle > Duration{}) {
+    caller_server_.SetIdleTimeout(idle);
+  }
   target_.ConfigurationChanged();
   callers_.RefreshCandidates();
   UpdateSelf();
@@ -178,6 +199,9 @@
 void DaemonProcess::Tick() {
   timer_ = loop_.After(kTick, [this] { Tick(); });
   const TimePoint now = loop_.now();
+  if (settings_.common.discovery) {
+    replica_.SetControls(node_.control_instances());
+  }
   SendConfigMessages(replica_.Tick(now, node_.membership().peer_versions()));
   UpdateSelf();
   crash_reports_.Learn(node_.membership(), context_.guard);
@@ -237,6 +261,11 @@
   ConfigReplicaSettings replica;
   const Place& here = settings_.common.place;
   replica.data_centre = here.data_centre;
+  if (settings_.common.discovery) {
+    for (const Address& seed : settings_.common.discovery->seeds) {
+      replica.local_controls.emplace_back(seed.ip);
+    }
+  }
   std::vector<InstanceId> far;
   for (const ControlPeer& peer : settings_.common.control) {
     if (peer.place.data_centre == here.data_centre) {
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -31,6 +31,18 @@
   /// Takes no new work, finishes what is in flight, leaves the data centre and stops the loop.
   void Drain();
 
+  // For adapters to other interfaces.
+  /// A new or renewed announcement of the target on this instance.
+  void Announce(const Announcement& announcement);
+  /// The target takes no new work until it announces itself again.
+  void DrainTarget();
+  /// The target has left.
+  void ForgetTarget();
+  /// Whether callers may be sent to this daemon: it has a configuration and does not stop.
+  bool TakesCalls() const { return context_.configuration != nullptr && !draining_; }
+  const DaemonSettings& settings() const { return settings_; }
+  const CompiledConfiguration* configuration() const { return context_.configuration.get(); }
+
  private:
   void OnMessage(const InstanceId& from, PeerChannel channel, const std::string& bytes);
   void OnRequest(PeerChannel channel, const std::string& payload, const PeerReplier& replier);
@@ -59,6 +71,7 @@
   HttpServer caller_server_;
   HttpServer local_server_;
   TimerId timer_;
+  bool draining_ = false;
 };
 
 /// The announcement in the body of POST /announce. Throws UserError (kBadRequest) with each
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -6,10 +6,30 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdlib>
 #include <optional>
 #include <utility>
 
 namespace endivecleat {
+namespace {
+
+// A request that is sent as the target closes the idle connection is lost, so reuse ends earlier.
+constexpr Duration kReuseMargin = std::chrono::milliseconds(500);
+
+/// How long an idle connection may be reused, by the Keep-Alive field of the answer.
+Duration ReuseTime(const HeaderList& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string value = headers.ValueOr("keep-alive", "");
+  const size_t place = value.find(kTimeout);
+  if (place == std::string::npos) {
+    return std::chrono::hours(
+        1);  // the target says nothing; it closes the connection when it likes
+  }
+  const int64_t seconds = std::strtol(value.c_str() + place + kTimeout.size(), nullptr, 10);
+  return std::max(Duration(std::chrono::seconds(seconds)) - kReuseMargin, Duration(0));
+}
+
+}  // namespace
 
 struct HttpClient::Call {
   HttpRequest request;
@@ -21,7 +41,7 @@
 class HttpClient::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(HttpClient& client, uint64_t id, int descriptor)
-      : client_(client), id_(id), descriptor_(descriptor), reader_(client.limits_) {
+      : client_(client), id_(id), descriptor_(descriptor), reader_(client.options_.limits) {
     watch_ =
         client_.loop_.Watch(descriptor_, events_, [this](uint32_t events) { OnEvents(events); });
   }
@@ -30,8 +50,12 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  /// Whether the target has closed this idle connection, or sent what nobody asked for.
+  /// Whether the target has closed this idle connection, is about to, or sent what nobody asked
+  /// for.
   bool IsStale() const {
+    if (client_.loop_.now() >= reusable_until_) {
+      return true;
+    }
     char byte = 0;
     const ssize_t count = recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
@@ -42,7 +66,11 @@
     call_ = id;
     call.connection = this;
     output_.Clear();
-    reader_.Expect(call.request.method);
+    method_ = call.request.method;
+    const std::string& echoed = client_.options_.echoed_header;
+    expected_echo_ = echoed.empty() ? "" : call.request.headers.ValueOr(echoed, "");
+    out_of_step_ = false;
+    reader_.Expect(method_);
     output_.Append(RequestHead(call.request, client_.target_.text()));
     has_body_ = !call.request.body.empty();
     output_.Append(std::move(call.request.body));
@@ -51,7 +79,7 @@
     }
     const SocketStatus status = output_.Flush(descriptor_);
     UpdateWatch();
-    return status != SocketStatus::kClosed || output_.written() > 0;
+    return !HasEnded(status) || output_.written() > 0;
   }
 
   /// Undoes Assign() after it has failed, so that the call can go to another connection.
@@ -92,7 +120,7 @@
       Remove();  // an idle connection has nothing to say: it was closed or is out of step
       return;
     }
-    if ((events & EPOLLOUT) != 0 && output_.Flush(descriptor_) == SocketStatus::kClosed &&
+    if ((events & EPOLLOUT) != 0 && HasEnded(output_.Flush(descriptor_)) &&
         (events & (EPOLLIN | EPOLLRDHUP)) == 0) {
       Fail();
       return;
@@ -110,7 +138,7 @@
       return;
     }
     connecting_ = false;
-    if (output_.Flush(descriptor_) == SocketStatus::kClosed) {
+    if (HasEnded(output_.Flush(descriptor_))) {
       Fail();
       return;
     }
@@ -119,28 +147,49 @@
 
   void OnReadable() {
     const SocketStatus status = ReadAvailable(descriptor_, input_);
-    switch (reader_.Feed(input_)) {
-      case ReadStatus::kComplete:
-        Complete(status);
+    ReadStatus read = reader_.Feed(input_);
+    while (read == ReadStatus::kComplete) {
+      HttpResponse response = reader_.Take();
+      if (BelongsToCall(response)) {
+        Complete(status, std::move(response));
         return;
-      case ReadStatus::kBad:
-        Fail();
+      }
+      out_of_step_ = true;
+      reader_.Expect(method_);
+      read = reader_.Feed(input_);
+    }
+    if (read == ReadStatus::kNeedMore && status == SocketStatus::kClosed &&
+        reader_.FeedEnd() == ReadStatus::kComplete) {
+      HttpResponse response = reader_.Take();
+      if (BelongsToCall(response)) {
+        Complete(status, std::move(response));
         return;
-      case ReadStatus::kNeedMore:
-        break;
+      }
+      read = ReadStatus::kBad;
     }
-    if (status == SocketStatus::kClosed) {
+    if (read == ReadStatus::kBad || HasEnded(status)) {
       Fail();
       return;
     }
     UpdateWatch();
   }
 
-  void Complete(SocketStatus status) {
-    HttpOutcome outcome{HttpOutcome::kAnswered, reader_.Take()};
+  /// A refusal may come before the target has read the header, so only a success has to name its
+  /// request.
+  bool BelongsToCall(const HttpResponse& response) const {
+    if (expected_echo_.empty()) {
+      return true;
+    }
+    const auto echo = response.headers.Find(client_.options_.echoed_header);
+    return echo ? *echo == expected_echo_ : response.status >= 300;
+  }
+
+  void Complete(SocketStatus status, HttpResponse response) {
+    const bool reusable = !HasEnded(status) && reader_.keep_alive() && output_.empty() &&
+                          input_.empty() && !out_of_step_;
+    reusable_until_ = client_.loop_.now() + ReuseTime(response.headers);
+    HttpOutcome outcome{HttpOutcome::kAnswered, std::move(response)};
     const CallId id = *std::exchange(call_, std::nullopt);
-    const bool reusable = status != SocketStatus::kClosed && reader_.keep_alive() &&
-                          output_.empty() && input_.empty();
     if (reusable) {
       UpdateWatch();
       client_.idle_.push_back(id_);
@@ -180,13 +229,16 @@
   OutputQueue output_;  // of the current call only
   bool has_body_ = false;
   std::optional<CallId> call_;
+  std::string method_;         // of the current call
+  std::string expected_echo_;  // value of the echoed header; empty when it is not checked
+  bool out_of_step_ = false;   // an answer that nobody waited for has come
+  TimePoint reusable_until_ = TimePoint::max();
 };
 
-HttpClient::HttpClient(EventLoop& loop, Address target, size_t connections, MessageLimits limits)
-    : loop_(loop),
-      target_(std::move(target)),
-      max_connections_(std::max<size_t>(connections, 1)),
-      limits_(limits) {}
+HttpClient::HttpClient(EventLoop& loop, Address target, HttpClientOptions options)
+    : loop_(loop), target_(std::move(target)), options_(std::move(options)) {
+  options_.connections = std::max<size_t>(options_.connections, 1);
+}
 
 HttpClient::~HttpClient() {
   for (const auto& [id, call] : calls_) {
@@ -250,7 +302,7 @@
       }
       continue;
     }
-    if (connections_.size() >= max_connections_) {
+    if (connections_.size() >= options_.connections) {
       return;
     }
     waiting_.pop_front();
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -21,13 +21,23 @@
 
 using CallId = StrongNumber<struct CallIdTag>;
 
+struct HttpClientOptions {
+  size_t connections = 1;
+  MessageLimits limits;
+  /// Header field of a request that its answer repeats. An answer with another value belongs to an
+  /// earlier request and is passed over. Empty: answers are matched by their order only.
+  std::string echoed_header;
+};
+
 /// At most `connections` connections are open at a time, connecting ones included, with one request
 /// on each; further requests wait in order of sending. Used on the loop's thread.
 class HttpClient {
  public:
   using Callback = std::function<void(HttpOutcome)>;
 
-  HttpClient(EventLoop& loop, Address target, size_t connections, MessageLimits limits = {});
+  HttpClient(EventLoop& loop, Address target, HttpClientOptions options);
+  HttpClient(EventLoop& loop, Address target, size_t connections, MessageLimits limits = {})
+      : HttpClient(loop, std::move(target), HttpClientOptions{connections, limits, ""}) {}
 
   /// Closes the connections; outstanding callbacks do not run.
   ~HttpClient();
@@ -62,8 +72,7 @@
 
   EventLoop& loop_;
   Address target_;
-  size_t max_connections_;
-  MessageLimits limits_;
+  HttpClientOptions options_;
   uint64_t next_id_ = 1;
   std::unordered_map<CallId, std::shared_ptr<Call>> calls_;
   std::deque<CallId> waiting_;  // a subset of calls_, none of them on a connection
--- a/src/http_codec.cc
+++ b/src/http_codec.cc
@@ -229,9 +229,6 @@
     if (error && error != http::error::need_more) {
       return ReadStatus::kBad;
     }
-    if (parser_->is_header_done() && !parser_->is_done() && parser_->need_eof()) {
-      return ReadStatus::kBad;
-    }
     if (parser_->is_done()) {
       const unsigned status = parser_->get().result_int();
       if (status == 101) {
@@ -248,6 +245,15 @@
   return ReadStatus::kNeedMore;
 }
 
+ReadStatus ResponseReader::FeedEnd() {
+  if (!parser_->is_header_done() || !parser_->need_eof()) {
+    return ReadStatus::kBad;
+  }
+  boost::beast::error_code error;
+  parser_->put_eof(error);
+  return error || !parser_->is_done() ? ReadStatus::kBad : ReadStatus::kComplete;
+}
+
 HttpResponse ResponseReader::Take() {
   keep_alive_ = parser_->keep_alive();
   auto message = parser_->release();
--- a/src/http_codec.h
+++ b/src/http_codec.h
@@ -53,8 +53,7 @@
   int error_status_ = 400;
 };
 
-/// Reads one response after the other. A response that is delimited by the end of the connection
-/// counts as bad: its end cannot be told from a cut.
+/// Reads one response after the other. A response without a length ends with its connection.
 class ResponseReader {
  public:
   explicit ResponseReader(MessageLimits limits);
@@ -63,6 +62,9 @@
   /// Prepares for the response to a request of this method; a response to HEAD has no body.
   void Expect(const std::string& method);
   ReadStatus Feed(std::string& input);
+  /// The peer has closed the connection in order. Completes a response without a length; anything
+  /// else is cut off.
+  ReadStatus FeedEnd();
   HttpResponse Take();
   bool keep_alive() const { return keep_alive_; }
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -168,7 +168,7 @@
 
   void OnReadable() {
     const SocketStatus status = ReadAvailable(descriptor_, input_);
-    if (status == SocketStatus::kClosed) {
+    if (HasEnded(status)) {
       Close();
       return;
     }
@@ -240,7 +240,8 @@
     }
     exchange_.reset();
     ++unsent_answers_;
-    QueueAnswer(std::move(response), reader_.keep_alive() && !server_.stopping_);
+    QueueAnswer(std::move(response),
+                reader_.keep_alive() && !server_.stopping_ && !server_.closing_connections_);
     Process();
   }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -65,6 +65,11 @@
   /// The address with the port in use.
   const Address& address() const { return listener_.address(); }
 
+  /// From now on each answer asks its caller to close the connection.
+  void CloseConnectionsAfterAnswers() { closing_connections_ = true; }
+
+  void SetIdleTimeout(Duration timeout) { limits_.idle_timeout = timeout; }
+
   /// Closes the listening socket and the idle connections. Requests in flight are answered, with
   /// "Connection: close".
   void StopAccepting();
@@ -89,6 +94,7 @@
   uint64_t next_connection_ = 1;
   size_t in_flight_ = 0;
   bool stopping_ = false;
+  bool closing_connections_ = false;
   TimerId sweep_;
 };
 
--- a/src/json_reader.cc
+++ b/src/json_reader.cc
@@ -83,6 +83,11 @@
   return value->get<uint64_t>();
 }
 
+std::string JsonReader::Raw(const std::string& key) {
+  const nlohmann::json* value = Find(key, Presence::kOptional);
+  return value == nullptr ? "" : value->dump();
+}
+
 bool JsonReader::Flag(const std::string& key, bool fallback) {
   const nlohmann::json* value = Find(key, Presence::kOptional);
   if (value == nullptr) {
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -35,6 +35,9 @@
   Address Endpoint(const std::string& key, Presence presence);
   std::vector<std::string> Texts(const std::string& key, Presence presence);
 
+  /// The JSON text of a member that another reader checks; empty when it is absent.
+  std::string Raw(const std::string& key);
+
   /// Calls read for an object member, with a reader of its own.
   void Object(const std::string& key, Presence presence,
               const std::function<void(JsonReader&)>& read);
--- a/src/log.cc
+++ b/src/log.cc
@@ -59,6 +59,9 @@
   if (target == "stderr") {
     return {&std::clog, boost::null_deleter()};
   }
+  if (target == "stdout") {
+    return {&std::cout, boost::null_deleter()};
+  }
   auto file = boost::make_shared<std::ofstream>(target, std::ios::app);
   if (!*file) {
     throw UserError(ResultCode::kSettingsUnreadable, "cannot open the log file " + target);
--- a/src/member_record.cc
+++ b/src/member_record.cc
@@ -55,7 +55,8 @@
   return Json::array({0U, record.instance.value(), record.address.ip, record.address.port,
                       record.boot_time.value(), record.sequence, record.service.value(),
                       record.target.value(), static_cast<uint8_t>(record.state), record.slots,
-                      record.load, record.config_version.value(), CborBytes(record.config_digest)});
+                      record.load, record.config_version.value(), CborBytes(record.config_digest),
+                      record.control ? 1U : 0U, record.region.value(), record.data_centre.value()});
 }
 
 Json ToCbor(const MemberUpdate& update) {
@@ -82,6 +83,9 @@
   record.load = ReadSmall(fields);
   record.config_version = ConfigVersion(fields->Number());
   record.config_digest = fields->Bytes(kLongestDigest);
+  record.control = fields->Number(1) == 1;
+  record.region = RegionId(fields->Text(kLongestName));
+  record.data_centre = DataCentreId(fields->Text(kLongestName));
   if (record.instance.empty()) {
     throw MalformedMessage("a record has no instance");
   }
--- a/src/member_record.h
+++ b/src/member_record.h
@@ -29,7 +29,10 @@
   Address address;
   WallTime boot_time;
   uint64_t sequence = 0;
-  ServiceName service;  // empty for a control instance
+  bool control = false;  // a control instance; it has no target
+  RegionId region;
+  DataCentreId data_centre;
+  ServiceName service;  // empty until a target has announced itself
   TargetId target;
   TargetState state = TargetState::kAbsent;
   uint32_t slots = 0;
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -26,8 +26,17 @@
   sum.received += more.received;
 }
 
-MemberRecord SelfRecord(const CommonSettings& settings, const Address& listen) {
+// The one gossip group of a deployment whose control instances are discovered.
+const DataCentreId& WholeMesh() {
+  static const DataCentreId mesh("*");
+  return mesh;
+}
+
+MemberRecord SelfRecord(const CommonSettings& settings, const Address& listen, bool control) {
   MemberRecord self;
+  self.control = control;
+  self.region = settings.place.region;
+  self.data_centre = settings.place.data_centre;
   self.instance = settings.instance;
   self.address = listen;
   self.boot_time = WallNow();
@@ -36,7 +45,7 @@
 
 MembershipSettings GossipSettings(const CommonSettings& settings, std::vector<Address> neighbours) {
   MembershipSettings gossip;
-  gossip.data_centre = settings.place.data_centre;
+  gossip.data_centre = settings.discovery ? WholeMesh() : settings.place.data_centre;
   gossip.region = settings.place.region;
   gossip.mesh_token = settings.mesh_token;
   gossip.neighbours = std::move(neighbours);
@@ -50,6 +59,9 @@
 
 std::vector<Address> LocalSeeds(const CommonSettings& settings) {
   std::vector<Address> seeds;
+  if (settings.discovery) {
+    seeds = settings.discovery->seeds;
+  }
   for (const ControlPeer& peer : settings.control) {
     const bool local = peer.place.data_centre == settings.place.data_centre;
     if (local && peer.instance != settings.instance) {
@@ -62,12 +74,15 @@
 }  // namespace
 
 MeshNode::MeshNode(EventLoop& loop, const CommonSettings& settings, const Address& listen,
-                   MeshHandlers handlers, uint64_t seed, std::vector<Address> neighbours)
+                   MeshRole role, MeshHandlers handlers, uint64_t seed,
+                   std::vector<Address> neighbours)
     : loop_(loop),
       self_(settings.instance),
+      discovered_port_(settings.discovery ? std::optional(listen.port) : std::nullopt),
       handlers_(std::move(handlers)),
-      membership_(SelfRecord(settings, listen), GossipSettings(settings, std::move(neighbours)),
-                  LocalSeeds(settings), seed, loop.now()),
+      membership_(SelfRecord(settings, listen, role == MeshRole::kControl),
+                  GossipSettings(settings, std::move(neighbours)), LocalSeeds(settings), seed,
+                  loop.now()),
       network_(
           loop, listen, settings.mesh_token,
           PeerHandler{
@@ -117,6 +132,9 @@
   if (known != addresses_.end()) {
     return known->second;
   }
+  if (discovered_port_) {
+    return Address{instance.value(), *discovered_port_};
+  }
   const auto& members = membership_.members();
   const auto member = std::find_if(members.begin(), members.end(), [&](const MemberRecord& each) {
     return each.instance == instance;
@@ -124,6 +142,16 @@
   return member == members.end() ? std::nullopt : std::optional(member->address);
 }
 
+std::vector<InstanceId> MeshNode::control_instances() const {
+  std::vector<InstanceId> instances;
+  for (const MemberRecord& member : membership_.members()) {
+    if (member.control) {
+      instances.push_back(member.instance);
+    }
+  }
+  return instances;
+}
+
 void MeshNode::ReportTraffic(Metrics& metrics) const {
   std::map<std::pair<std::string, bool>, ByteCounters> sums;
   for (const auto& [address, traffic] : network_.traffic()) {
--- a/src/mesh_node.h
+++ b/src/mesh_node.h
@@ -24,11 +24,13 @@
   std::function<void(PeerChannel, const std::string& payload, PeerReplier)> request;
 };
 
+enum class MeshRole { kControl, kDaemon };
+
 class MeshNode {
  public:
   /// Listens at once on the address for peers. Neighbours are members of the data centre that are
   /// asked for the others while no control instance of it is a member.
-  MeshNode(EventLoop& loop, const CommonSettings& settings, const Address& listen,
+  MeshNode(EventLoop& loop, const CommonSettings& settings, const Address& listen, MeshRole role,
            MeshHandlers handlers, uint64_t seed, std::vector<Address> neighbours = {});
   MeshNode(const MeshNode&) = delete;
   MeshNode& operator=(const MeshNode&) = delete;
@@ -46,6 +48,8 @@
   /// between control instances are known to cross; calls across regions count as not crossing.
   void ReportTraffic(Metrics& metrics) const;
 
+  /// The control instances among the members, in no order; this one included.
+  std::vector<InstanceId> control_instances() const;
   std::optional<Address> FindAddress(const InstanceId& instance) const;
   Membership& membership() { return membership_; }
   const Membership& membership() const { return membership_; }
@@ -59,6 +63,8 @@
 
   EventLoop& loop_;
   InstanceId self_;
+  // Set when instances are named by their IP numbers and all listen for peers on this port.
+  std::optional<uint16_t> discovered_port_;
   MeshHandlers handlers_;
   // Addresses of control instances by the settings, and of others as their messages come in.
   std::unordered_map<InstanceId, Address> addresses_;
--- a/src/replica_task.h
+++ b/src/replica_task.h
@@ -49,6 +49,8 @@
   /// Asks another replica to lead; does nothing when this one does not lead.
   void TransferLeadership(TimePoint now) { log_.TransferLeadership(now); }
 
+  void SetMembers(std::vector<InstanceId> members) { log_.SetMembers(std::move(members)); }
+
   void Tick(TimePoint now) { log_.Tick(now); }
   TimePoint next_timer() const { return log_.next_timer(); }
 
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -24,6 +24,12 @@
 struct ReplicatedLogSettings {
   // Instances that may be voters. A learner announces itself to them, and a leader admits no other.
   std::vector<InstanceId> members;
+  // Voters that the leader keeps up by replacing one that falls silent with a learner. 0: the
+  // voters stay the same instances, and only a new incarnation of one replaces it.
+  size_t voters_wanted = 0;
+  // A voter that has been silent for this time is replaced. A successor that has caught up must be
+  // a voter before the next loss, which may follow its start by 4 s.
+  Duration voter_silence = std::chrono::milliseconds(2500);
   uint64_t seed = 0;  // must differ between the members, so that their election timeouts do
   Duration heartbeat_interval = std::chrono::milliseconds(500);
   // Longer than a few heartbeats plus a round trip between regions, so that one lost heartbeat
@@ -40,6 +46,10 @@
  public:
   ReplicatedLog(InstanceId self, ReplicatedLogSettings settings, StoredLog stored, TimePoint now);
 
+  /// Replaces the instances that may be voters. Voters of the log stay until the leader changes
+  /// them.
+  void SetMembers(std::vector<InstanceId> members) { settings_.members = std::move(members); }
+
   /// Runs the timers that are due.
   void Tick(TimePoint now);
 
@@ -153,6 +163,10 @@
   void UpdateCatchUp(Progress& progress, uint64_t round);
   void AdvanceCommit();
   void ChangeVoters();
+  std::optional<std::vector<Voter>> ReplacedIncarnation() const;
+  std::optional<std::vector<Voter>> RestoredVoterCount() const;
+  bool IsReadyLearner(const Voter& peer, const Progress& progress) const;
+  bool IsSilentVoter(const Voter& voter) const;
   void FlushToPeers();
   void FlushTo(const Voter& peer, Progress& progress);
   void SendHeartbeat(const Voter& peer, Progress& progress);
--- a/src/replicated_log_leader.cc
+++ b/src/replicated_log_leader.cc
@@ -62,6 +62,7 @@
   }
   heartbeat_due_ = now_ + settings_.heartbeat_interval;
   heartbeat_wanted_ = true;
+  ChangeVoters();  // a voter falls silent without any message
   std::erase_if(progress_, [&](const auto& item) {
     const bool silent = now_ - item.second.last_heard > 2 * settings_.election_timeout_max;
     return silent && !Contains(voters(), item.first);
@@ -185,26 +186,79 @@
   ChangeVoters();
 }
 
-// Replaces a lost voter by its new incarnation: first removes the old one, then adds the new one.
+// One change at a time, each committed before the next.
 void ReplicatedLog::ChangeVoters() {
   const bool settled = log_.voters_index() <= commit_ && log_.TermAt(commit_) == hard_state_.term;
   if (!settled) {
     return;
   }
+  std::optional<std::vector<Voter>> changed = ReplacedIncarnation();
+  if (!changed && settings_.voters_wanted > 0) {
+    changed = RestoredVoterCount();
+  }
+  if (changed) {
+    AppendLocal(EntryKind::kVoters, EncodeVoters(*changed));
+  }
+}
+
+bool ReplicatedLog::IsReadyLearner(const Voter& peer, const Progress& progress) const {
+  const bool silent = now_ - progress.last_heard >= settings_.election_timeout_min;
+  return progress.caught_up && !silent && !Contains(voters(), peer);
+}
+
+bool ReplicatedLog::IsSilentVoter(const Voter& voter) const {
+  const auto found = progress_.find(voter);
+  return voter != identity() && found != progress_.end() &&
+         now_ - found->second.last_heard >= settings_.voter_silence;
+}
+
+// Replaces a lost voter by its new incarnation: first removes the old one, then adds the new one.
+std::optional<std::vector<Voter>> ReplicatedLog::ReplacedIncarnation() const {
   for (const auto& [peer, progress] : progress_) {
-    const bool silent = now_ - progress.last_heard >= settings_.election_timeout_min;
-    if (!progress.caught_up || silent || Contains(voters(), peer)) {
+    if (!IsReadyLearner(peer, progress)) {
       continue;
     }
     std::vector<Voter> changed = voters();
-    if (FindInstance(changed, peer.instance) != nullptr) {
-      std::erase(changed, *FindInstance(voters(), peer.instance));
-    } else {
+    if (const Voter* old = FindInstance(changed, peer.instance); old != nullptr) {
+      std::erase(changed, Voter(*old));
+      return changed;
+    }
+    if (settings_.voters_wanted == 0) {
       changed.push_back(peer);
+      return changed;
+    }
+  }
+  return std::nullopt;
+}
+
+// Adds a learner while fewer voters than wanted are heard, then removes the voter that has been
+// silent longest. Removing first would leave one voter less to lose until the second step.
+std::optional<std::vector<Voter>> ReplicatedLog::RestoredVoterCount() const {
+  std::vector<Voter> changed = voters();
+  const Voter* silent_longest = nullptr;
+  size_t heard = 0;
+  for (const Voter& voter : voters()) {
+    if (!IsSilentVoter(voter)) {
+      ++heard;
+    } else if (silent_longest == nullptr ||
+               progress_.at(voter).last_heard < progress_.at(*silent_longest).last_heard) {
+      silent_longest = &voter;
+    }
+  }
+  if (voters().size() > settings_.voters_wanted && silent_longest != nullptr) {
+    std::erase(changed, Voter(*silent_longest));
+    return changed;
+  }
+  if (heard >= settings_.voters_wanted) {
+    return std::nullopt;
+  }
+  for (const auto& [peer, progress] : progress_) {
+    if (IsReadyLearner(peer, progress)) {
+      changed.push_back(peer);
+      return changed;
     }
-    AppendLocal(EntryKind::kVoters, EncodeVoters(changed));
-    return;
   }
+  return std::nullopt;
 }
 
 void ReplicatedLog::FlushToPeers() {
--- a/src/retry_budget.cc
+++ b/src/retry_budget.cc
@@ -5,7 +5,12 @@
 namespace endivecleat {
 
 void RetryBudget::CountCall() {
-  hundredths_ = std::min(hundredths_ + retry_percent_.value(), kMostTokens * kHundredths);
+  hundredths_ = std::min(hundredths_ + retry_percent_.value(), most_tokens_ * kHundredths);
+}
+
+void RetryBudget::SetMostTokens(uint64_t most_tokens) {
+  most_tokens_ = most_tokens;
+  hundredths_ = std::min(hundredths_, most_tokens_ * kHundredths);
 }
 
 bool RetryBudget::TryTake() {
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -15,7 +15,13 @@
  public:
   static constexpr uint64_t kMostTokens = 10;
 
-  explicit RetryBudget(Percent retry_percent) : retry_percent_(retry_percent) {}
+  explicit RetryBudget(Percent retry_percent, uint64_t most_tokens = kMostTokens)
+      : retry_percent_(retry_percent), most_tokens_(most_tokens) {
+    hundredths_ = most_tokens * kHundredths;
+  }
+
+  /// The part of a burst that all daemons share. It may change as daemons come and go.
+  void SetMostTokens(uint64_t most_tokens);
 
   void SetPercent(Percent retry_percent) { retry_percent_ = retry_percent; }
   /// Counts a call once, however many attempts it makes.
@@ -28,7 +34,8 @@
   static constexpr uint64_t kHundredths = 100;
 
   Percent retry_percent_;
-  uint64_t hundredths_ = kMostTokens * kHundredths;  // at most kMostTokens * kHundredths
+  uint64_t most_tokens_;
+  uint64_t hundredths_;  // at most most_tokens_ * kHundredths
 };
 
 }  // namespace endivecleat
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -8,16 +8,19 @@
 namespace {
 
 bool Accepts(const CompiledRoute& route, std::string_view method) {
-  return std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+  return route.methods.empty() ||
+         std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
 }
 
-// The next shorter prefix that ends at a segment: "/a/b" gives "/a", "/a" gives "/", "/" gives "".
+// The next shorter prefix that ends at a segment: "/a/b" gives "/a/", then "/a", "/" and "".
 std::string_view ShorterPrefix(std::string_view prefix) {
   if (prefix.size() <= 1) {
     return {};
   }
-  const size_t slash = prefix.find_last_of('/');
-  return prefix.substr(0, std::max<size_t>(slash, 1));
+  if (prefix.back() == '/') {
+    return prefix.substr(0, prefix.size() - 1);
+  }
+  return prefix.substr(0, prefix.find_last_of('/') + 1);
 }
 
 }  // namespace
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -7,18 +7,28 @@
 #include <unordered_map>
 #include <vector>
 
+#include "service_policy.h"
 #include "units.h"
 
 namespace endivecleat {
 
+/// One part of a route's requests.
+struct RouteShare {
+  ServiceName service;
+  uint64_t weight = 1;  // of the sum over the parts
+
+  bool operator==(const RouteShare&) const = default;
+};
+
 struct CompiledRoute {
   RouteName name;
   std::string host;  // lower case without a port; empty: any host
   std::string path_prefix;
-  std::vector<std::string> methods;
-  ServiceName service;
+  std::vector<std::string> methods;  // empty: any method
+  std::vector<RouteShare> shares;    // never empty; weights are positive
   bool idempotent = false;
   bool at_most_once = false;
+  RoutePolicy policy;
 };
 
 /// Lower case, without the port: "Portal.Example:8080" becomes "portal.example".
@@ -26,7 +36,8 @@
 
 /// Finds the route of a request. Routes with exactly the host are tried before routes without a
 /// host; among them the longest matching prefix wins. A prefix matches whole path segments: "/bins"
-/// matches "/bins" and "/bins/7" and not "/binsets". A route with other methods does not match.
+/// matches "/bins" and "/bins/7" and not "/binsets"; "/bins/" matches "/bins/7" and not "/bins". A
+/// route with other methods does not match.
 class RouteTable {
  public:
   RouteTable() = default;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -31,7 +31,14 @@
   }
 }
 
+// The token of a network that only the system's own machines can reach, as its operator declares
+// with "closed_network": true. It keeps apart nothing; it only fills the place of a secret.
+constexpr char kClosedNetworkToken[] = "closed-network-without-secrets";
+
 std::string ReadToken(JsonReader& reader, const std::string& key, const std::string& folder) {
+  if (reader.Flag("closed_network", false)) {
+    return kClosedNetworkToken;
+  }
   const std::string path = reader.Text(key, Presence::kRequired);
   if (path.empty()) {
     return "";
@@ -84,25 +91,53 @@
       entry.Report("level", "must be debug, info, warning or error");
     }
   });
-  if (log.target != "stderr") {
+  if (log.target != "stderr" && log.target != "stdout") {
     log.target = Resolve(folder, log.target);
   }
   return log;
 }
 
+std::optional<Discovery> ReadDiscovery(JsonReader& reader) {
+  std::optional<Discovery> discovery;
+  reader.Object("discovery", Presence::kOptional, [&](JsonReader& entry) {
+    Discovery found;
+    for (const std::string& text : entry.Texts("seeds", Presence::kRequired)) {
+      const std::optional<Address> address = ParseAddress(text);
+      if (address) {
+        found.seeds.push_back(*address);
+      } else {
+        entry.Report("seeds", "has an entry that is not an IP number and a port: " + text);
+      }
+    }
+    if (found.seeds.empty()) {
+      entry.Report("seeds", "must name at least one control instance");
+    }
+    found.bootstrap = entry.Flag("bootstrap", false);
+    found.tolerated_losses = entry.Number("tolerated_losses", 0, kMostControlInstances / 2, 1);
+    discovery = found;
+  });
+  return discovery;
+}
+
 CommonSettings ReadCommon(JsonReader& reader, const std::string& folder) {
   CommonSettings common;
   common.instance = InstanceId(reader.Text("instance", Presence::kRequired));
   common.place = ReadPlace(reader);
-  common.control = ReadControlPeers(reader);
+  common.discovery = ReadDiscovery(reader);
+  if (!common.discovery) {
+    common.control = ReadControlPeers(reader);
+  }
   common.mesh_token = ReadToken(reader, "mesh_token_file", folder);
   common.log = ReadLog(reader, folder);
+  common.adapter = reader.Raw("adapter");
   common.trace_file = reader.Text("trace_file", Presence::kOptional);
   if (!common.trace_file.empty()) {
     common.trace_file = Resolve(folder, common.trace_file);
   }
   common.drain_timeout = reader.Time("drain_timeout", std::chrono::milliseconds(100),
                                      std::chrono::hours(1), common.drain_timeout);
+  common.drain_notice =
+      reader.Time("drain_notice", Duration(0), std::chrono::minutes(10), common.drain_notice);
   return common;
 }
 
@@ -112,7 +147,39 @@
   }
 }
 
+CallHeaders ReadHeaders(JsonReader& reader) {
+  CallHeaders headers;
+  reader.Object("headers", Presence::kOptional, [&](JsonReader& entry) {
+    const auto read = [&](const char* key, std::string& name) {
+      name = entry.Text(key, Presence::kOptional, name);
+    };
+    read("timeout", headers.timeout);
+    read("request_id", headers.request_id);
+    read("target", headers.target);
+    read("origin_service", headers.origin_service);
+    read("not_run", headers.not_run);
+    read("answer_mark", headers.answer_mark);
+    headers.diagnostics = entry.Flag("diagnostics", headers.diagnostics);
+    if (headers.timeout.empty()) {
+      entry.Report("timeout", "must name a header field");
+    }
+  });
+  return headers;
+}
+
+// The seeds of a deployment listen for peers on the port that every instance of it listens on.
+void UsePortForSeeds(CommonSettings& common, uint16_t port) {
+  if (common.discovery) {
+    for (Address& seed : common.discovery->seeds) {
+      seed.port = port;
+    }
+  }
+}
+
 void CheckListedInControl(JsonReader& reader, const CommonSettings& common) {
+  if (common.discovery) {
+    return;
+  }
   const bool listed =
       std::any_of(common.control.begin(), common.control.end(),
                   [&](const ControlPeer& peer) { return peer.instance == common.instance; });
@@ -132,6 +199,7 @@
   CheckListedInControl(reader, settings.common);
   settings.data_folder = Resolve(folder, reader.Text("data_folder", Presence::kRequired));
   settings.operator_token = ReadToken(reader, "operator_token_file", folder);
+  settings.ledger = reader.Flag("ledger", settings.ledger);
   settings.heartbeat = reader.Time("heartbeat", std::chrono::milliseconds(10),
                                    std::chrono::seconds(5), settings.heartbeat);
   settings.election_timeout = reader.Time("election_timeout", std::chrono::milliseconds(50),
@@ -143,6 +211,7 @@
     settings.operators = listen.Endpoint("operators", Presence::kRequired);
     settings.peers = listen.Endpoint("peers", Presence::kRequired);
   });
+  UsePortForSeeds(settings.common, settings.peers.port);
   reader.RejectUnknownKeys();
   ThrowIfAny(problems);
   return settings;
@@ -160,6 +229,10 @@
     settings.peers = listen.Endpoint("peers", Presence::kRequired);
     settings.local = listen.Endpoint("local", Presence::kRequired);
   });
+  UsePortForSeeds(settings.common, settings.peers.port);
+  settings.service = ServiceName(reader.Text("service", Presence::kOptional));
+  settings.headers = ReadHeaders(reader);
+  settings.shared_retry_burst = reader.Number("shared_retry_burst", 0, 1'000'000, 0);
   for (const std::string& text_of_address : reader.Texts("neighbours", Presence::kOptional)) {
     const std::optional<Address> address = ParseAddress(text_of_address);
     if (address) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "call_headers.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -27,20 +28,35 @@
   Address operators;
 };
 
+/// How control instances are found where the settings do not list them: all processes form one
+/// gossip group, which they join through any of the seeds. An instance is then named by its IP
+/// number, so that the seeds name the first voters.
+struct Discovery {
+  std::vector<Address> seeds;  // addresses for peers of some control instances
+  /// The deployment starts for the first time; then the seeds are the voters.
+  bool bootstrap = false;
+  size_t tolerated_losses = 1;  // control instances that may be lost at the same time
+};
+
 struct LogSettings {
   std::string level = "info";     // debug, info, warning or error
-  std::string target = "stderr";  // "stderr" or the path of a file
+  std::string target = "stderr";  // "stderr", "stdout" or the path of a file
 };
 
 /// What both kinds of processes share.
 struct CommonSettings {
   InstanceId instance;
   Place place;
-  std::vector<ControlPeer> control;  // every control instance of the deployment
-  std::string mesh_token;            // shared by the processes of the system
+  /// Every control instance of the deployment; empty when `discovery` finds them.
+  std::vector<ControlPeer> control;
+  std::optional<Discovery> discovery;
+  std::string mesh_token;  // shared by the processes of the system
   LogSettings log;
   std::string trace_file;  // empty: no traces are written
+  std::string adapter;     // JSON for an adapter to other interfaces; empty: none
   Duration drain_timeout = std::chrono::seconds(30);
+  // Callers and peers learn of a stop in this time; until then connections are accepted.
+  Duration drain_notice = std::chrono::seconds(2);
 };
 
 struct ControlSettings {
@@ -49,6 +65,7 @@
   Address operators;
   Address peers;
   std::string operator_token;
+  bool ledger = true;  // whether at-most-once routes can be served
   Duration heartbeat = std::chrono::milliseconds(500);
   Duration election_timeout = std::chrono::seconds(2);  // the least; the longest is twice as much
 };
@@ -59,6 +76,11 @@
   Address peers;
   Address local;
   std::string announce_token;
+  // Retries of all daemons together above their share of the calls; each daemon may spend its part.
+  // 0: each daemon has a burst of its own.
+  uint64_t shared_retry_burst = 0;
+  CallHeaders headers;
+  ServiceName service;  // of the target on this instance; names the origin of its callers' requests
   std::vector<Address> neighbours;  // asked when no control instance answers
 };
 
--- /dev/null
+++ b/src/split_chooser.cc
@@ -0,0 +1,38 @@
+#include "split_chooser.h"
+
+#include "errors.h"
+
+namespace endivecleat {
+namespace {
+
+// The golden ratio's fraction: multiples of it spread over [0, 1) more evenly than those of any
+// other number.
+constexpr double kStep = 0.6180339887498949;
+constexpr uint64_t kStartSteps = 1'000'000;
+
+}  // namespace
+
+const ServiceName& SplitChooser::Choose(const CompiledRoute& route) {
+  ENDIVECLEAT_CHECK(!route.shares.empty(), "a route without a service");
+  if (route.shares.size() == 1) {
+    return route.shares.front().service;
+  }
+  const double start = static_cast<double>(random_.Below(kStartSteps)) / kStartSteps;
+  double& position = positions_.try_emplace(route.name, start).first->second;
+  position += kStep;
+  position -= position >= 1 ? 1 : 0;
+  double sum = 0;
+  for (const RouteShare& share : route.shares) {
+    sum += static_cast<double>(share.weight);
+  }
+  double passed = 0;
+  for (const RouteShare& share : route.shares) {
+    passed += static_cast<double>(share.weight);
+    if (position * sum < passed) {
+      return share.service;
+    }
+  }
+  return route.shares.back().service;
+}
+
+}  // namespace endivecleat
--- a/src/target_call.cc
+++ b/src/target_call.cc
@@ -117,11 +117,14 @@
   }
   const bool died = fault == TargetFault::kDied;
   EndCall(died ? CallEnding::kTargetDied : CallEnding::kOther);
-  if (fault == TargetFault::kNotSent && once()) {
+  const bool not_run = fault == TargetFault::kNotSent || fault == TargetFault::kNotRun;
+  reached_ = fault != TargetFault::kNotSent;
+  if (not_run && once()) {
     Move("not_sent");
     EnterReleasing(now, ResultCode::kNotStarted);
-  } else if (fault == TargetFault::kNotSent) {
-    Refuse(ResultCode::kTargetUnreachable);
+  } else if (not_run) {
+    Refuse(fault == TargetFault::kNotSent ? ResultCode::kTargetUnreachable
+                                          : ResultCode::kOverloaded);
     Move("closed");
   } else {
     // The claim of an at-most-once request stays for good: the target may have run it.
@@ -138,7 +141,7 @@
     Move("withdrawn");
   } else if (state_ == "claiming" || state_ == "awaiting") {
     Withdraw(now, ResultCode::kCancelled);
-  } else if (state_ == "calling" && !once()) {
+  } else if (state_ == "calling" && request_.kind == CallKind::kIdempotent) {
     effects_.emplace_back(CancelTarget{});
     EndCall(CallEnding::kOther);
     Move("closed");
@@ -180,7 +183,7 @@
 
 void TargetCall::Refuse(ResultCode code, bool target_died) {
   if (!std::exchange(answered_, true)) {
-    effects_.emplace_back(RefuseCaller{{code, target_died}});
+    effects_.emplace_back(RefuseCaller{{code, target_died, reached_}});
   }
 }
 
@@ -329,6 +332,7 @@
 void TargetCall::EnterCalling() {
   resend_at_ = TimePoint::max();
   limit_ = once() ? Later(request_.deadline, kLateAnswer) : request_.deadline;
+  reached_ = true;
   effects_.emplace_back(CallTarget{request_.deadline, limit_});
 }
 
--- a/src/target_call.h
+++ b/src/target_call.h
@@ -78,6 +78,7 @@
 
 enum class TargetFault {
   kNotSent,  // the connection was refused before a byte was sent
+  kNotRun,   // the target answered that it did not run the request
   kBroken,   // the connection broke or timed out; the target may have run the request
   kDied,     // the same, and the target is gone
 };
@@ -95,8 +96,8 @@
   TargetCallEffects LedgerAnswered(TimePoint now, const LedgerReply& reply);
   TargetCallEffects TargetAnswered(TimePoint now, const TargetAnswer& answer);
   TargetCallEffects TargetFailed(TimePoint now, TargetFault fault);
-  /// The caller is gone or has no use for the answer. An at-most-once request that the target works
-  /// on goes on, so that its outcome gets recorded.
+  /// The caller is gone or has no use for the answer. A request that the target works on goes on
+  /// unless it is idempotent: cut in the middle, its effect would be unknown to the target as well.
   TargetCallEffects Cancelled(TimePoint now);
   /// Does nothing before next_timer.
   TargetCallEffects TimedOut(TimePoint now);
@@ -130,6 +131,7 @@
   std::string state_;
   TargetCallEffects effects_;  // of the event that is being handled
   bool holds_slot_ = false;
+  bool reached_ = false;   // the target was called and may have got the request
   bool answered_ = false;  // AnswerCaller or RefuseCaller was given, or nobody wants one
   TargetAnswer answer_;    // while completing: what the target answered
   bool released_ = false;  // while releasing: the ledger confirmed it
--- a/src/target_state.cc
+++ b/src/target_state.cc
@@ -51,6 +51,11 @@
   Handle(now, "drain");
 }
 
+void AnnouncedTarget::Leave(TimePoint now) {
+  held_ = false;
+  Handle(now, "leave");
+}
+
 void AnnouncedTarget::DrainAndHold(TimePoint now) {
   held_ = true;
   Handle(now, "drain");
--- a/src/target_state.h
+++ b/src/target_state.h
@@ -43,6 +43,8 @@
   /// An operator's drain, or the stop of the daemon: no new work, whatever renewals follow, until
   /// the target leaves, its announcement expires or another target replaces it.
   void DrainAndHold(TimePoint now);
+  /// The target has ended or is about to: it is not probed or called any more.
+  void Leave(TimePoint now);
   /// The last request of a draining target has ended.
   void Drained(TimePoint now);
 
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -14,14 +14,7 @@
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
 // Separates "the target died" from "this one request broke": a target that still accepts a
 // connection lives.
-constexpr Duration kDeathProbeTimeout = std::chrono::milliseconds(500);
-
-HttpRequest HealthRequest() {
-  HttpRequest request;
-  request.method = "GET";
-  request.path = "/healthz";
-  return request;
-}
+constexpr Duration kDeathProbeTimeout = std::chrono::milliseconds(200);
 
 bool Passed(const HttpOutcome& outcome) {
   return outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500;
@@ -113,10 +106,11 @@
   const bool moved = client_ == nullptr || client_->target() != announcement.address;
   target_.Announce(context_.loop.now(), announcement);
   if (moved) {
-    const MessageLimits limits;
-    client_ = std::make_unique<HttpClient>(context_.loop, announcement.address,
-                                           std::max<uint32_t>(announcement.connections, 1), limits);
-    probe_client_ = std::make_unique<HttpClient>(context_.loop, announcement.address, 1, limits);
+    client_ = std::make_unique<HttpClient>(
+        context_.loop, announcement.address,
+        HttpClientOptions{.connections = announcement.connections,
+                          .echoed_header = context_.settings.headers.request_id});
+    probe_client_ = std::make_unique<HttpClient>(context_.loop, announcement.address, 1);
     Log(LogLevel::kInfo, "target_announced",
         {{"service", announcement.service.value()},
          {"target", announcement.target.value()},
@@ -126,6 +120,11 @@
   FollowState();
 }
 
+void TargetTask::Leave() {
+  target_.Leave(context_.loop.now());
+  FollowState();
+}
+
 void TargetTask::Drain() {
   target_.Drain(context_.loop.now());
   FollowState();
@@ -181,7 +180,7 @@
   *started = exchange;
   context_.calls.Begin(number, exchange->span.context().trace, exchange->deadline);
   Decide(admission_.Arrive(context_.loop.now(),
-                           {number, message.kind == CallKind::kAtMostOnce, exchange->deadline}));
+                           {number, message.priority, exchange->deadline, message.max_wait}));
   ArmTimer(exchange);
 }
 
@@ -289,9 +288,16 @@
 void TargetTask::CallTheTarget(const ExchangePtr& exchange, const CallTarget& effect) {
   const TimePoint now = context_.loop.now();
   HttpRequest request = exchange->message.request;
-  AddForwardedFor(request);
-  request.headers.Set(std::string(kTimeoutHeader), FormatTimeout(now, effect.deadline));
-  request.headers.Set(std::string(kTraceparentHeader), FormatTraceparent(exchange->span.context()));
+  const CallHeaders& names = context_.settings.headers;
+  if (names.diagnostics) {
+    AddForwardedFor(request);
+    request.headers.Set(std::string(kTraceparentHeader),
+                        FormatTraceparent(exchange->span.context()));
+  }
+  request.headers.Set(names.timeout, FormatTimeout(now, effect.deadline));
+  if (!names.target.empty()) {
+    request.headers.Set(names.target, target_.announcement().target.value());
+  }
   exchange->target_call =
       client_->Send(std::move(request), std::max(effect.limit - now, Duration(1)),
                     [this, exchange](const HttpOutcome& outcome) { OnOutcome(exchange, outcome); });
@@ -302,8 +308,7 @@
   exchange->target_call.reset();
   switch (outcome.kind) {
     case HttpOutcome::kAnswered:
-      target_.CallSucceeded(now);
-      Carry(exchange, exchange->call.TargetAnswered(now, ToAnswer(outcome.response)));
+      OnAnswer(exchange, outcome.response);
       return;
     case HttpOutcome::kNotSent:
       target_.CallFailed(now);
@@ -319,20 +324,49 @@
   }
 }
 
+void TargetTask::OnAnswer(const ExchangePtr& exchange, const HttpResponse& response) {
+  const TimePoint now = context_.loop.now();
+  switch (ClassifyAnswer(context_.settings.headers, response)) {
+    case AnswerKind::kAnswer:
+      target_.CallSucceeded(now);
+      Carry(exchange, exchange->call.TargetAnswered(now, ToAnswer(response)));
+      return;
+    case AnswerKind::kNotRun:
+      LogAttempt(*exchange, "target_refused", response.status);
+      Carry(exchange, exchange->call.TargetFailed(now, TargetFault::kNotRun));
+      return;
+    case AnswerKind::kSpoilt:
+      LogAttempt(*exchange, "answer_spoilt", response.status);
+      Carry(exchange, exchange->call.TargetFailed(now, TargetFault::kBroken));
+      return;
+  }
+}
+
+void TargetTask::LogAttempt(const Exchange& exchange, const std::string& event, int status) const {
+  Log(LogLevel::kInfo, event,
+      {{"request", exchange.message.request_id},
+       {"attempt", exchange.message.attempt.value()},
+       {"service", exchange.message.service.value()},
+       {"target", target_.announcement().target.value()},
+       {"status", static_cast<int64_t>(status)},
+       {"running", static_cast<uint64_t>(admission_.running())},
+       {"queued", static_cast<uint64_t>(admission_.queued())}});
+}
+
 void TargetTask::FindOutWhetherItDied(const ExchangePtr& exchange) {
   broken_.push_back(exchange);
-  if (broken_.size() > 1) {
+  if (death_probe_) {
     return;
   }
-  // A connection of its own: one from the pool may be a leftover of the dead target.
-  probe_client_ = std::make_unique<HttpClient>(context_.loop, target_.announcement().address, 1);
-  probe_client_->Send(HealthRequest(), kDeathProbeTimeout,
-                      [this](const HttpOutcome& outcome) { OnDeathProbe(outcome); });
+  death_probe_ = std::make_unique<ConnectProbe>(
+      context_.loop, target_.announcement().address, kDeathProbeTimeout,
+      [this](ConnectResult result) { OnDeathProbe(result); });
 }
 
-void TargetTask::OnDeathProbe(const HttpOutcome& outcome) {
+void TargetTask::OnDeathProbe(ConnectResult result) {
   const TimePoint now = context_.loop.now();
-  const bool died = outcome.kind == HttpOutcome::kNotSent;
+  death_probe_.reset();
+  const bool died = result == ConnectResult::kRefused;
   if (died) {
     ++deaths_;
     target_.CallFailed(now);
@@ -343,6 +377,7 @@
   }
   const std::vector<ExchangePtr> broken = std::exchange(broken_, {});
   for (const ExchangePtr& exchange : broken) {
+    LogAttempt(*exchange, died ? "target_died_during_call" : "answer_broken", 0);
     const TargetFault fault = died ? TargetFault::kDied : TargetFault::kBroken;
     Carry(exchange, exchange->call.TargetFailed(now, fault));
   }
@@ -393,10 +428,14 @@
   Decide(admission_.Tick(now));
 }
 
+HttpRequest TargetTask::HealthRequest() const {
+  HttpRequest request;
+  request.method = "GET";
+  request.path = EffectivePolicy().health_path;
+  return request;
+}
+
 void TargetTask::Probe() {
-  if (!broken_.empty()) {
-    return;  // the probe under way tells more
-  }
   probe_client_->Send(HealthRequest(), kProbeTimeout, [this](const HttpOutcome& outcome) {
     target_.ProbeResult(context_.loop.now(), Passed(outcome));
     FollowState();
@@ -418,10 +457,13 @@
   if (open(state) && !was_open) {
     admission_.Open(context_.loop.now());
   } else if (state == TargetState::kDraining) {
-    admission_.Drain();
+    admission_.Drain(context_.loop.now());
   } else if (!open(state)) {
     Decide(admission_.Close());
   }
+  if (state_changed_) {
+    state_changed_();
+  }
 }
 
 TargetLoad TargetTask::Load() const {
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -12,6 +12,7 @@
 
 #include "admission.h"
 #include "call_message.h"
+#include "connect_probe.h"
 #include "daemon_context.h"
 #include "http_client.h"
 #include "target_call.h"
@@ -39,6 +40,8 @@
   void CancelLocal(const AttemptId& attempt);
 
   void Announce(const Announcement& announcement);
+  /// The target has left; nothing is sent to it until it announces itself again.
+  void Leave();
   /// No new work from now on; requests that run or wait are finished.
   void Drain();
   /// The same, and renewed announcements do not end it: an operator's drain or the daemon's stop.
@@ -46,6 +49,9 @@
   /// Takes up a new configuration: slots, queue and warm-up of the service.
   void ConfigurationChanged();
 
+  /// Called whenever the target's state changes.
+  void SetStateListener(std::function<void()> listener) { state_changed_ = std::move(listener); }
+
   const AnnouncedTarget& target() const { return target_; }
   size_t running() const { return admission_.running(); }
   /// Attempts whose outcome is not settled, such as one whose answer is being recorded.
@@ -58,6 +64,7 @@
   using ExchangePtr = std::shared_ptr<Exchange>;
 
   void Begin(const AttemptMessage& message, Reply reply, ExchangePtr* started);
+  HttpRequest HealthRequest() const;
   bool Serves(const ServiceName& service) const;
   ServicePolicy EffectivePolicy() const;
   void Cancelled(const ExchangePtr& exchange);
@@ -71,8 +78,10 @@
   void Answer(const ExchangePtr& exchange, std::variant<TargetAnswer, Refusal> outcome);
   void ArmTimer(const ExchangePtr& exchange);
   void Settle(const ExchangePtr& exchange);
+  void OnAnswer(const ExchangePtr& exchange, const HttpResponse& response);
+  void LogAttempt(const Exchange& exchange, const std::string& event, int status) const;
   void FindOutWhetherItDied(const ExchangePtr& exchange);
-  void OnDeathProbe(const HttpOutcome& outcome);
+  void OnDeathProbe(ConnectResult result);
   void Tick();
   void Probe();
   void FollowState();
@@ -86,9 +95,11 @@
   std::unique_ptr<HttpClient> probe_client_;
   std::map<RequestNumber, ExchangePtr> exchanges_;
   std::map<AttemptId, ExchangePtr> local_;
+  std::unique_ptr<ConnectProbe> death_probe_;  // null when none is under way
   std::vector<ExchangePtr> broken_;  // wait for the probe that tells whether the target died
   uint64_t deaths_ = 0;
   CancelOutgoing cancel_outgoing_;
+  std::function<void()> state_changed_;
   TimerId timer_;
 };
 
--- a/src/tcp_socket.cc
+++ b/src/tcp_socket.cc
@@ -175,9 +175,12 @@
   static thread_local std::array<char, kReadBytes> buffer;
   for (int i = 0; i < kReadsPerEvent; ++i) {
     const ssize_t count = recv(descriptor, buffer.data(), buffer.size(), 0);
-    if (count == 0 || (count < 0 && !WouldBlock(errno) && errno != EINTR)) {
+    if (count == 0) {
       return SocketStatus::kClosed;
     }
+    if (count < 0 && !WouldBlock(errno) && errno != EINTR) {
+      return SocketStatus::kFailed;
+    }
     if (count < 0) {
       return SocketStatus::kBlocked;
     }
--- a/src/tcp_socket.h
+++ b/src/tcp_socket.h
@@ -42,10 +42,19 @@
 /// Receives one datagram of at most capacity bytes; nullopt when there is none.
 std::optional<std::string> ReceiveUdp(int descriptor, size_t capacity, Address& from);
 
-enum class SocketStatus { kOpen, kBlocked, kClosed };
+enum class SocketStatus {
+  kOpen,
+  kBlocked,
+  kClosed,  // the peer has closed its side in order
+  kFailed,  // the connection was reset or timed out
+};
+
+inline bool HasEnded(SocketStatus status) {
+  return status == SocketStatus::kClosed || status == SocketStatus::kFailed;
+}
 
 /// Appends what has arrived to input, up to a bound per call so that one connection does not hold
-/// up the others. kClosed when the peer has closed or the connection failed.
+/// up the others.
 SocketStatus ReadAvailable(int descriptor, std::string& input);
 
 /// Bytes that wait until the socket takes them.
--- a/test/correctness/admission_test.cc
+++ b/test/correctness/admission_test.cc
@@ -17,7 +17,7 @@
 
 AdmissionRequest Read(uint64_t number) { return {.number = RequestNumber(number)}; }
 AdmissionRequest Once(uint64_t number) {
-  return {.number = RequestNumber(number), .at_most_once = true};
+  return {.number = RequestNumber(number), .priority = Priority(0)};
 }
 AdmissionDecision Admitted(uint64_t number) { return {RequestNumber(number), std::nullopt}; }
 AdmissionDecision Refused(uint64_t number, ResultCode code) {
@@ -118,7 +118,7 @@
   Admission admission = Open({.slots = SlotCount(1)});
   admission.Arrive(kWarm, Read(1));
   admission.Arrive(kWarm, Read(2));
-  admission.Drain();
+  admission.Drain(kWarm);
   CHECK(admission.Arrive(kWarm, Read(3)) == Decisions{Refused(3, ResultCode::kDraining)});
   LONGS_EQUAL(0, admission.free_slots(kWarm));
   CHECK(admission.Finish(kWarm, RequestNumber(1)) == Decisions{Admitted(2)});
--- a/test/correctness/configuration_test.cc
+++ b/test/correctness/configuration_test.cc
@@ -56,7 +56,7 @@
 TEST(ConfigurationSmall, FindsItsRouteAndTargets) {
   const auto compiled = Compiled();
   const auto* route = compiled->FindRoute("GET", "any", "/bins/7");
-  CHECK(route != nullptr && route->service == kPortal && route->idempotent);
+  CHECK(route != nullptr && route->shares.front().service == kPortal && route->idempotent);
   CHECK(compiled->FindService(kPortal)->Allows(TargetId("portal-ayto-1")));
   CHECK_FALSE(compiled->FindService(kPortal)->Allows(TargetId("ruta-1")));
   CHECK(compiled->FindService(ServiceName("none")) == nullptr);
@@ -92,6 +92,6 @@
   for (const auto& route : compiled->routes()) {
     const auto* found = compiled->FindRoute(route.methods.front(), "", route.path_prefix + "/x");
     CHECK(found == &route);
-    CHECK(compiled->FindService(route.service) != nullptr);
+    CHECK(compiled->FindService(route.shares.front().service) != nullptr);
   }
 }
