Limit the opening of links, tell daemons of the own data centre directly

Ruled out: the election itself (pre-votes were sent 0.5 s after the start).

Change: a link that has not opened after 500 ms is given up, the backoff ends at 1 s, silent connections end after 2.5 s; a control instance notifies the daemons of its own data centre; a daemon pulls from the holder that spoke to it last.

--- a/src/config_replica.cc
+++ b/src/config_replica.cc
@@ -45,6 +45,9 @@
     case Kind::kNotice:
       out = source_.Receive(now, from, message);
       Learn(now, from, message.version, message.digest);
+      if (const auto teller = candidates_.find(from); teller != candidates_.end()) {
+        teller->second.told_at = now;
+      }
       asked_.erase(from);
       remote_answered_ = remote_answered_ || IsRemote(from);
       if (pull_ && pull_->from == from && message.version <= own_version()) {
@@ -221,12 +224,20 @@
       best = std::max(best, candidate.version);
     }
   }
+  // Gossip still names holders that were cut off since, so the one that spoke last is asked.
   std::vector<InstanceId> holders;
+  TimePoint last_told{};
   for (const auto& [instance, candidate] : candidates_) {
     const bool holds = candidate.version == best && best > own_version();
-    if (holds && Usable(now, instance, candidate) && now >= candidate.busy_until) {
-      holders.push_back(instance);
+    if (!holds || !Usable(now, instance, candidate) || now < candidate.busy_until ||
+        candidate.told_at < last_told) {
+      continue;
+    }
+    if (candidate.told_at > last_told) {
+      holders.clear();
+      last_told = candidate.told_at;
     }
+    holders.push_back(instance);
   }
   if (holders.empty()) {
     return;
--- a/src/config_replica.h
+++ b/src/config_replica.h
@@ -82,6 +82,7 @@
     TimePoint heard_at;
     TimePoint since;  // when it first offered a version newer than the one in force
     TimePoint busy_until;
+    TimePoint told_at;  // when it last said so itself; it was alive and reachable then
   };
   struct Pull {
     InstanceId from;
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -19,6 +19,8 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(20);
 constexpr Duration kLedgerForwardTimeout = std::chrono::milliseconds(800);
+// Daemons of the own data centre that are told of a version directly; the rest learn it from these.
+constexpr size_t kLocalNotices = 16;
 constexpr ByteCount kMaxConfigMessage{8U << 20U};
 
 std::filesystem::path LogFolder(const ControlSettings& settings, const std::string& log) {
@@ -61,6 +63,14 @@
   return folder;
 }
 
+ConfigSourceSettings SourceSettings(const CommonSettings& settings) {
+  ConfigSourceSettings source;
+  if (settings.discovery) {
+    source.notices = kLocalNotices;
+  }
+  return source;
+}
+
 std::set<InstanceId> ControlInstances(const ControlSettings& settings) {
   std::set<InstanceId> instances;
   for (const ControlPeer& peer : settings.common.control) {
@@ -87,7 +97,7 @@
               [this](const InstanceId& to, const std::string& message) {
                 node_.Send(to, PeerChannel::kConfigLog, message);
               }),
-      source_(ConfigSourceSettings{}, MakeTransferCodec(), seed),
+      source_(SourceSettings(settings_.common), MakeTransferCodec(), seed),
       crash_relay_(ControlInstances(settings_)) {
   if (settings_.ledger) {
     once_ = std::make_unique<ReplicaTask<OnceState>>(
@@ -254,7 +264,11 @@
   text->digest = TextDigest(text->text);
   std::vector<InstanceId> daemons;
   for (const MemberRecord& member : node_.membership().members()) {
-    if (member.instance != settings_.common.instance) {
+    // Where all data centres gossip together, each control instance tells its own, so that all
+    // daemons are told at once and pull over no long link.
+    const bool near =
+        !settings_.common.discovery || member.data_centre == settings_.common.place.data_centre;
+    if (member.instance != settings_.common.instance && near) {
       daemons.push_back(member.instance);
     }
   }
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -20,7 +20,8 @@
 constexpr std::string_view kBearer = "Bearer ";
 constexpr size_t kMaxFieldBytes = 1024;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
-constexpr Duration kLastBackoff = std::chrono::seconds(5);
+// Control instances that start one after the other must find each other within an election.
+constexpr Duration kLastBackoff = std::chrono::seconds(1);
 
 const unsigned char* Bytes(const char* text) {
   return reinterpret_cast<const unsigned char*>(text);
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -26,6 +26,9 @@
 constexpr int kPortAttempts = 20;
 // libwebsockets 4.1.6 sets no limit on an accepted connection that sends nothing.
 constexpr Duration kHandshakeLimit = std::chrono::seconds(5);
+// A host without power drops the opening packet, and the kernel sends the next one after a second.
+// Eight round trips between regions; a new attempt is faster than waiting for that packet.
+constexpr Duration kOpeningLimit = std::chrono::milliseconds(500);
 // Datagrams are not authenticated here, so forged senders must not fill the memory; the traffic of
 // addresses beyond this number is counted under the empty address.
 constexpr size_t kMaxCountedPeers = 16384;
@@ -156,16 +159,20 @@
   info.opaque = ToOpaque(id);
   if (lws* wsi = lws_adopt_descriptor_vhost_via_info(&info); wsi != nullptr) {
     sockets_.emplace(id, wsi);
-    loop_.After(kHandshakeLimit, [this, id, alive = std::weak_ptr<bool>(alive_)] {
-      if (!alive.expired()) {
-        EndUnopened(id);
-      }
-    });
+    LimitOpening(id, kHandshakeLimit);
   } else {
     OnClosed(id);  // libwebsockets has closed the descriptor
   }
 }
 
+void PeerNetwork::Impl::LimitOpening(uint64_t id, Duration limit) {
+  loop_.After(limit, [this, id, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      EndUnopened(id);
+    }
+  });
+}
+
 void PeerNetwork::Impl::EndUnopened(uint64_t id) {
   const auto socket = sockets_.find(id);
   const auto link = links_.find(id);
@@ -253,6 +260,7 @@
   info.opaque_user_data = ToOpaque(id);
   if (lws* wsi = lws_client_connect_via_info(&info); wsi != nullptr) {
     sockets_.emplace(id, wsi);
+    LimitOpening(id, kOpeningLimit);
   } else {
     OnClosed(id);
   }
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -74,7 +74,7 @@
 /// Used on the loop's thread; destroyed before the loop and not from within a handler or callback.
 ///
 /// A link that cannot be opened, or whose peer refuses the token, is not tried again for a delay
-/// that doubles from 100 ms to 5 s, with jitter. Until then requests get kNotSent and messages are
+/// that doubles from 100 ms to 1 s, with jitter. Until then requests get kNotSent and messages are
 /// refused.
 class PeerNetwork {
  public:
--- a/src/peer_network_impl.h
+++ b/src/peer_network_impl.h
@@ -123,6 +123,7 @@
   PeerLink* LinkTo(const Address& to);
   PeerLink* OpenLink(const Address& to, Outbound& outbound);
   void Adopt(int descriptor);
+  void LimitOpening(uint64_t id, Duration limit);
   void EndUnopened(uint64_t id);
   uint64_t NewConnection();
   bool Push(PeerLink& link, PeerFrame frame);
--- a/src/tcp_socket.cc
+++ b/src/tcp_socket.cc
@@ -27,7 +27,9 @@
 // When descriptors run out, the listener would be ready forever; it pauses instead.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 // Unacknowledged data ends a connection after this time: a host that vanished sends no reset.
-constexpr unsigned kUserTimeoutMilliseconds = 10000;
+// A connection that has gone silent carries calls that wait this long in vain. Two lost packets in
+// a row on a link between regions are sent again well within it.
+constexpr unsigned kUserTimeoutMilliseconds = 2500;
 
 struct SocketAddress {
   sockaddr_storage storage = {};
--- a/src/tcp_socket.h
+++ b/src/tcp_socket.h
@@ -33,7 +33,7 @@
 /// The address at the other end of a connection; empty when it is not connected.
 Address RemoteAddress(int descriptor);
 
-/// No delay of small writes, and an end to a connection whose data stays unacknowledged for 10 s.
+/// No delay of small writes, and an end to a connection whose data stays unacknowledged for 2.5 s.
 void SetStreamOptions(int descriptor);
 
 /// Sends one datagram. False when the kernel does not take it.
