Test placing, waiting, splitting, voter replacement and the platform's bodies

The random runs of the replicated log take a spare instance in turn, so that leaders replace silent voters while everything else breaks.

--- a/test/correctness/admission_test.cc
+++ b/test/correctness/admission_test.cc
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+
 #include "seeded_random.h"
 
 using namespace endivecleat;  // NOLINT(google-build-using-namespace)
@@ -168,3 +170,88 @@
     LONGS_EQUAL(undecided.size(), admission.queued());
   }
 }
+
+// Replays a burst: requests of three priorities come faster than the slots serve them.
+TEST_GROUP(AdmissionBurst) {
+  struct Outcome {
+    int admitted = 0;
+    int refused = 0;
+    Duration longest_refused_wait{};
+  };
+  std::map<uint64_t, Outcome> outcomes;  // by priority
+
+  /// Ten slots serve 50 requests a second; `percent` of that arrive for four seconds.
+  void Replay(int percent) {
+    Admission admission(
+        {.slots = SlotCount(10), .queue_length = QueueLength(40), .warm_up = Duration{}});
+    admission.Open(kStart);
+    SeededRandom random(11);
+    std::map<RequestNumber, std::pair<uint64_t, TimePoint>> waiting;
+    std::multimap<TimePoint, RequestNumber> ends;
+    const auto decide = [&](TimePoint now, const Decisions& decisions) {
+      for (const AdmissionDecision& decision : decisions) {
+        const auto [priority, since] = waiting.extract(decision.number).mapped();
+        Outcome& outcome = outcomes[priority];
+        if (decision.refused_with) {
+          ++outcome.refused;
+          outcome.longest_refused_wait = std::max(outcome.longest_refused_wait, now - since);
+        } else {
+          ++outcome.admitted;
+          ends.emplace(now + milliseconds(150 + random.Below(100)), decision.number);
+        }
+      }
+    };
+    const Duration gap(20'000 * 100 / percent);
+    TimePoint next_arrival = kStart;
+    uint64_t number = 0;
+    for (TimePoint now = kStart; now < kStart + seconds(4); now += milliseconds(1)) {
+      while (!ends.empty() && ends.begin()->first <= now) {
+        const RequestNumber ended = ends.begin()->second;
+        ends.erase(ends.begin());
+        decide(now, admission.Finish(now, ended));
+      }
+      decide(now, admission.Tick(now));
+      for (; next_arrival <= now; next_arrival += gap) {
+        const uint64_t priority = ++number % 3;
+        waiting[RequestNumber(number)] = {priority, now};
+        decide(now, admission.Arrive(now, {.number = RequestNumber(number),
+                                           .priority = Priority(priority),
+                                           .deadline = now + seconds(4),
+                                           .max_wait = milliseconds(300)}));
+      }
+    }
+  }
+};
+
+TEST(AdmissionBurst, OfOneAndAHalfTimesTheCapacityServesTheUrgentOnes) {
+  Replay(150);
+  LONGS_EQUAL(0, outcomes[0].refused);
+  LONGS_EQUAL(0, outcomes[1].refused);
+  CHECK(outcomes[2].refused > 0);
+  CHECK(outcomes[0].admitted + outcomes[1].admitted + outcomes[2].admitted > 190);
+}
+
+TEST(AdmissionBurst, RefusesAtOnceWhatCannotBeServedInTime) {
+  Replay(300);
+  CHECK(outcomes[2].admitted < outcomes[0].admitted / 4);
+  for (const auto& [priority, outcome] : outcomes) {
+    CHECK(outcome.longest_refused_wait <= milliseconds(300));
+  }
+}
+
+TEST(AdmissionBurst, WithinTheCapacityRefusesNothing) {
+  Replay(80);
+  for (const auto& [priority, outcome] : outcomes) {
+    LONGS_EQUAL(0, outcome.refused);
+  }
+}
+
+TEST(AdmissionClosing, DrainStartsNothingAfterItsLimit) {
+  Admission admission = Open({.slots = SlotCount(1), .queue_wait = seconds(60)});
+  admission.Arrive(kWarm, Read(1));
+  admission.Arrive(kWarm, Read(2));
+  admission.Drain(kWarm);
+  const TimePoint limit = kWarm + Admission::kLongestWaitAfterDrain;
+  CHECK(admission.Tick(limit - milliseconds(1)).empty());
+  CHECK(admission.Tick(limit) == Decisions{Refused(2, ResultCode::kOverloaded)});
+}
--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -205,3 +205,72 @@
   }
   LONGS_EQUAL(110, taken);
 }
+
+// Replays places and targets that are loaded unequally.
+TEST_GROUP(BalancerUnequalLoad) {
+  Balancer balancer{7};
+  void Answer(int number, int64_t milliseconds_taken, int times = 8) {
+    for (int answer = 0; answer < times; ++answer) {
+      balancer.Sent(Instance(number));
+      balancer.Finished(kStart, Instance(number), AttemptResult::kAnswered, std::nullopt,
+                        milliseconds(milliseconds_taken));
+    }
+  }
+};
+
+TEST(BalancerUnequalLoad, GoesToTheNextDataCentreBeforeALongWait) {
+  balancer.SetCandidates(kStart,
+                         {Make(1, Locality::kOwnDataCentre, 14), Make(2, Locality::kOwnRegion, 2),
+                          Make(3, Locality::kOtherRegion, 0)},
+                         {"*"});
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(2));
+}
+
+TEST(BalancerUnequalLoad, StaysInTheOwnDataCentreForAShortWait) {
+  balancer.SetCandidates(
+      kStart, {Make(1, Locality::kOwnDataCentre, 9), Make(2, Locality::kOwnRegion, 8)}, {"*"});
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(1));
+}
+
+TEST(BalancerUnequalLoad, CrossesTheBilledLinkOnlyForAWaitAboveItsCost) {
+  const auto chosen = [&](uint64_t busy) {
+    balancer.SetCandidates(
+        kStart + seconds(2),
+        {Make(1, Locality::kOwnDataCentre, busy), Make(3, Locality::kOtherRegion, 0)}, {"*"});
+    return balancer.Choose(kStart + seconds(2), {})->instance;
+  };
+  CHECK(chosen(18) == Instance(1));
+  CHECK(chosen(60) == Instance(3));
+}
+
+TEST(BalancerUnequalLoad, PrefersAFasterTargetUntilItIsFull) {
+  balancer.SetCandidates(kStart, {Make(1), Make(2)}, {"*"});
+  Answer(1, 600);
+  Answer(2, 100);
+  std::map<InstanceId, int> counts = Choices(balancer, kStart);
+  LONGS_EQUAL(300, counts[Instance(2)]);
+  balancer.SetCandidates(kStart, {Make(1), Make(2, Locality::kOwnDataCentre, 90)}, {"*"});
+  CHECK(balancer.Choose(kStart, {})->instance == Instance(1));
+}
+
+TEST(BalancerUnequalLoad, TriesASlowTargetAgainAfterAWhile) {
+  balancer.SetCandidates(kStart, {Make(1), Make(2)}, {"*"});
+  Answer(1, 2000);
+  Answer(2, 100);
+  CHECK(Choices(balancer, kStart + seconds(6)).contains(Instance(1)));
+}
+
+TEST(BalancerUnequalLoad, GivesATargetThatJustJoinedItsShare) {
+  balancer.SetCandidates(kStart, {Make(1), Make(2)}, {"*"});
+  Answer(1, 100);
+  Answer(2, 100);
+  balancer.SetCandidates(kStart, {Make(1), Make(2), Make(3)}, {"*"});
+  CHECK(Choices(balancer, kStart)[Instance(3)] > 50);
+}
+
+TEST(BalancerUnequalLoad, ExpectsNoWaitWhileASlotIsFree) {
+  balancer.SetCandidates(kStart, {Make(1, Locality::kOwnDataCentre, 30), Make(2)}, {"*"});
+  CHECK(balancer.ExpectedWait() == Duration{});
+  balancer.SetCandidates(kStart, {Make(1, Locality::kOwnDataCentre, 17)}, {"*"});
+  CHECK(balancer.ExpectedWait() == milliseconds(100));
+}
--- /dev/null
+++ b/test/correctness/call_headers_test.cc
@@ -0,0 +1,50 @@
+// Guards against an answer that a target did not make and that passes as its success, and against a
+// promise that nothing ran which no target has given.
+#include "call_headers.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endivecleat;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+CallHeaders Names() {
+  CallHeaders names;
+  names.target = "x-target";
+  names.not_run = "x-not-run";
+  names.answer_mark = "x-mark";
+  return names;
+}
+
+HttpResponse Response(int status, HeaderList headers = {}) { return {status, headers, ""}; }
+
+}  // namespace
+
+TEST_GROUP(AnswerClassification){};
+
+TEST(AnswerClassification, TakesAMarkedAnswerAsTheTargets) {
+  CHECK(ClassifyAnswer(Names(), Response(200, {{"X-Mark", "1"}})) == AnswerKind::kAnswer);
+  CHECK(ClassifyAnswer(Names(), Response(503, {{"X-Mark", "1"}})) == AnswerKind::kAnswer);
+  CHECK(ClassifyAnswer(Names(), Response(500)) == AnswerKind::kAnswer);
+}
+
+TEST(AnswerClassification, TakesAStatementOfTheTargetAsNotRun) {
+  CHECK(ClassifyAnswer(Names(), Response(503, {{"X-Not-Run", "1"}})) == AnswerKind::kNotRun);
+  CHECK(ClassifyAnswer(Names(), Response(421)) == AnswerKind::kNotRun);
+}
+
+TEST(AnswerClassification, CallsASuccessWithoutAMarkSpoilt) {
+  CHECK(ClassifyAnswer(Names(), Response(200)) == AnswerKind::kSpoilt);
+  CHECK(ClassifyAnswer(Names(), Response(200, {{"X-Mark", "1"}, {"Content-Encoding", "gzip"}})) ==
+        AnswerKind::kSpoilt);
+}
+
+TEST(AnswerClassification, CallsAnUnmarkedPromiseSpoilt) {
+  CHECK(ClassifyAnswer(Names(), Response(503)) == AnswerKind::kSpoilt);
+  CHECK(ClassifyAnswer(Names(), Response(429)) == AnswerKind::kSpoilt);
+}
+
+TEST(AnswerClassification, BelievesEveryAnswerWhereTargetsMarkNone) {
+  CHECK(ClassifyAnswer(CallHeaders{}, Response(200)) == AnswerKind::kAnswer);
+  CHECK(ClassifyAnswer(CallHeaders{}, Response(503)) == AnswerKind::kAnswer);
+}
--- a/test/correctness/call_test.cc
+++ b/test/correctness/call_test.cc
@@ -195,3 +195,79 @@
   Call call(request, budget);
   CHECK(Finishes(call.Start(kStart), ResultCode::kKeyMissing));
 }
+
+TEST_GROUP(CallPlacement) {
+  RetryBudget budget{Percent(10)};
+  CallRequest request = Request(CallKind::kIdempotent);
+  void setup() override {
+    request.max_placements = 3;
+    request.retry_error_answers = true;
+  }
+  CallEffects Choose(Call & call, const char* target) {
+    return call.Chosen(kStart, Target(target));
+  }
+};
+
+// A refusal by a daemon costs no target anything, so that it must not use up the shared budget.
+TEST(CallPlacement, AsksOtherDaemonsWithoutUsingTheBudget) {
+  Call call(request, budget);
+  call.Start(kStart);
+  const uint64_t tokens = budget.tokens();
+  Choose(call, "a");
+  CHECK(TriesAgain(call.Refused(kStart, kFirst, {ResultCode::kOverloaded})));
+  Choose(call, "b");
+  call.Refused(kStart, kSecond, {ResultCode::kOverloaded});
+  Choose(call, "c");
+  LONGS_EQUAL(tokens, budget.tokens());
+  CHECK(Finishes(call.Refused(kStart, AttemptId("c/3"), {ResultCode::kOverloaded}),
+                 ResultCode::kOverloaded));
+}
+
+TEST(CallPlacement, CountsARefusalByTheTargetAsARetry) {
+  Call call(request, budget);
+  call.Start(kStart);
+  const uint64_t tokens = budget.tokens();
+  Choose(call, "a");
+  CHECK(TriesAgain(call.Refused(kStart, kFirst, {ResultCode::kOverloaded, false, true})));
+  LONGS_EQUAL(tokens - 1, budget.tokens());
+  Choose(call, "b");
+  CHECK(Finishes(call.Refused(kStart, kSecond, {ResultCode::kOverloaded, false, true}),
+                 ResultCode::kOverloaded));
+}
+
+TEST(CallPlacement, TriesAnotherTargetAfterAnErrorAndKeepsTheErrorAsLastResort) {
+  Call call(request, budget);
+  call.Start(kStart);
+  Choose(call, "a");
+  TargetAnswer error;
+  error.status = 500;
+  CHECK(TriesAgain(call.Answered(kStart, kFirst, error)));
+  const CallEffects last = call.Chosen(kStart, std::nullopt);
+  CHECK(Finishes(last, ResultCode::kOk));
+  LONGS_EQUAL(500, Find<FinishCall>(last)->answer->status);
+}
+
+TEST(CallPlacement, NeverRepeatsARequestThatMayHaveRunAndIsNotIdempotent) {
+  request.kind = CallKind::kOther;
+  Call answered(request, budget);
+  answered.Start(kStart);
+  Choose(answered, "a");
+  TargetAnswer error;
+  error.status = 500;
+  CHECK(Finishes(answered.Answered(kStart, kFirst, error), ResultCode::kOk));
+  Call broken(request, budget);
+  broken.Start(kStart);
+  Choose(broken, "a");
+  CHECK(Finishes(broken.Refused(kStart, kFirst, {ResultCode::kAnswerBroken, false, true}),
+                 ResultCode::kAnswerBroken));
+}
+
+TEST(CallPlacement, LeavesTheLastRetriesToUrgentRequests) {
+  RetryBudget shared(Percent(10), 4);
+  int reads = 0;
+  while (shared.TryTake(false)) {
+    ++reads;
+  }
+  LONGS_EQUAL(2, reads);
+  CHECK(shared.TryTake(true) && shared.TryTake(true) && !shared.TryTake(true));
+}
--- a/test/correctness/config_replica_test.cc
+++ b/test/correctness/config_replica_test.cc
@@ -105,3 +105,29 @@
   source.Refuse(ConfigVersion(6));
   LONGS_EQUAL(5, source.Receive(kStart, Peer(1), Pull()).front().message.version.value());
 }
+
+// Guards against a fleet that stays on an old version while changes follow each other fast: each
+// source has then heard of a newer version than it holds.
+TEST(ConfigSourceAsked, ServesADaemonThatHoldsAnOlderVersionThanItsOwn) {
+  source.Hold(kStart, MakeText(8));
+  source.Heard(kStart, ConfigVersion(9));
+  CHECK(source.Receive(kStart, Peer(1), Pull()).empty());
+  ConfigMessage pull = Pull();
+  pull.version = ConfigVersion(1);
+  const auto answers = source.Receive(kStart, Peer(2), pull);
+  LONGS_EQUAL(1, answers.size());
+  CHECK(answers.at(0).message.kind == Kind::kTransfer && answers.at(0).to == Peer(2));
+}
+
+TEST(ConfigSourceAsked, KeepsNoMoreOldVersionsThanItsBytesAllow) {
+  ConfigSourceSettings settings;
+  settings.history_bytes = endivecleat::ByteCount(MakeText(1)->text.size() * 2);
+  ConfigSource bounded(settings, PlainCodec(), 1);
+  for (uint64_t version = 1; version <= 5; ++version) {
+    bounded.Hold(kStart, MakeText(version));
+  }
+  ConfigMessage pull = Pull();
+  pull.version = ConfigVersion(2);
+  pull.digest = MakeText(2)->digest;
+  CHECK(bounded.Receive(kStart, Peer(1), pull).at(0).message.transfer == TransferKind::kSnapshot);
+}
--- a/test/correctness/http_client_test.cc
+++ b/test/correctness/http_client_test.cc
@@ -206,3 +206,61 @@
   }
   LONGS_EQUAL(0, client.connections());
 }
+
+TEST_GROUP(HttpClientAnswerOfAnother) {
+  EventLoop loop;
+  RawListener target{loop};
+  HttpClient client{loop, target.address(),
+                    endivecleat::HttpClientOptions{.connections = 1, .echoed_header = "x-id"}};
+  std::vector<HttpOutcome> outcomes;
+
+  void Send(const std::string& id) {
+    HttpRequest request = Get("/");
+    request.headers.Add("X-Id", id);
+    client.Send(std::move(request), kLongTimeout,
+                [this](HttpOutcome outcome) { outcomes.push_back(std::move(outcome)); });
+  }
+  static std::string Answer(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+  void WaitForRequest(size_t connection) {
+    CHECK(RunUntil(loop, [&] { return target.Received(connection, "\r\n\r\n"); }));
+    target.connections[connection]->received.clear();
+  }
+  void WaitForOutcomes(size_t count) {
+    CHECK(RunUntil(loop, [&] { return outcomes.size() >= count; }));
+  }
+};
+
+// Guards against a caller that gets the answer to an earlier request.
+TEST(HttpClientAnswerOfAnother, IsPassedOver) {
+  Send("2");
+  WaitForRequest(0);
+  target.connections[0]->Send(Answer("1", "late") + Answer("2", "own"));
+  WaitForOutcomes(1);
+  LONGS_EQUAL(HttpOutcome::kAnswered, outcomes[0].kind);
+  STRCMP_EQUAL("own", outcomes[0].response.body.c_str());
+  LONGS_EQUAL(0, client.connections());
+}
+
+TEST(HttpClientAnswerOfAnother, IsNoAnswerWhenTheConnectionEndsAfterIt) {
+  Send("2");
+  WaitForRequest(0);
+  target.connections[0]->Send(Answer("1", "late"));
+  target.connections[0]->CloseAfterSending();
+  WaitForOutcomes(1);
+  LONGS_EQUAL(HttpOutcome::kBroken, outcomes[0].kind);
+}
+
+// Guards against a request that is sent as the target closes the idle connection.
+TEST(HttpClientAnswerOfAnother, IdleConnectionIsNotReusedAfterItsTime) {
+  Send("1");
+  WaitForRequest(0);
+  target.connections[0]->Send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=0\r\n" +
+                              std::string("Content-Length: 0\r\n\r\n"));
+  WaitForOutcomes(1);
+  Send("2");
+  WaitForRequest(1);
+  LONGS_EQUAL(2, target.size());
+}
--- a/test/correctness/replicated_log_test.cc
+++ b/test/correctness/replicated_log_test.cc
@@ -174,3 +174,41 @@
   CHECK(cluster.RunUntil(kElection, [&] { return lost.machine.value == 25; }));
   STRCMP_EQUAL("", cluster.failure().c_str());
 }
+
+TEST_GROUP(ReplicatedLogSilentVoter){};
+
+// Guards against a group of three that loses its majority with the second loss although a fourth
+// instance was there all the time.
+TEST(ReplicatedLogSilentVoter, IsReplacedByASpareBeforeTheNextLoss) {
+  LogCluster cluster(9, 4, NetworkFaults{}, 3);
+  SetInSteps(cluster, 0, 5);
+  const auto follower = [&](const std::vector<InstanceId>& lost) -> LogNode& {
+    const LogNode& leader = AwaitLeader(cluster);
+    for (size_t i = 0;; ++i) {
+      LogNode& node = cluster.node(i);
+      if (&node != &leader && node.log && node.log->is_voter() &&
+          std::find(lost.begin(), lost.end(), node.id) == lost.end()) {
+        return node;
+      }
+    }
+  };
+  LogNode& first = follower({});
+  cluster.LoseForever(first);
+  CHECK(cluster.RunUntil(2 * kElection, [&] {
+    const LogNode* leader = cluster.Leader();
+    return leader != nullptr && leader->log->voters().size() == 3 &&
+           FindInstance(leader->log->voters(), first.id) == nullptr;
+  }));
+  cluster.LoseForever(follower({first.id}));
+  SetInSteps(cluster, 5, 10);
+  STRCMP_EQUAL("", cluster.failure().c_str());
+}
+
+TEST(ReplicatedLogSilentVoter, StaysWhereNoSpareIsThere) {
+  LogCluster cluster(10, 3, NetworkFaults{});
+  SetInSteps(cluster, 0, 2);
+  LogNode& lost = cluster.node(&AwaitLeader(cluster) == &cluster.node(0) ? 1 : 0);
+  cluster.LoseForever(lost);
+  cluster.Run(std::chrono::seconds(10));
+  LONGS_EQUAL(3, AwaitLeader(cluster).log->voters().size());
+}
--- a/test/correctness/route_table_test.cc
+++ b/test/correctness/route_table_test.cc
@@ -74,3 +74,23 @@
   }
   CHECK_FALSE(MatchesPattern(pattern + "b", std::string(20'000, 'a')));
 }
+
+TEST_GROUP(RouteTablePrefixWithSlash){};
+
+// Guards against a prefix for paths below a place that also takes the place itself, or takes paths
+// from a longer prefix.
+TEST(RouteTablePrefixWithSlash, MatchesOnlyPathsBelow) {
+  CompiledRoute below;
+  below.name = RouteName("below");
+  below.path_prefix = "/a/";
+  CompiledRoute deeper = below;
+  deeper.name = RouteName("deeper");
+  deeper.path_prefix = "/a/b/";
+  const RouteTable table({below, deeper});
+  POINTERS_EQUAL(nullptr, table.Find("GET", "any", "/a"));
+  POINTERS_EQUAL(nullptr, table.Find("GET", "any", "/ab/c"));
+  CHECK(table.Find("PURGE", "any", "/a/")->name == below.name);
+  CHECK(table.Find("GET", "any", "/a/x")->name == below.name);
+  CHECK(table.Find("GET", "any", "/a/b")->name == below.name);
+  CHECK(table.Find("GET", "any", "/a/b/c/d")->name == deeper.name);
+}
--- a/test/error/settings_test.cc
+++ b/test/error/settings_test.cc
@@ -119,3 +119,43 @@
   CHECK_FALSE(ParseDuration("99999999999999h").has_value());
   CHECK(ParseDuration("2s") == std::chrono::seconds(2));
 }
+
+namespace {
+
+nlohmann::json DiscoverySettings() {
+  nlohmann::json settings = ValidControlSettings();
+  settings.erase("control");
+  settings.erase("mesh_token_file");
+  settings.erase("operator_token_file");
+  settings["closed_network"] = true;
+  settings["discovery"] = {{"seeds", {"10.0.0.1:9000", "10.0.0.2:9000"}}, {"bootstrap", true}};
+  return settings;
+}
+
+}  // namespace
+
+TEST(ControlSettings, DiscoveryTakesThePlaceOfTheListAndUsesThePortForPeers) {
+  const ControlSettings settings =
+      ParseControlSettings(DiscoverySettings().dump(), folder.string());
+  CHECK(settings.common.control.empty());
+  LONGS_EQUAL(2, settings.common.discovery->seeds.size());
+  LONGS_EQUAL(7002, settings.common.discovery->seeds[0].port);
+  CHECK(settings.common.discovery->bootstrap);
+}
+
+TEST(ControlSettings, DiscoveryReportsFaultySeeds) {
+  nlohmann::json settings = DiscoverySettings();
+  settings["discovery"]["seeds"] = nlohmann::json::array();
+  CHECK(Reports(settings, "/discovery/seeds"));
+  settings["discovery"]["seeds"] = {"nowhere"};
+  CHECK(Reports(settings, "/discovery/seeds"));
+  settings["discovery"] = {{"seeds", {"10.0.0.1:9000"}}, {"tolerated_losses", 9}};
+  CHECK(Reports(settings, "/discovery/tolerated_losses"));
+}
+
+// Guards against tokens that are left out by mistake.
+TEST(ControlSettings, TokensAreMissingUnlessTheNetworkIsDeclaredClosed) {
+  nlohmann::json settings = DiscoverySettings();
+  settings["closed_network"] = false;
+  CHECK(Reports(settings, "/mesh_token_file"));
+}
--- a/test/failure/replicated_log_test.cc
+++ b/test/failure/replicated_log_test.cc
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr uint64_t kDefaultSeeds = 3000;
+constexpr uint64_t kDefaultSpareSeeds = 1000;
 constexpr auto kFaultTime = std::chrono::seconds(25);
 constexpr auto kHealTime = std::chrono::seconds(90);
 
@@ -36,8 +37,11 @@
 
 class FaultyRun {
  public:
-  explicit FaultyRun(uint64_t seed)
-      : random_(seed), cluster_(random_.Next(), kSizes[random_.Below(4)], RandomFaults()) {
+  /// With spares, leaders replace voters that fall silent.
+  explicit FaultyRun(uint64_t seed, size_t spares = 0)
+      : random_(seed),
+        voters_(kSizes[random_.Below(4)]),
+        cluster_(random_.Next(), voters_ + spares, RandomFaults(), voters_) {
     cluster_.set_crash_chance(random_.Below(random_.Chance(25) ? 30 : 4));
     cluster_.set_compaction_entries(5 + random_.Below(40));
   }
@@ -176,6 +180,13 @@
     return true;
   }
 
+  bool HasSpares() const { return cluster_.size() > voters_; }
+
+  bool LeaderHasVoters() {
+    const LogNode* leader = cluster_.Leader();
+    return leader != nullptr && leader->log->voters().size() >= voters_;
+  }
+
   void CheckProgress() {
     const LogIndex before = cluster_.max_committed();
     const bool progressed = cluster_.RunUntil(kHealTime, [&] {
@@ -184,9 +195,10 @@
         leader->log->Propose(cluster_.now(), "last 0 0");
       }
       return Everyone([&](const LogNode& node) {
-        return node.machine.results.contains("last") && node.machine.applied > before &&
-               node.log->is_voter();
-      });
+               return node.machine.results.contains("last") && node.machine.applied > before &&
+                      (node.log->is_voter() || HasSpares());
+             }) &&
+             (!HasSpares() || LeaderHasVoters());
     });
     if (!progressed) {
       cluster_.Fail("no progress after the faults ended");
@@ -194,6 +206,7 @@
   }
 
   SeededRandom random_;
+  size_t voters_;
   LogCluster cluster_;
   LogNode* without_disk_ = nullptr;
   bool second_loss_ = false;
@@ -215,3 +228,16 @@
     CHECK_TEXT(failure.empty(), message.c_str());
   }
 }
+
+// A spare instance takes part: voters that fall silent are replaced while everything else breaks.
+TEST(ReplicatedLogFaulty, KeepsItsPromisesWhileVotersAreReplaced) {
+  const uint64_t seeds = FromEnvironment("ENDIVECLEAT_SEEDS", kDefaultSpareSeeds);
+  const uint64_t replay = FromEnvironment("ENDIVECLEAT_SEED", UINT64_MAX);
+  const uint64_t first = replay == UINT64_MAX ? 1 : replay;
+  const uint64_t last = replay == UINT64_MAX ? seeds : replay;
+  for (uint64_t seed = first; seed <= last; ++seed) {
+    const std::string failure = FaultyRun(seed, 1).Run();
+    const std::string message = "ENDIVECLEAT_SEED=" + std::to_string(seed) + ": " + failure;
+    CHECK_TEXT(failure.empty(), message.c_str());
+  }
+}
--- a/test/log_cluster.cc
+++ b/test/log_cluster.cc
@@ -55,10 +55,10 @@
   return machine;
 }
 
-LogCluster::LogCluster(uint64_t seed, size_t size, NetworkFaults faults)
-    : random_(seed), network_(seed + 1, faults) {
+LogCluster::LogCluster(uint64_t seed, size_t size, NetworkFaults faults, size_t voters)
+    : random_(seed), voters_wanted_(voters < size ? voters : 0), network_(seed + 1, faults) {
   std::vector<InstanceId> ids;
-  for (size_t i = 0; i < size; ++i) {
+  for (size_t i = 0; i < voters; ++i) {
     ids.emplace_back(std::string(1, static_cast<char>('a' + i)));
   }
   for (const InstanceId& id : ids) {
@@ -66,11 +66,21 @@
     admitted_.insert({id, Incarnation(0)});
     disks_[{id, Incarnation(0)}] = FirstLog(ids);
   }
+  for (size_t i = voters; i < size; ++i) {
+    AddSpare(InstanceId(std::string(1, static_cast<char>('a' + i))));
+  }
   for (auto& node : nodes_) {
     Start(*node);
   }
 }
 
+void LogCluster::AddSpare(const InstanceId& id) {
+  nodes_.push_back(std::make_unique<LogNode>(
+      LogNode{.id = id, .incarnation = Incarnation(next_incarnation_++)}));
+  const Incarnation incarnation = nodes_.back()->incarnation;
+  disks_[{id, incarnation}] = LearnerLog(incarnation);
+}
+
 void LogCluster::Fail(const std::string& message) {
   if (failure_.empty()) {
     const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(now_ - TimePoint{});
@@ -79,7 +89,8 @@
 }
 
 void LogCluster::Start(LogNode& node) {
-  ReplicatedLogSettings settings{.seed = random_.Next(), .batch_bytes = kBatchBytes};
+  ReplicatedLogSettings settings{
+      .voters_wanted = voters_wanted_, .seed = random_.Next(), .batch_bytes = kBatchBytes};
   for (const auto& other : nodes_) {
     settings.members.push_back(other->id);
   }
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -49,7 +49,11 @@
 
 class LogCluster {
  public:
-  LogCluster(uint64_t seed, size_t size, NetworkFaults faults);
+  /// With fewer voters than instances the others start as learners, and leaders keep the number of
+  /// voters up from them.
+  LogCluster(uint64_t seed, size_t size, NetworkFaults faults, size_t voters);
+  LogCluster(uint64_t seed, size_t size, NetworkFaults faults)
+      : LogCluster(seed, size, faults, size) {}
 
   void Step();
   void Run(Duration time);
@@ -100,6 +104,7 @@
     size_t operation;  // position in history_
   };
 
+  void AddSpare(const InstanceId& id);
   void Start(LogNode& node);
   void Deliver(LogNode& node, const InstanceId& from, const std::string& message);
   void StepNode(LogNode& node);
@@ -121,6 +126,7 @@
   bool StoredByMajority(const std::vector<Voter>& voters, LogIndex index, Term term) const;
 
   SeededRandom random_;
+  size_t voters_wanted_;  // 0: the voters stay the same instances
   FakeNetwork<std::string> network_;
   TimePoint now_{};
   std::vector<std::unique_ptr<LogNode>> nodes_;
--- /dev/null
+++ b/test/platform/operator_document_test.cc
@@ -0,0 +1,142 @@
+// Guards against an invalid order that is accepted, and against a configuration that is given back
+// otherwise than it was sent.
+#include "operator_document.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "config_store.h"
+#include "configuration.h"
+#include "delta.h"
+#include "errors.h"
+
+using namespace endivecleat;            // NOLINT(google-build-using-namespace)
+using namespace endivecleat::platform;  // NOLINT(google-build-using-namespace)
+using Json = nlohmann::json;
+
+namespace {
+
+Json Body() {
+  return Json::parse(R"({"version":"0000000c","baseVersion":"00000005","resources":[
+    {"type":"routes","metadata":{"name":"r-1"},"spec":{"host":"a.example","pathPrefix":"/x/",
+     "routeType":"idempotent","timeoutMs":1200,"sloMs":300,"priority":2,
+     "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":2}},
+    {"type":"routes","metadata":{"name":"r-2"},"spec":{"host":"a.example","pathPrefix":"/y/",
+     "routeType":"non_idempotent","timeoutMs":800,"sloMs":400,"priority":1,"service":"s1",
+     "attempts":2,"newField":{"a":1}}},
+    {"type":"services","metadata":{"name":"s1"},"spec":{"healthPath":"/healthz","maxConns":130,
+     "protocol":"h1","tls":false}},
+    {"type":"services","metadata":{"name":"s2"},"spec":{"healthPath":"/h","maxConns":4,
+     "protocol":"h1","tls":false}},
+    {"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
+     "headerTimeoutMs":3000,"idleTimeoutMs":15000}}]})");
+}
+
+/// Whether the order is refused when it is decoded or when the store checks its document.
+bool IsRefused(const Json& body) {
+  try {
+    ParseAndCheck({DecodeOrder(body.dump()).document});
+  } catch (const UserError&) {
+    return true;
+  }
+  return false;
+}
+
+Json SortedResources(Json body) {
+  std::sort(body["resources"].begin(), body["resources"].end());
+  return body;
+}
+
+Json& Spec(Json& body, size_t resource) { return body["resources"][resource]["spec"]; }
+
+}  // namespace
+
+TEST_GROUP(OrderDecoding){};
+
+TEST(OrderDecoding, TranslatesRoutesServicesAndLimits) {
+  const Order order = DecodeOrder(Body().dump());
+  LONGS_EQUAL(12, order.number.value());
+  LONGS_EQUAL(5, order.base.value());
+  const auto compiled =
+      Compile(ParseAndCheck({order.document}), ConfigVersion(1), PresetName("ordinary"));
+  const CompiledRoute* read = compiled->FindRoute("GET", "a.example", "/x/7");
+  CHECK(read != nullptr && read->idempotent && read->shares.size() == 2);
+  CHECK(read->policy.timeout == std::chrono::milliseconds(1200));
+  CHECK(read->policy.objective == std::chrono::milliseconds(300));
+  LONGS_EQUAL(2, read->policy.max_attempts.value());
+  LONGS_EQUAL(2, read->policy.priority.value());
+  const CompiledRoute* write = compiled->FindRoute("POST", "a.example", "/y/7");
+  CHECK(write != nullptr && !write->idempotent && !write->at_most_once);
+  POINTERS_EQUAL(nullptr, compiled->FindRoute("GET", "a.example", "/x"));
+  POINTERS_EQUAL(nullptr, compiled->FindRoute("GET", "b.example", "/x/7"));
+  STRCMP_EQUAL("/h", compiled->FindService(ServiceName("s2"))->policy.health_path.c_str());
+  CHECK(compiled->callers().idle_timeout == std::chrono::seconds(15));
+}
+
+TEST(OrderDecoding, GivesBackWhatWasSent) {
+  const Order order = DecodeOrder(Body().dump());
+  ConfigStore store;
+  const ChangeResult result = store.Apply({.operation = order.operation,
+                                           .base = ConfigVersion(),
+                                           .what = SubmitDocument{MakeDelta("", order.document)},
+                                           .author = "test",
+                                           .at = WallTime(1)});
+  CHECK(result.code == ResultCode::kOk);
+  const OrderNumbers numbers = ParseRevision(store.revision());
+  CHECK(numbers.number == order.number && numbers.base == order.base);
+  CHECK(SortedResources(Json::parse(EncodeOrder(store.text()))) == SortedResources(Body()));
+  const ConfigStore restored = ConfigStore::Restore(store.Snapshot());
+  STRCMP_EQUAL(store.revision().c_str(), restored.revision().c_str());
+  CHECK(restored.FindResult(order.operation)->code == ResultCode::kOk);
+}
+
+TEST(OrderDecoding, GivesEqualOrdersTheSameOperation) {
+  const Order first = DecodeOrder(Body().dump());
+  CHECK(first.operation == DecodeOrder(Body().dump(2)).operation);
+  Json other = Body();
+  Spec(other, 0)["timeoutMs"] = 1201;
+  CHECK(first.operation != DecodeOrder(other.dump()).operation);
+}
+
+TEST_GROUP(OrderInvalid){};
+
+TEST(OrderInvalid, IsRefusedWhateverIsWrong) {
+  CHECK_FALSE(IsRefused(Body()));
+  const auto changed = [](auto change) {
+    Json body = Body();
+    change(body);
+    return IsRefused(body);
+  };
+  CHECK(changed([](Json& body) { Spec(body, 1)["service"] = "unknown"; }));
+  CHECK(changed([](Json& body) { Spec(body, 0)["split"][1]["service"] = "unknown"; }));
+  CHECK(changed([](Json& body) { Spec(body, 1)["pathPrefix"] = "/x/"; }));
+  CHECK(changed([](Json& body) { Spec(body, 0)["timeoutMs"] = 600001; }));
+  CHECK(changed([](Json& body) { Spec(body, 0)["sloMs"] = 1200 + 60000; }));
+  CHECK(changed([](Json& body) { Spec(body, 0)["attempts"] = 0; }));
+  CHECK(changed([](Json& body) { Spec(body, 0)["host"] = ""; }));
+  CHECK(changed([](Json& body) { Spec(body, 0)["routeType"] = "maybe"; }));
+  CHECK(changed([](Json& body) { Spec(body, 0)["split"][0]["weight"] = -1; }));
+  CHECK(changed([](Json& body) { Spec(body, 0).erase("timeoutMs"); }));
+  CHECK(changed([](Json& body) { Spec(body, 2).erase("healthPath"); }));
+  CHECK(changed([](Json& body) { body["version"] = "00000005"; }));
+  CHECK(changed([](Json& body) { body["version"] = 12; }));
+  CHECK(changed([](Json& body) { body["version"] = "xyz"; }));
+  CHECK(changed([](Json& body) { body.erase("resources"); }));
+  CHECK(changed([](Json& body) { body["resources"][0]["type"] = "other"; }));
+  CHECK(changed([](Json& body) { body["resources"].push_back(body["resources"][2]); }));
+}
+
+TEST(OrderInvalid, IsRefusedWhenCutShort) {
+  const std::string whole = Body().dump();
+  for (size_t length = 0; length < whole.size(); length += 7) {
+    bool refused = false;
+    try {
+      DecodeOrder(whole.substr(0, length));
+    } catch (const UserError&) {
+      refused = true;
+    }
+    CHECK(refused);
+  }
+}
--- /dev/null
+++ b/test/platform/target_report_test.cc
@@ -0,0 +1,112 @@
+// Guards against reports of other writers that name a target, and against late reports that bring
+// back a target that has left or was replaced.
+#include "target_report.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+
+#include "errors.h"
+
+using namespace endivecleat;            // NOLINT(google-build-using-namespace)
+using namespace endivecleat::platform;  // NOLINT(google-build-using-namespace)
+using Json = nlohmann::json;
+
+namespace {
+
+Json Body() {
+  return {{"service", "huvo11a"}, {"address", "10.128.0.9:8080"},
+          {"zone", "hobart-a"},   {"version", "v1"},
+          {"slots", 9},           {"state", "ready"},
+          {"coldLeftMs", 1500},   {"seq", 4},
+          {"born", 1700000000000}};
+}
+
+bool IsRefused(const std::string& body) {
+  try {
+    DecodeTargetReport("i-1", body);
+  } catch (const UserError& error) {
+    return error.code() == ResultCode::kBadRequest;
+  }
+  return false;
+}
+
+TargetReport Report(const std::string& id, uint64_t started, uint64_t sequence) {
+  TargetReport report;
+  report.target = TargetId(id);
+  report.started_at = WallTime(started);
+  report.sequence = sequence;
+  return report;
+}
+
+}  // namespace
+
+TEST_GROUP(TargetReportDecoding){};
+
+TEST(TargetReportDecoding, ReadsEachField) {
+  const TargetReport report = DecodeTargetReport("i-1", Body().dump());
+  CHECK(report.target == TargetId("i-1"));
+  CHECK(report.service == ServiceName("huvo11a"));
+  CHECK(report.address == Address({"10.128.0.9", 8080}));
+  LONGS_EQUAL(9, report.slots);
+  CHECK_FALSE(report.leaving);
+  CHECK(report.slow_for == std::chrono::milliseconds(1500));
+  LONGS_EQUAL(4, report.sequence);
+  LONGS_EQUAL(1700000000000, report.started_at.value());
+}
+
+TEST(TargetReportDecoding, RefusesMissingFieldsAndOtherTypes) {
+  for (const char* field : {"service", "address", "slots", "state", "coldLeftMs", "seq", "born"}) {
+    Json missing = Body();
+    missing.erase(field);
+    CHECK_TEXT(IsRefused(missing.dump()), field);
+    for (const Json& other : {Json(nullptr), Json(-1), Json(1.5), Json::array(), Json("")}) {
+      Json changed = Body();
+      changed[field] = other;
+      CHECK_TEXT(IsRefused(changed.dump()), field);
+    }
+  }
+}
+
+TEST(TargetReportDecoding, RefusesWhatIsNoReport) {
+  for (const char* body : {"", "[]", "7", "{", "\xff\xfe", "null"}) {
+    CHECK_TEXT(IsRefused(body), body);
+  }
+  Json unknown_state = Body();
+  unknown_state["state"] = "asleep";
+  CHECK(IsRefused(unknown_state.dump()));
+}
+
+TEST(TargetReportDecoding, ReadsSlotsFromALoad) {
+  CHECK(SlotsOfLoad("3,0,8") == 8U);
+  for (const char* load : {"", "8", "3,0,", "3,0,x", "3,0,0", "3,0,-1", "1,2,3 "}) {
+    CHECK_TEXT(!SlotsOfLoad(load).has_value(), load);
+  }
+}
+
+TEST_GROUP(TargetReportsOrder) { TargetReports reports; };
+
+TEST(TargetReportsOrder, PassesOverReportsThatAreNotNewer) {
+  CHECK(reports.Accept(Report("a", 10, 5)));
+  CHECK_FALSE(reports.Accept(Report("a", 10, 5)));
+  CHECK_FALSE(reports.Accept(Report("a", 10, 4)));
+  CHECK(reports.Accept(Report("a", 10, 6)));
+}
+
+TEST(TargetReportsOrder, PassesOverAnEarlierTargetOfTheInstance) {
+  CHECK(reports.Accept(Report("b", 20, 1)));
+  CHECK_FALSE(reports.Accept(Report("a", 10, 99)));
+}
+
+TEST(TargetReportsOrder, TakesANewStartUnderTheSameIdWithFreshCounts) {
+  CHECK(reports.Accept(Report("a", 10, 50)));
+  CHECK(reports.Accept(Report("a", 20, 1)));
+}
+
+TEST(TargetReportsOrder, DoesNotBringBackATargetThatHasLeft) {
+  CHECK(reports.Accept(Report("a", 10, 5)));
+  CHECK(reports.Leave(TargetId("a")));
+  CHECK_FALSE(reports.Accept(Report("a", 10, 6)));
+  CHECK(reports.Accept(Report("b", 11, 1)));
+  CHECK_FALSE(reports.Leave(TargetId("a")));
+}
