Take back voters that were replaced while they were silent

Change: with a wanted number of voters, a replica that starts a pre-vote also announces itself to all members, and the leader takes it as a learner. A leader replaces voters only while a majority answers it, since one that is cut off itself finds all others silent.

--- a/src/replicated_log.cc
+++ b/src/replicated_log.cc
@@ -86,6 +86,11 @@
   leader_.reset();
   votes_.clear();
   AskForVotes(LogMessageKind::kPreVote, hard_state_.term.next(), false);
+  if (settings_.voters_wanted > 0) {
+    // A voter that was replaced while it was silent knows only the voters of its time, of which
+    // none may lead now; the leader takes it back as a learner.
+    SendHello();
+  }
   CountVote(identity());
 }
 
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -153,7 +153,7 @@
   // The leader's part, in replicated_log_leader.cc.
   void BecomeLeader();
   void LeaderTick();
-  bool HeardFromMajority() const;
+  bool HeardFromMajority(Duration within) const;
   void TrackVoters();
   void ReceiveHello(const Voter& sender);
   void ReceiveAppendReply(const Voter& sender, const LogMessage& message);
--- a/src/replicated_log_leader.cc
+++ b/src/replicated_log_leader.cc
@@ -53,7 +53,7 @@
 }
 
 void ReplicatedLog::LeaderTick() {
-  if (!HeardFromMajority()) {
+  if (!HeardFromMajority(settings_.election_timeout_min)) {
     BecomeFollower(hard_state_.term, std::nullopt);
     return;
   }
@@ -77,11 +77,11 @@
   }
 }
 
-bool ReplicatedLog::HeardFromMajority() const {
+bool ReplicatedLog::HeardFromMajority(Duration within) const {
   const auto heard = std::count_if(voters().begin(), voters().end(), [&](const Voter& voter) {
     const auto found = progress_.find(voter);
-    return voter == identity() || (found != progress_.end() && now_ - found->second.last_heard <
-                                                                   settings_.election_timeout_min);
+    return voter == identity() ||
+           (found != progress_.end() && now_ - found->second.last_heard < within);
   });
   return static_cast<size_t>(heard) >= MajorityOf(voters());
 }
@@ -193,7 +193,9 @@
     return;
   }
   std::optional<std::vector<Voter>> changed = ReplacedIncarnation();
-  if (!changed && settings_.voters_wanted > 0) {
+  // A leader that is cut off itself finds the others silent and must not remove them.
+  const bool connected = HeardFromMajority(2 * settings_.heartbeat_interval);
+  if (!changed && settings_.voters_wanted > 0 && connected) {
     changed = RestoredVoterCount();
   }
   if (changed) {
--- a/test/log_cluster.cc
+++ b/test/log_cluster.cc
@@ -316,6 +316,7 @@
   if (!node.isolated_since && size() > 1) {
     node.isolated_since = now_;
     node.isolated_commit = node.log ? node.log->commit_index() : LogIndex(UINT64_MAX);
+    node.isolated_voters = node.log ? node.log->voters() : std::vector<Voter>();
   }
 }
 
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -43,6 +43,7 @@
   bool lost = false;  // never comes back
   std::optional<TimePoint> isolated_since;
   LogIndex isolated_commit;
+  std::vector<Voter> isolated_voters;
   LogIndex checked_commit;
   std::vector<Voter> checked_voters;
 };
