Replay accepted changes without checking them again; bound the log

Ruled out: stuck links, lost pre-votes. Change: the proposing instance checks and compiles a document and the log carries the stored text, so that applying a change is a compare-and-set and a delta. The log writes at most 20 lines a second of an event, never waits for its reader, and tells what it passed over; changes of role and voters are logged.

--- a/src/config_store.cc
+++ b/src/config_store.cc
@@ -16,6 +16,7 @@
 constexpr uint64_t kSnapshotFormat = 1;
 constexpr uint64_t kSubmitKind = 0;
 constexpr uint64_t kSwitchKind = 1;
+constexpr uint64_t kInstallKind = 2;
 constexpr size_t kMaxOperationIdBytes = 128;
 constexpr size_t kMaxAuthorBytes = 256;
 constexpr size_t kMaxProblemsInMessage = 10;
@@ -119,6 +120,10 @@
       const CheckedConfiguration checked = ParseAndCheck({document});
       return Install(change, *Compile(checked, version_.next(), ChoosePreset(checked, preset_)));
     }
+    if (const auto* checked = std::get_if<InstallChecked>(&change.what)) {
+      return Install(change, ApplyDelta(text(), checked->delta, kMaxDocumentBytes), checked->preset,
+                     checked->revision);
+    }
     const PresetName& preset = std::get<SwitchPreset>(change.what).preset;
     if (texts_.empty()) {
       return Refusal(ResultCode::kUnknownPreset, "no configuration has been submitted yet");
@@ -149,7 +154,11 @@
 }
 
 ChangeResult ConfigStore::Install(const Change& change, const CompiledConfiguration& next) {
-  const std::string& text = next.text();
+  return Install(change, next.text(), next.preset(), next.revision());
+}
+
+ChangeResult ConfigStore::Install(const Change& change, std::string text, PresetName preset,
+                                  std::string revision) {
   if (text == this->text()) {
     return {ResultCode::kOk, version_, newest_operation(),
             "no difference from version " + std::to_string(version_.value())};
@@ -160,16 +169,16 @@
                        " bytes; the limit is " + std::to_string(kMaxDocumentBytes));
   }
   version_ = version_.next();
-  preset_ = next.preset();
-  revision_ = next.revision();
+  preset_ = std::move(preset);
+  revision_ = std::move(revision);
   history_.push_back({version_, change.operation, CutText(change.author, kMaxAuthorBytes),
                       change.at, preset_, std::holds_alternative<SwitchPreset>(change.what),
-                      next.digest()});
+                      TextDigest(text)});
   if (history_.size() > kMaxHistory) {
     history_.pop_front();
   }
   text_bytes_ += text.size();
-  texts_.push_back(text);
+  texts_.push_back(std::move(text));
   DropOldTexts();
   return {ResultCode::kOk, version_, change.operation, ""};
 }
@@ -283,6 +292,13 @@
   }
 }
 
+InstallChecked CheckForInstallation(const ConfigStore& store, const std::string& document) {
+  const CheckedConfiguration checked = ParseAndCheck({document});
+  const auto compiled =
+      Compile(checked, store.version().next(), ChoosePreset(checked, store.preset()));
+  return {MakeDelta(store.text(), compiled->text()), compiled->preset(), compiled->revision()};
+}
+
 std::string EncodeChange(const Change& change) {
   ByteWriter writer;
   writer.Number(kChangeFormat);
@@ -291,6 +307,11 @@
   if (const auto* submitted = std::get_if<SubmitDocument>(&change.what)) {
     writer.Number(kSubmitKind);
     writer.Text(submitted->delta);
+  } else if (const auto* checked = std::get_if<InstallChecked>(&change.what)) {
+    writer.Number(kInstallKind);
+    writer.Text(checked->delta);
+    writer.Text(checked->preset.value());
+    writer.Text(checked->revision);
   } else {
     writer.Number(kSwitchKind);
     writer.Text(std::get<SwitchPreset>(change.what).preset.value());
@@ -306,8 +327,15 @@
   reader.ExpectNumber(kChangeFormat);
   change.operation = OperationId(reader.Text());
   change.base = ConfigVersion(reader.Number());
-  if (reader.NumberUpTo(kSwitchKind) == kSubmitKind) {
+  const uint64_t kind = reader.NumberUpTo(kInstallKind);
+  if (kind == kSubmitKind) {
     change.what = SubmitDocument{reader.Text()};
+  } else if (kind == kInstallKind) {
+    InstallChecked checked;
+    checked.delta = reader.Text();
+    checked.preset = PresetName(reader.Text());
+    checked.revision = reader.Text();
+    change.what = std::move(checked);
   } else {
     change.what = SwitchPreset{PresetName(reader.Text())};
   }
--- a/src/config_store.h
+++ b/src/config_store.h
@@ -24,6 +24,17 @@
   bool operator==(const SubmitDocument&) const = default;
 };
 
+/// A new stored text that the proposing instance has parsed, checked and compiled, as a delta
+/// against the stored text of the base version. Applying it costs no check, so that an instance
+/// that starts gets through a log of many changes in a short time.
+struct InstallChecked {
+  std::string delta;
+  PresetName preset;
+  std::string revision;
+
+  bool operator==(const InstallChecked&) const = default;
+};
+
 struct SwitchPreset {
   PresetName preset;
 
@@ -33,7 +44,7 @@
 struct Change {
   OperationId operation;  // chosen by the operator's command, new for every change
   ConfigVersion base;     // the version that the operator saw
-  std::variant<SubmitDocument, SwitchPreset> what;
+  std::variant<SubmitDocument, SwitchPreset, InstallChecked> what;
   std::string author;
   WallTime at;
 
@@ -101,6 +112,8 @@
  private:
   ChangeResult Decide(const Change& change);
   ChangeResult Conflict(const Change& change) const;
+  ChangeResult Install(const Change& change, std::string text, PresetName preset,
+                       std::string revision);
   ChangeResult Install(const Change& change, const CompiledConfiguration& next);
   ChangeResult Refusal(ResultCode code, const std::string& message) const;
   OperationId newest_operation() const;
@@ -118,6 +131,10 @@
   std::deque<OperationId> operations_;                     // in order of application
 };
 
+/// Checks a document against the store and makes the change that installs it. Throws UserError 200,
+/// 201, 202 or 203 as the document deserves.
+InstallChecked CheckForInstallation(const ConfigStore& store, const std::string& document);
+
 std::string EncodeChange(const Change& change);
 /// Throws UserError 601 when the bytes are no change.
 Change DecodeChange(std::string_view bytes);
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -250,6 +250,31 @@
   if (config_.Flush()) {
     PublishNewVersion();
   }
+  LogRole();
+}
+
+// One line for each change of the role, the leader or the voters that this instance knows.
+void ControlProcess::LogRole() {
+  const ReplicatedLog& log = config_.log();
+  const std::string role = log.role() == ReplicaRole::kLeader     ? "leader"
+                           : log.role() == ReplicaRole::kFollower ? "follower"
+                                                                  : "candidate";
+  std::string voters;
+  for (const Voter& voter : log.voters()) {
+    voters += (voters.empty() ? "" : " ") + voter.instance.value();
+  }
+  const std::string leader = log.leader() ? log.leader()->value() : "";
+  std::string now = role + "/" + leader + "/" + voters;
+  if (now == logged_role_) {
+    return;
+  }
+  logged_role_ = std::move(now);
+  Log(LogLevel::kInfo, "control_role",
+      {{"role", role},
+       {"leader", leader},
+       {"voters", voters},
+       {"term", log.term().value()},
+       {"commit", log.commit_index().value()}});
 }
 
 void ControlProcess::PublishNewVersion() {
--- a/src/control_process.h
+++ b/src/control_process.h
@@ -58,6 +58,7 @@
   void FinishDrain(TimePoint limit);
   ReplicatedLogSettings LogSettingsOf(uint64_t seed) const;
   void FollowMembers();
+  void LogRole();
 
   EventLoop& loop_;
   ControlSettings settings_;
@@ -70,6 +71,7 @@
   CrashRelay crash_relay_;
   std::unique_ptr<OperatorService> operators_;
   TimerId timer_;
+  std::string logged_role_;  // role, leader and voters as logged last
   std::function<size_t()> other_in_flight_;
   uint64_t ledger_requests_ = 0;  // not answered
 };
--- a/src/log.cc
+++ b/src/log.cc
@@ -1,28 +1,31 @@
 #include "log.h"
 
-#include <boost/core/null_deleter.hpp>
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
-#include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "errors.h"
+#include "line_writer.h"
+#include "log_limit.h"
 #include "wall_clock.h"
 
 namespace endivecleat {
 namespace {
 
 namespace logging = boost::log;
-using Sink = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
 
 struct LogState {
   std::string instance;
   LogLevel least_level = LogLevel::kInfo;
+  std::string target;
+  LogLimit limit;
   bool started = false;
 };
 
@@ -55,46 +58,77 @@
   return "error";
 }
 
-boost::shared_ptr<std::ostream> OpenTarget(const std::string& target) {
+// Hands each line to a writer that never waits for its reader.
+class LineBackend : public logging::sinks::basic_formatted_sink_backend<char> {
+ public:
+  explicit LineBackend(int descriptor) : writer_(descriptor) {}
+
+  void consume(const logging::record_view&, const std::string& line) { writer_.Write(line); }
+
+ private:
+  LineWriter writer_;
+};
+
+/// The descriptor of the log. A file stays open until the process ends.
+int OpenTarget(const std::string& target) {
   if (target == "stderr") {
-    return {&std::clog, boost::null_deleter()};
+    return STDERR_FILENO;
   }
   if (target == "stdout") {
-    return {&std::cout, boost::null_deleter()};
+    return STDOUT_FILENO;
   }
-  auto file = boost::make_shared<std::ofstream>(target, std::ios::app);
-  if (!*file) {
+  constexpr int kMode = 0644;
+  const int file = open(target.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, kMode);
+  if (file < 0) {
     throw UserError(ResultCode::kSettingsUnreadable, "cannot open the log file " + target);
   }
   return file;
 }
 
+void WriteLine(LogLevel level, WallTime now, const std::string& event, const LogFields& fields) {
+  nlohmann::ordered_json line = {{"time_ms", now.value()},
+                                 {"level", NameOf(level)},
+                                 {"instance", State().instance},
+                                 {"event", event}};
+  for (const auto& [key, value] : fields) {
+    std::visit([&line, &name = key](const auto& plain) { line[name] = plain; }, value);
+  }
+  static logging::sources::severity_logger<int> logger;
+  BOOST_LOG_SEV(logger, static_cast<int>(level))
+      << line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
 }  // namespace
 
 void StartLog(const InstanceId& instance, const LogSettings& settings) {
-  auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-  backend->add_stream(OpenTarget(settings.target));
-  backend->auto_flush(true);
-  logging::core::get()->remove_all_sinks();
-  logging::core::get()->add_sink(boost::make_shared<Sink>(backend));
-  State() = {instance.value(), LevelOf(settings.level), true};
+  LogState& state = State();
+  // A reload opens a target only when it is another one.
+  if (!state.started || state.target != settings.target) {
+    auto backend = boost::make_shared<LineBackend>(OpenTarget(settings.target));
+    logging::core::get()->remove_all_sinks();
+    logging::core::get()->add_sink(
+        boost::make_shared<logging::sinks::synchronous_sink<LineBackend>>(backend));
+  }
+  state.instance = instance.value();
+  state.target = settings.target;
+  state.least_level = LevelOf(settings.level);
+  state.started = true;
 }
 
 void Log(LogLevel level, const std::string& event, const LogFields& fields) {
-  const LogState& state = State();
+  LogState& state = State();
   if (!state.started || level < state.least_level) {
     return;
   }
-  nlohmann::ordered_json line = {{"time_ms", WallNow().value()},
-                                 {"level", NameOf(level)},
-                                 {"instance", state.instance},
-                                 {"event", event}};
-  for (const auto& [key, value] : fields) {
-    std::visit([&line, &name = key](const auto& plain) { line[name] = plain; }, value);
+  const WallTime now = WallNow();
+  const bool admitted = state.limit.Admit(now, event);
+  for (const auto& [name, count] : state.limit.TakeDropped()) {
+    WriteLine(LogLevel::kWarning, now, "log_lines_passed_over",
+              {{"of_event", name}, {"lines", count}});
+  }
+  if (admitted) {
+    WriteLine(level, now, event, fields);
   }
-  static logging::sources::severity_logger<int> logger;
-  BOOST_LOG_SEV(logger, static_cast<int>(level))
-      << line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
 }  // namespace endivecleat
--- /dev/null
+++ b/src/log_limit.cc
@@ -0,0 +1,25 @@
+#include "log_limit.h"
+
+namespace endivecleat {
+
+bool LogLimit::Admit(WallTime now, const std::string& event) {
+  const uint64_t second = now.value() / kSecondMs;
+  if (second != second_) {  // also when the clock goes back
+    for (const auto& [name, counts] : counts_) {
+      if (counts.dropped > 0) {
+        dropped_.emplace_back(name, counts.dropped);
+      }
+    }
+    counts_.clear();
+    second_ = second;
+  }
+  Counts& counts = counts_[event];
+  if (counts.written >= kLinesPerSecond) {
+    ++counts.dropped;
+    return false;
+  }
+  ++counts.written;
+  return true;
+}
+
+}  // namespace endivecleat
--- a/test/correctness/config_store_test.cc
+++ b/test/correctness/config_store_test.cc
@@ -29,7 +29,7 @@
     CHECK(Submit(document).code == ResultCode::kOk);
   }
 
-  Change Draft(std::variant<SubmitDocument, SwitchPreset> what) {
+  Change Draft(decltype(Change::what) what) {
     const OperationId operation("op-" + std::to_string(next_operation++));
     return {operation, store.version(), std::move(what), "ana", WallTime(1'000 + next_operation)};
   }
@@ -143,3 +143,19 @@
   const ConfigStore restored = ConfigStore::Restore(ConfigStore().Snapshot());
   CHECK(restored.version() == ConfigVersion() && restored.text().empty());
 }
+
+// Guards against replicas that differ in what a checked change installs, and against a checked
+// change on an old base.
+TEST(ConfigStoreWithTwoPresets, InstallsACheckedDocumentLikeASubmittedOne) {
+  ConfigStore other = ConfigStore::Restore(store.Snapshot());
+  SetSlots(10);
+  const Change submitted = DraftDocument(document);
+  Change checked = submitted;
+  checked.what = endivecleat::CheckForInstallation(store, document.dump());
+  CHECK(endivecleat::DecodeChange(endivecleat::EncodeChange(checked)) == checked);
+  CHECK(store.Apply(submitted) == other.Apply(checked));
+  STRCMP_EQUAL(store.text().c_str(), other.text().c_str());
+  CHECK(store.history() == other.history());
+  checked.operation = OperationId("late");
+  CHECK(other.Apply(checked).code == ResultCode::kVersionConflict);
+}
--- a/test/error/config_store_error_test.cc
+++ b/test/error/config_store_error_test.cc
@@ -24,7 +24,7 @@
 
   void setup() override { CHECK(Submit(document).code == ResultCode::kOk); }
 
-  ChangeResult Apply(const std::variant<SubmitDocument, SwitchPreset>& what, ConfigVersion base) {
+  ChangeResult Apply(const decltype(Change::what)& what, ConfigVersion base) {
     const OperationId operation("op-" + std::to_string(next_operation++));
     ChangeResult result = store.Apply({operation, base, what});
     CHECK(replica.Apply({operation, base, what}) == result);
@@ -94,7 +94,7 @@
 
 TEST(ConfigStoreEmptyStore, RefusesASwitchAndAnUndecidedFirstDocument) {
   ConfigStore store;
-  const auto apply = [&](const char* id, std::variant<SubmitDocument, SwitchPreset> what) {
+  const auto apply = [&](const char* id, decltype(Change::what) what) {
     return store.Apply({OperationId(id), ConfigVersion(), std::move(what)}).code;
   };
   CHECK(apply("a", SwitchPreset{PresetName("peak")}) == ResultCode::kUnknownPreset);
