Let a wait leave time to serve; charge repeats of answered requests double

With a service refusing half of its requests, retries after a 500 made targets repeat all their calls and used up the budget.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -10,6 +10,10 @@
 
 // Weight of the newest request in the moving mean of service times.
 constexpr Duration::rep kServiceTimeWeight = 16;
+// A request that waits until only the mean service time is left is late every second time.
+constexpr double kServiceTimeReserve = 1.25;
+// What comes late anyway, such as a request that was refused before, may still wait a little.
+constexpr int kLeastWaitPart = 6;  // of the time that the answer keeps its worth
 
 }  // namespace
 
@@ -172,6 +176,14 @@
   }
 }
 
+Duration Admission::MaxWait(const AdmissionRequest& request) const {
+  if (!request.useful_for) {
+    return policy_.queue_wait;
+  }
+  const auto reserve = std::chrono::duration_cast<Duration>(service_time_ * kServiceTimeReserve);
+  return std::max(*request.useful_for - reserve, *request.useful_for / kLeastWaitPart);
+}
+
 // The time until a slot is free for a request of this priority, behind those that go before it. 0
 // while no service time is known.
 Duration Admission::ExpectedWait(TimePoint now, Priority priority) const {
--- a/src/admission.h
+++ b/src/admission.h
@@ -22,7 +22,9 @@
   RequestNumber number;
   Priority priority{1};
   TimePoint deadline = TimePoint::max();
-  std::optional<Duration> max_wait;  // nullopt: the service's
+  // How long the answer keeps its full worth; the wait must leave time to serve it. nullopt: the
+  // service's longest wait is in force.
+  std::optional<Duration> useful_for;
 };
 
 /// The decision about one request. No code: it is admitted and holds a slot until Finish. With a
@@ -81,9 +83,7 @@
 
   void Expire(TimePoint now, std::vector<AdmissionDecision>& decisions);
   Duration ExpectedWait(TimePoint now, Priority priority) const;
-  Duration MaxWait(const AdmissionRequest& request) const {
-    return request.max_wait.value_or(policy_.queue_wait);
-  }
+  Duration MaxWait(const AdmissionRequest& request) const;
   void FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions);
   bool MakeRoomFor(const AdmissionRequest& request, std::vector<AdmissionDecision>& decisions);
 
--- a/src/call.cc
+++ b/src/call.cc
@@ -16,6 +16,8 @@
 // call with many attempts before the gossip has spread.
 constexpr uint32_t kMostDeaths = 2;
 constexpr int kLeastErrorStatus = 500;
+// A target that answered has made its own calls, and another one makes them again.
+constexpr uint64_t kTokensOfARepeat = 2;
 // With less time left, another target cannot answer either.
 constexpr Duration kLeastRetryTime = std::chrono::milliseconds(20);
 
@@ -96,7 +98,7 @@
       answer.status >= kLeastErrorStatus) {
     ++reached_;
     error_answer_ = answer;
-    return now + kLeastRetryTime < request_.deadline && MayReachAnother()
+    return now + kLeastRetryTime < request_.deadline && MayReachAnother(kTokensOfARepeat)
                ? ChooseAgain()
                : Finish(ResultCode::kOk, answer);
   }
@@ -195,13 +197,13 @@
   if (!reached && request_.max_placements > 0) {
     return sent_.size() < request_.max_placements;
   }
-  return MayReachAnother();
+  return MayReachAnother(1);
 }
 
-bool Call::MayReachAnother() {
+bool Call::MayReachAnother(uint64_t tokens) {
   const uint64_t used = request_.max_placements > 0 ? reached_ : sent_.size();
   return used < request_.max_attempts.value() && deaths_ < kMostDeaths &&
-         budget_->TryTake(request_.urgent);
+         budget_->TryTake(tokens, request_.urgent);
 }
 
 CallEffects Call::TryAgainOrFinish(ResultCode code, bool reached) {
--- a/src/call.h
+++ b/src/call.h
@@ -93,7 +93,7 @@
   bool Current(const AttemptId& attempt) const;
   bool Mine(const AttemptId& attempt) const;
   bool MayTryAgain(ResultCode code, bool reached);
-  bool MayReachAnother();
+  bool MayReachAnother(uint64_t tokens);
   CallEffects TryAgainOrFinish(ResultCode code, bool reached);
   CallEffects ChooseAgain();
   CallEffects DeadlinePassed(TimePoint now);
--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -99,7 +99,7 @@
   writer.Text(message.request_id);
   writer.Number(static_cast<uint64_t>(std::max<Duration::rep>(message.time_left.count(), 0)));
   writer.Number(message.priority.value());
-  writer.Number(message.max_wait ? static_cast<uint64_t>(message.max_wait->count()) + 1 : 0);
+  writer.Number(message.useful_for ? static_cast<uint64_t>(message.useful_for->count()) + 1 : 0);
   WriteRequest(writer, message.request);
   return writer.Take();
 }
@@ -119,7 +119,7 @@
   message.time_left = Duration(static_cast<Duration::rep>(reader.NumberUpTo(longest)));
   message.priority = Priority(reader.Number());
   if (const uint64_t wait = reader.NumberUpTo(longest); wait > 0) {
-    message.max_wait = Duration(static_cast<Duration::rep>(wait - 1));
+    message.useful_for = Duration(static_cast<Duration::rep>(wait - 1));
   }
   message.request = ReadRequest(reader);
   reader.ExpectEnd();
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -26,7 +26,7 @@
   std::string request_id;  // the caller's own, for logs; empty where callers name none
   Duration time_left{};    // until the deadline
   Priority priority{1};
-  std::optional<Duration> max_wait;  // for a slot; nullopt: the service's
+  std::optional<Duration> useful_for;  // how long the answer keeps its full worth
   HttpRequest request;
 };
 
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -21,8 +21,6 @@
 // Daemons that a request of a route with its own attempts is offered to while none takes it. Each
 // offer costs a millisecond inside a region.
 constexpr uint64_t kMostPlacements = 5;
-// A request waits for a slot for at most this part of its objective; the rest is for the target.
-constexpr int kWaitPartOfObjective = 2;
 // The rest of the shared burst stays for daemons that this one does not know of yet.
 constexpr uint64_t kBurstPercentUsed = 80;
 // Where nothing waits, the next attempt may find another target or another answer at once.
@@ -340,7 +338,8 @@
   message.priority =
       exchange->call_request.kind == CallKind::kAtMostOnce ? Priority(0) : route.priority;
   if (route.objective > Duration{}) {
-    message.max_wait = route.objective / kWaitPartOfObjective;
+    const Duration passed = context_.loop.now() - exchange->started;
+    message.useful_for = std::max(route.objective - passed, Duration(0));
   }
   const CallHeaders& names = context_.settings.headers;
   message.request_id = exchange->request_id;
--- a/src/retry_budget.cc
+++ b/src/retry_budget.cc
@@ -13,12 +13,12 @@
   hundredths_ = std::min(hundredths_, most_tokens_ * kHundredths);
 }
 
-bool RetryBudget::TryTake(bool urgent) {
+bool RetryBudget::TryTake(uint64_t tokens, bool urgent) {
   const uint64_t reserved = urgent ? 0 : most_tokens_ * kHundredths / 2;
-  if (hundredths_ < kHundredths + reserved) {
+  if (hundredths_ < tokens * kHundredths + reserved) {
     return false;
   }
-  hundredths_ -= kHundredths;
+  hundredths_ -= tokens * kHundredths;
   return true;
 }
 
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -28,7 +28,9 @@
   void CountCall();
   /// Takes a token for one retry; false when there is none. The less urgent half of requests leaves
   /// half of the tokens to the others.
-  bool TryTake(bool urgent = true);
+  bool TryTake(bool urgent = true) { return TryTake(1, urgent); }
+  /// A retry that makes the target repeat its own calls costs more than one token.
+  bool TryTake(uint64_t tokens, bool urgent);
   uint64_t tokens() const { return hundredths_ / kHundredths; }
 
  private:
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -180,7 +180,7 @@
   *started = exchange;
   context_.calls.Begin(number, exchange->span.context().trace, exchange->deadline);
   Decide(admission_.Arrive(context_.loop.now(),
-                           {number, message.priority, exchange->deadline, message.max_wait}));
+                           {number, message.priority, exchange->deadline, message.useful_for}));
   ArmTimer(exchange);
 }
 
--- a/test/correctness/admission_test.cc
+++ b/test/correctness/admission_test.cc
@@ -217,7 +217,7 @@
         decide(now, admission.Arrive(now, {.number = RequestNumber(number),
                                            .priority = Priority(priority),
                                            .deadline = now + seconds(4),
-                                           .max_wait = milliseconds(300)}));
+                                           .useful_for = milliseconds(550)}));
       }
     }
   }
--- a/test/error/config_store_error_test.cc
+++ b/test/error/config_store_error_test.cc
@@ -6,6 +6,7 @@
 #include "delta.h"
 #include "document_maker.h"
 
+using endivecleat::Change;
 using endivecleat::ChangeResult;
 using endivecleat::ConfigStore;
 using endivecleat::ConfigVersion;
