--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,9 +1,22 @@
 #!/usr/bin/env bash
-# Installs what is missing, builds, checks format and lint, and runs every test.
+# Installs what is missing, builds, checks format and lint, and runs every test. Tests that KNOWN-RED.txt lists are run
+# as well, but their failure does not fail the script; their entries are printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install.sh
 scripts/build.sh
 scripts/lint.sh
-ctest --test-dir build --output-on-failure
+ctest --test-dir build --output-on-failure -E '^process_tests$'
+red=()
+if [ -e KNOWN-RED.txt ]; then
+  mapfile -t red < <(sed -n 's/^test: process_tests //p' KNOWN-RED.txt)
+fi
+excluded=()
+for name in "${red[@]}"; do
+  excluded+=(-xsn "$name")
+done
+build/process_tests -v "${excluded[@]}"
+for name in "${red[@]}"; do
+  build/process_tests -v -sn "$name" || echo "known red: process_tests $name failed in this run"
+done
 [ ! -e KNOWN-RED.txt ] || cat KNOWN-RED.txt
