Remember what was committed; let voters take turns in the first election

Cause: after a restart of all processes nobody had a configuration until a leader was elected. Ruled out: reading the log file (8 ms) and replaying it.

Change: the commit index is stored with what is written anyway, or on its own 100 ms later, so that a restarted replica applies it at once; the first elections are staggered by the order of the voters. Tests: ReplicatedLogVoterRestarted, ReplicatedLogAllRestarted, LogStoreReloaded.

--- a/src/log_entry.h
+++ b/src/log_entry.h
@@ -46,6 +46,9 @@
   HardState hard_state;
   LogSnapshot snapshot;
   std::vector<LogEntry> entries;  // the first one has index snapshot.index + 1
+  // Known to be committed when the log was written; what was committed later shows only in a
+  // leader's messages. At most the index of the last entry.
+  LogIndex commit;
 
   bool operator==(const StoredLog&) const = default;
 };
@@ -68,7 +71,8 @@
   std::optional<LogSnapshot> snapshot;
   // The snapshot came from the leader; the state machine restarts from it before `committed`.
   bool restore = false;
-  std::vector<LogEntry> entries;  // replaces any stored entry from entries.front().index on
+  std::vector<LogEntry> entries;   // replaces any stored entry from entries.front().index on
+  std::optional<LogIndex> commit;  // to be stored with the rest; only a restart needs it
   std::vector<Outgoing> messages;
   std::vector<LogEntry> committed;
   std::vector<ReadResult> reads;
--- a/src/log_record.cc
+++ b/src/log_record.cc
@@ -101,7 +101,7 @@
   std::move(entries.begin(), entries.end(), std::back_inserter(stored.entries));
 }
 
-// Keys: i incarnation, s snapshot, h hard state, e entries.
+// Keys: i incarnation, s snapshot, h hard state, e entries, c commit index.
 void ApplyRecord(const Json& json, StoredLog& stored) {
   if (json.contains("s")) {
     stored = StoredLog{};
@@ -117,6 +117,9 @@
   if (json.contains("e")) {
     AppendEntries(DecodeEntries(Text(json.at("e"))), stored);
   }
+  if (json.contains("c")) {
+    stored.commit = LogIndex(json.at("c").get<uint64_t>());
+  }
 }
 
 }  // namespace
@@ -128,7 +131,8 @@
                 {"s",
                  {snapshot.index.value(), snapshot.term.value(),
                   Binary(EncodeVoters(snapshot.voters)), Binary(snapshot.state)}},
-                {"e", Binary(EncodeEntries(stored.entries))}});
+                {"e", Binary(EncodeEntries(stored.entries))},
+                {"c", stored.commit.value()}});
 }
 
 std::string EncodeBatchRecord(const Ready& ready) {
@@ -139,6 +143,9 @@
   if (!ready.entries.empty()) {
     json["e"] = Binary(EncodeEntries(ready.entries));
   }
+  if (ready.commit) {
+    json["c"] = ready.commit->value();
+  }
   return Frame(json);
 }
 
--- a/src/log_record.h
+++ b/src/log_record.h
@@ -13,7 +13,7 @@
 /// A record that replaces everything before it.
 std::string EncodeWholeRecord(const StoredLog& stored);
 
-/// A record with the hard state and the entries of one batch.
+/// A record with the hard state, the entries and the commit index of one batch.
 std::string EncodeBatchRecord(const Ready& ready);
 
 struct DecodedFile {
--- a/src/log_store.cc
+++ b/src/log_store.cc
@@ -166,6 +166,7 @@
   }
   incarnation_ = decoded.stored.incarnation;
   hard_state_ = decoded.stored.hard_state;
+  commit_ = decoded.stored.commit;
   return std::move(decoded.stored);
 }
 
@@ -174,9 +175,10 @@
   if (ready.hard_state) {
     hard_state_ = *ready.hard_state;
   }
+  commit_ = ready.commit.value_or(commit_);
   if (ready.snapshot) {
-    Replace({incarnation_, hard_state_, *ready.snapshot, ready.entries});
-  } else if (ready.hard_state || !ready.entries.empty()) {
+    Replace({incarnation_, hard_state_, *ready.snapshot, ready.entries, commit_});
+  } else if (ready.hard_state || ready.commit || !ready.entries.empty()) {
     Append(EncodeBatchRecord(ready));
   }
 }
--- a/src/log_store.h
+++ b/src/log_store.h
@@ -53,6 +53,7 @@
   std::filesystem::path folder_;
   Incarnation incarnation_;
   HardState hard_state_;  // as stored
+  LogIndex commit_;       // as stored
   int lock_ = -1;
   int file_ = -1;  // positioned at its end after Load
   bool failed_ = false;
--- a/src/replica_task.h
+++ b/src/replica_task.h
@@ -102,7 +102,7 @@
   }
 
   static bool HasWork(const Ready& ready) {
-    return ready.hard_state || ready.snapshot || !ready.entries.empty() ||
+    return ready.hard_state || ready.snapshot || ready.commit || !ready.entries.empty() ||
            !ready.messages.empty() || !ready.committed.empty() || !ready.reads.empty();
   }
 
--- a/src/replicated_log.cc
+++ b/src/replicated_log.cc
@@ -7,6 +7,18 @@
 
 namespace endivecleat {
 
+namespace {
+
+// Long enough that changes in quick succession share the write, and shorter than the time that a
+// restart of all replicas takes.
+constexpr Duration kCommitNoteDelay = std::chrono::milliseconds(100);
+// Parts of the election timeout: replicas that start together start within 0.3 s of each other, and
+// an election between regions takes two round trips of 60 ms and two syncs.
+constexpr int kFirstElectionPart = 8;
+constexpr int kElectionTurnPart = 4;
+
+}  // namespace
+
 ReplicatedLog::ReplicatedLog(InstanceId self, ReplicatedLogSettings settings, StoredLog stored,
                              TimePoint now)
     : self_(std::move(self)),
@@ -16,21 +28,27 @@
       now_(now),
       hard_state_(std::move(stored.hard_state)),
       log_(std::move(stored.snapshot), std::move(stored.entries)),
-      commit_(log_.snapshot()->index),
-      applied_(commit_),
+      commit_(std::max(log_.snapshot()->index, std::min(stored.commit, log_.last_index()))),
+      applied_(log_.snapshot()->index),
+      stored_commit_(commit_),
       hello_due_(now) {
   ResetElectionTimer();
 }
 
 // Without a leader heard in this run, waiting for one only delays the first election after all
 // replicas have started. The pre-vote keeps a replica that starts alone from disturbing a leader.
+// The voters then take turns by their order, since candidates that meet cost another timeout.
 void ReplicatedLog::ResetElectionTimer() {
-  const Duration least =
-      leader_heard_ ? settings_.election_timeout_min : settings_.election_timeout_min / 4;
-  const Duration most =
-      leader_heard_ ? settings_.election_timeout_max : settings_.election_timeout_min * 3 / 4;
-  const uint64_t extra = random_.Below(static_cast<uint64_t>((most - least).count()) + 1);
-  election_due_ = now_ + least + Duration(static_cast<int64_t>(extra));
+  Duration least = settings_.election_timeout_min;
+  Duration spread = settings_.election_timeout_max - settings_.election_timeout_min;
+  if (!leader_heard_) {
+    const auto turn = std::count_if(voters().begin(), voters().end(),
+                                    [&](const Voter& voter) { return voter < identity(); });
+    least = settings_.election_timeout_min / kFirstElectionPart +
+            turn * (settings_.election_timeout_min / kElectionTurnPart);
+    spread = settings_.election_timeout_min / kFirstElectionPart;
+  }
+  election_due_ = now_ + least + Duration(random_.Below(static_cast<uint64_t>(spread.count()) + 1));
 }
 
 void ReplicatedLog::Tick(TimePoint now) {
@@ -414,12 +432,29 @@
     ready.entries = log_.Slice(*unstable_from_, log_.last_index(), ByteCount(UINT64_MAX));
     unstable_from_.reset();
   }
+  NoteCommit(ready);
   ready.messages = std::exchange(outbox_, {});
   ready.reads = std::exchange(read_results_, {});
   FillCommitted(ready);
   return ready;
 }
 
+// A restarted replica applies what it knows to be committed without waiting for a leader. The index
+// goes with what is written anyway; a write of its own follows only when nothing else is written.
+void ReplicatedLog::NoteCommit(Ready& ready) {
+  const bool writes = ready.hard_state || ready.snapshot || !ready.entries.empty();
+  if (commit_ == stored_commit_) {
+    commit_note_due_ = TimePoint::max();
+  } else if (!writes && commit_note_due_ == TimePoint::max()) {
+    commit_note_due_ = now_ + kCommitNoteDelay;
+  }
+  if (ready.snapshot || (commit_ != stored_commit_ && (writes || now_ >= commit_note_due_))) {
+    ready.commit = commit_;
+    stored_commit_ = commit_;
+    commit_note_due_ = TimePoint::max();
+  }
+}
+
 void ReplicatedLog::FillCommitted(Ready& ready) {
   if (applied_ < commit_) {
     ready.committed = log_.Slice(applied_.next(), commit_, ByteCount(UINT64_MAX));
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -148,6 +148,7 @@
   void Send(const Voter& to, LogMessage message);
   void AppendLocal(EntryKind kind, std::string payload);
   void MarkUnstable(LogIndex from);
+  void NoteCommit(Ready& ready);
   void FillCommitted(Ready& ready);
 
   // The leader's part, in replicated_log_leader.cc.
@@ -182,8 +183,10 @@
 
   HardState hard_state_;
   EntryLog log_;
-  LogIndex commit_;   // >= the snapshot's index
-  LogIndex applied_;  // last entry returned in Ready.committed; <= commit_
+  LogIndex commit_;         // >= the snapshot's index
+  LogIndex applied_;        // last entry returned in Ready.committed; <= commit_
+  LogIndex stored_commit_;  // as of the last Ready; <= commit_
+  TimePoint commit_note_due_ = TimePoint::max();  // when the commit index is written on its own
 
   ReplicaRole role_ = ReplicaRole::kFollower;
   std::optional<InstanceId> leader_;
--- a/test/correctness/log_store_test.cc
+++ b/test/correctness/log_store_test.cc
@@ -64,6 +64,15 @@
   CHECK((stored.entries == std::vector{Entry(2, 3), Entry(3, 3, "")}));
 }
 
+TEST(LogStoreReloaded, KeepsTheNewestCommitIndex) {
+  Persist({.entries = {Entry(2, 1), Entry(3, 1)}, .commit = LogIndex(2)});
+  Persist({.commit = LogIndex(3)});
+  Persist({.entries = {Entry(4, 1)}});
+  CHECK(Reload(folder).commit == LogIndex(3));
+  Persist({.snapshot = LogSnapshot{LogIndex(3), Term(1), {}, "s"}, .entries = {Entry(4, 1)}});
+  CHECK(Reload(folder).commit == LogIndex(3));
+}
+
 TEST(LogStoreReloaded, ReplacesASuffixOfEntries) {
   Persist({.entries = {Entry(2, 1), Entry(3, 1), Entry(4, 1)}});
   Persist({.entries = {Entry(3, 2)}});
--- a/test/correctness/replicated_log_test.cc
+++ b/test/correctness/replicated_log_test.cc
@@ -146,6 +146,33 @@
   CHECK(ask(first));
 }
 
+// Guards against replicas that serve no configuration after a restart until a leader is elected.
+TEST(ReplicatedLogVoterRestarted, AppliesWhatItKnewToBeCommittedWithoutALeader) {
+  LogCluster cluster(11, 3, NetworkFaults{});
+  SetInSteps(cluster, 0, 5);
+  const auto time_to_note_the_commit = std::chrono::milliseconds(700);
+  cluster.Run(time_to_note_the_commit);
+  LogNode& alone = cluster.node(0);
+  cluster.LoseForever(cluster.node(1));
+  cluster.LoseForever(cluster.node(2));
+  cluster.Crash(alone, std::chrono::milliseconds(100));
+  cluster.Run(std::chrono::milliseconds(200));
+  CHECK(alone.log != nullptr);
+  LONGS_EQUAL(5, alone.machine.value);
+  CHECK_FALSE(alone.log->leader().has_value());
+}
+
+TEST_GROUP(ReplicatedLogAllRestarted){};
+
+// Guards against voters that start together and run against each other in the first election.
+TEST(ReplicatedLogAllRestarted, ElectsWithinTheFirstTurnOfEachVoter) {
+  for (uint64_t seed = 100; seed < 140; ++seed) {
+    LogCluster cluster(seed, 3, NetworkFaults{});
+    const Duration turns = ReplicatedLogSettings{}.election_timeout_min / 2;
+    CHECK(cluster.RunUntil(turns, [&] { return cluster.Leader() != nullptr; }));
+  }
+}
+
 TEST_GROUP(ReplicatedLogLostDisk){};
 
 TEST(ReplicatedLogLostDisk, IsALearnerAndThenAVoterAgain) {
--- a/test/log_cluster.cc
+++ b/test/log_cluster.cc
@@ -192,6 +192,7 @@
   if (ready.hard_state) {
     disk.hard_state = *ready.hard_state;
   }
+  disk.commit = ready.commit.value_or(disk.commit);
   if (ready.snapshot) {
     disk.snapshot = *ready.snapshot;
     disk.entries.clear();
