Pull at the first offer after a start; hold requests while the first version comes

Ruled out: the time of the pull itself (60 ms).

Change: control instances that have not answered are asked every 100 ms, the first offer starts the pull after 50 ms, and for half a second after its start a daemon holds requests for its first version (StartupQueue).

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -120,6 +120,7 @@
 CallerTask::CallerTask(DaemonContext& context, TargetTask& target)
     : context_(context),
       target_(target),
+      startup_(context.loop.now()),
       splits_(std::hash<std::string>()(context.run_id)),
       random_(std::hash<std::string>()(context.run_id) + 1) {}
 
@@ -136,12 +137,54 @@
     exchange->request_id = exchange->request.headers.ValueOr(name, "");
   }
   try {
-    if (const std::optional<ResultCode> fault = Prepare(*exchange)) {
-      Respond(*exchange, *fault, nullptr);
+    if (!context_.configuration &&
+        startup_.Add(exchange->started, exchange->number, CallerTimeout(exchange->request))) {
+      Hold(exchange);
       return;
     }
+    Begin(exchange);
   } catch (const UserError& error) {
     exchange->sink.Send(ErrorResponse(error.code(), error.what()));
+  }
+}
+
+void CallerTask::Hold(const std::shared_ptr<Exchange>& exchange) {
+  held_[exchange->number] = exchange;
+  exchange->sink.OnGone([this, number = exchange->number] {
+    startup_.Remove(number);
+    held_.erase(number);
+  });
+}
+
+void CallerTask::ConfigurationChanged() {
+  BeginHeld(startup_.TakeAll());
+  RefreshCandidates();
+}
+
+void CallerTask::Tick() {
+  BeginHeld(startup_.TakeExpired(context_.loop.now()));
+  RefreshCandidates();
+}
+
+void CallerTask::BeginHeld(const std::vector<RequestNumber>& numbers) {
+  for (const RequestNumber number : numbers) {
+    const auto found = held_.find(number);
+    if (found == held_.end()) {
+      continue;
+    }
+    const std::shared_ptr<Exchange> exchange = found->second;
+    held_.erase(found);
+    try {
+      Begin(exchange);
+    } catch (const UserError& error) {
+      exchange->sink.Send(ErrorResponse(error.code(), error.what()));
+    }
+  }
+}
+
+void CallerTask::Begin(const std::shared_ptr<Exchange>& exchange) {
+  if (const std::optional<ResultCode> fault = Prepare(*exchange)) {
+    Respond(*exchange, *fault, nullptr);
     return;
   }
   exchanges_[exchange->number] = exchange;
@@ -240,6 +283,11 @@
   return std::nullopt;
 }
 
+Duration CallerTask::CallerTimeout(const HttpRequest& request) const {
+  const auto timeout = request.headers.Find(context_.settings.headers.timeout);
+  return timeout ? ParseTimeout(*timeout) : ServicePolicy{}.timeout;
+}
+
 TimePoint CallerTask::OwnDeadline(Exchange& exchange) const {
   const Duration of_route = exchange.route->policy.timeout;
   const auto timeout = exchange.request.headers.Find(context_.settings.headers.timeout);
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -16,6 +16,7 @@
 #include "http_server.h"
 #include "retry_budget.h"
 #include "split_chooser.h"
+#include "startup_queue.h"
 #include "target_task.h"
 
 namespace endivecleat {
@@ -31,9 +32,11 @@
   void Handle(HttpRequest request, const ResponseSink& sink);
   /// The incoming calls that these calls were made for were cancelled.
   void Cancel(const std::vector<RequestNumber>& calls);
-  /// Takes the candidates of every service from the membership and the summaries.
-  void RefreshCandidates();
-  size_t in_flight() const { return exchanges_.size(); }
+  /// A version is in force. Begins what was held for it.
+  void ConfigurationChanged();
+  /// To be called every 100 ms.
+  void Tick();
+  size_t in_flight() const { return exchanges_.size() + held_.size(); }
 
  private:
   struct ServiceState {
@@ -49,6 +52,12 @@
   };
   struct Exchange;
 
+  void Hold(const std::shared_ptr<Exchange>& exchange);
+  void BeginHeld(const std::vector<RequestNumber>& numbers);
+  void Begin(const std::shared_ptr<Exchange>& exchange);
+  /// Takes the candidates of every service from the membership and the summaries.
+  void RefreshCandidates();
+  Duration CallerTimeout(const HttpRequest& request) const;
   std::optional<ResultCode> Prepare(Exchange& exchange);
   std::optional<ResultCode> PrepareOnce(Exchange& exchange);
   TimePoint OwnDeadline(Exchange& exchange) const;
@@ -73,6 +82,8 @@
 
   DaemonContext& context_;
   TargetTask& target_;
+  StartupQueue startup_;
+  std::map<RequestNumber, std::shared_ptr<Exchange>> held_;  // those that startup_ holds
   SplitChooser splits_;
   SeededRandom random_;
   std::map<ServiceName, std::unique_ptr<ServiceState>> services_;
--- a/src/config_replica.cc
+++ b/src/config_replica.cc
@@ -29,6 +29,7 @@
       source_(settings_.source, std::move(codec), random_.Next()) {
   const auto jitter = static_cast<uint64_t>(settings_.start_jitter.count());
   hello_at_ = now + Duration(random_.Below(jitter + 1));
+  neighbours_hello_at_ = hello_at_;
   pull_from_ = hello_at_ + settings_.hello_wait;
   next_remote_poll_ = pull_from_;
 }
@@ -47,6 +48,7 @@
       Learn(now, from, message.version, message.digest);
       if (const auto teller = candidates_.find(from); teller != candidates_.end()) {
         teller->second.told_at = now;
+        pull_from_ = std::min(pull_from_, now + settings_.offer_wait);
       }
       asked_.erase(from);
       remote_answered_ = remote_answered_ || IsRemote(from);
@@ -185,10 +187,13 @@
     return;
   }
   greeted_ = true;
-  hello_at_ = now + settings_.hello_wait;
+  hello_at_ = now + std::min(settings_.control_hello_wait, settings_.hello_wait);
   std::vector<InstanceId> asked = settings_.local_controls;
-  for (InstanceId& peer : ChooseRandom(peers_, settings_.neighbours_asked, &random_)) {
-    asked.push_back(std::move(peer));
+  if (now >= neighbours_hello_at_) {
+    neighbours_hello_at_ = now + settings_.hello_wait;
+    for (InstanceId& peer : ChooseRandom(peers_, settings_.neighbours_asked, &random_)) {
+      asked.push_back(std::move(peer));
+    }
   }
   for (const InstanceId& peer : asked) {
     asked_.insert(peer);
--- a/src/config_replica.h
+++ b/src/config_replica.h
@@ -33,6 +33,12 @@
   size_t notices = 3;                       // after an installation
   Duration start_jitter = std::chrono::seconds(2);
   Duration hello_wait = std::chrono::seconds(1);
+  // Between questions to control instances that have not answered: after a restart of all processes
+  // they listen a little later than the daemons.
+  Duration control_hello_wait = std::chrono::milliseconds(100);
+  // From the first offer of a version to the pull: the other control instances of the region answer
+  // within it, and a newer version that is offered later is pulled as a small delta.
+  Duration offer_wait = std::chrono::milliseconds(50);
   Duration pull_timeout = std::chrono::milliseconds(2500);  // longer than the source's queue
   Duration avoid_after_timeout = std::chrono::seconds(1);
   Duration avoid_after_bad_transfer = std::chrono::seconds(5);
@@ -122,6 +128,7 @@
   std::set<InstanceId> asked_;  // that have not answered the Hello
   std::optional<std::pair<ConfigVersion, std::string>> refused_;  // by the installer
   TimePoint hello_at_;
+  TimePoint neighbours_hello_at_;
   TimePoint pull_from_;  // no pull before the answers to the first Hello had time to come
   bool greeted_ = false;
   TimePoint next_remote_poll_;
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -191,7 +191,7 @@
     caller_server_.SetIdleTimeout(idle);
   }
   target_.ConfigurationChanged();
-  callers_.RefreshCandidates();
+  callers_.ConfigurationChanged();
   UpdateSelf();
   return true;
 }
@@ -207,7 +207,7 @@
   crash_reports_.Learn(node_.membership(), context_.guard);
   crash_reports_.Spread(now, context_.guard, node_.membership());
   context_.guard.Tick(WallNow());
-  callers_.RefreshCandidates();
+  callers_.Tick();
 }
 
 void DaemonProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
@@ -265,7 +265,7 @@
   replica.source.queue_wait = std::min(replica.source.queue_wait, within / 5);
   replica.source.transfer_time = std::min(replica.source.transfer_time, within / 5);
   replica.hello_wait = std::min(replica.hello_wait, within / 8);
-  replica.start_jitter = std::min(replica.start_jitter, within / 8);
+  replica.start_jitter = std::min(replica.start_jitter, within / 25);
   const Place& here = settings_.common.place;
   replica.data_centre = here.data_centre;
   if (settings_.common.discovery) {
--- a/src/endivecleat_core.h
+++ b/src/endivecleat_core.h
@@ -22,6 +22,7 @@
 #include "result_code.h"
 #include "retry_budget.h"
 #include "service_policy.h"
+#include "startup_queue.h"
 #include "state_chart.h"
 #include "target_call.h"
 #include "target_pattern.h"
