--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -161,14 +161,17 @@
   }
 }
 
-ConfigMessage ConfigSource::MakeTransfer(const ConfigMessage& pull) const {
+ConfigMessage ConfigSource::MakeTransfer(const ConfigMessage& pull) {
   const ConfigText* base = FindBase(pull.version, pull.digest);
-  EncodedTransfer encoded = codec_.encode(base, *newest());
+  const ConfigVersion from = base == nullptr ? ConfigVersion() : base->version;
+  if (!encoded_ || encoded_->from != from || encoded_->to != newest()->version) {
+    encoded_ = Encoded{from, newest()->version, codec_.encode(base, *newest())};
+  }
   ConfigMessage transfer = Notice();
   transfer.kind = Kind::kTransfer;
-  transfer.transfer = encoded.kind;
-  transfer.bytes = std::move(encoded.bytes);
-  if (encoded.kind == TransferKind::kDelta) {
+  transfer.transfer = encoded_->transfer.kind;
+  transfer.bytes = encoded_->transfer.bytes;
+  if (transfer.transfer == TransferKind::kDelta) {
     transfer.base = pull.version;
   }
   return transfer;
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -65,17 +65,25 @@
     TimePoint expires_at;
   };
 
+  struct Encoded {
+    ConfigVersion from;  // 0: without a base
+    ConfigVersion to;
+    EncodedTransfer transfer;
+  };
+
   bool MayServe(TimePoint now, ConfigVersion have) const;
   void ServeWaiting(TimePoint now, std::vector<PeerMessage>* out);
   std::vector<PeerMessage> HandlePull(TimePoint now, const InstanceId& from,
                                       const ConfigMessage& pull);
-  ConfigMessage MakeTransfer(const ConfigMessage& pull) const;
+  ConfigMessage MakeTransfer(const ConfigMessage& pull);
   ConfigMessage Busy();
   const ConfigText* FindBase(ConfigVersion version, const std::string& digest) const;
 
   ConfigSourceSettings settings_;
   TransferCodec codec_;
   SeededRandom random_;
+  // The transfer that was encoded last. After a change most pulls are for the same one.
+  std::optional<Encoded> encoded_;
   std::deque<ConfigTextPtr> history_;  // versions ascend
   size_t history_bytes_ = 0;           // sum over history_
   std::map<InstanceId, UnderWay> under_way_;
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -9,6 +9,7 @@
 
 #include "configuration.h"
 #include "errors.h"
+#include "heap.h"
 #include "ledger_message.h"
 #include "log.h"
 #include "transfer_codec.h"
@@ -304,6 +305,7 @@
   Log(LogLevel::kInfo, "version_accepted",
       {{"version", text->version.value()}, {"preset", store.preset().value()}});
   SendConfigMessages(source_.Publish(loop_.now(), std::move(text), daemons));
+  ReturnUnusedHeap();
 }
 
 void ControlProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "errors.h"
+#include "heap.h"
 #include "json_reader.h"
 #include "log.h"
 #include "operator_service.h"
@@ -193,6 +194,7 @@
   target_.ConfigurationChanged();
   callers_.ConfigurationChanged();
   UpdateSelf();
+  ReturnUnusedHeap();
   return true;
 }
 
--- a/src/delta.cc
+++ b/src/delta.cc
@@ -16,6 +16,12 @@
 // The window must reach back over the whole base. zstd's decoders accept at most 27 by default.
 constexpr int kMinWindowLog = 10;
 constexpr int kMaxWindowLog = 27;
+// zstd sizes its tables for the window: 3.5 MB for a delta between texts of 116 KB. With tables of
+// 2^16 entries it takes 0.8 MB and the delta has the same size.
+constexpr int kMaxTableLog = 16;
+// A snapshot of a configuration has about a tenth of its size; a delta this small is not worth the
+// comparison.
+constexpr size_t kSmallDeltaPart = 32;
 
 struct FreeContext {
   void operator()(ZSTD_CCtx* context) const { ZSTD_freeCCtx(context); }
@@ -45,6 +51,8 @@
   Checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, level));
   Checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog,
                                  WindowLog(prefix.size() + text.size())));
+  Checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_hashLog, kMaxTableLog));
+  Checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_chainLog, kMaxTableLog));
   // A delta on a wrong base can decode to another text without an error; the checksum finds it.
   Checked(ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1));
   Checked(ZSTD_CCtx_refPrefix(context.get(), prefix.data(), prefix.size()));
@@ -115,13 +123,17 @@
     throw UserError(ResultCode::kUnknownVersion,
                     "version " + std::to_string(want.value()) + " is not kept");
   }
-  TransferBody snapshot{TransferKind::kSnapshot, ConfigVersion(), want, MakeSnapshot(*next)};
   const std::string* base = history(have);
-  if (base == nullptr) {
-    return snapshot;
+  TransferBody delta{TransferKind::kDelta, have, want, ""};
+  if (base != nullptr) {
+    delta.bytes = MakeDelta(*base, *next);
+    if (delta.bytes.size() <= next->size() / kSmallDeltaPart) {
+      return delta;
+    }
   }
-  TransferBody delta{TransferKind::kDelta, have, want, MakeDelta(*base, *next)};
-  return delta.bytes.size() < snapshot.bytes.size() ? delta : snapshot;
+  TransferBody snapshot{TransferKind::kSnapshot, ConfigVersion(), want, MakeSnapshot(*next)};
+  const bool smaller = base != nullptr && delta.bytes.size() < snapshot.bytes.size();
+  return smaller ? delta : snapshot;
 }
 
 std::string ReadTransfer(const TransferBody& transfer, std::string_view base, size_t size_limit) {
--- a/src/process_runner.h
+++ b/src/process_runner.h
@@ -12,6 +12,7 @@
 
 #include "errors.h"
 #include "event_loop.h"
+#include "heap.h"
 #include "log.h"
 #include "settings.h"
 #include "signal_watch.h"
@@ -89,6 +90,7 @@
 template <class Process, class Settings>
 requires RunnableProcess<Process, Settings>
 int RunProcess(const std::string& path, Settings (*load)(const std::string&)) {
+  LimitHeapGrowth();
   const Settings settings = load(path);
   StartLog(settings.common.instance, settings.common.log);
   EventLoop loop;
