Place by what distance and a late answer cost; serve on while a daemon stops

Change: candidates are compared by the bill, the errors and the risk of an answer after the objective; a stopping daemon's target serves the others for 60 of 100 of the notice; a request whose caller has no time to come back waits. Tests: BalancerUnequalLoad, AdmissionBurst, ConfigSourcePulledByMany.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -14,6 +14,9 @@
 constexpr double kServiceTimeReserve = 1.25;
 // What comes late anyway, such as a request that was refused before, may still wait a little.
 constexpr int kLeastWaitPart = 6;  // of the time that the answer keeps its worth
+// A refusal helps a caller that can come back. One with less time left than the shortest pause and
+// another attempt take has lost its request, and what it did for it so far.
+constexpr Duration kReturnTime = std::chrono::milliseconds(600);
 
 }  // namespace
 
@@ -67,12 +70,12 @@
     return decisions;
   }
   const bool free_slot = running() < slots(now) && queued() == 0;
-  const bool too_long = ExpectedWait(now, request.priority) > MaxWait(request);
+  const bool too_long = ExpectedWait(now, request.priority) > MaxWait(now, request);
   if (!free_slot && (too_long || !MakeRoomFor(request, decisions))) {
     decisions.push_back({request.number, ResultCode::kOverloaded});
     return decisions;
   }
-  const TimePoint expires = std::min(request.deadline, now + MaxWait(request));
+  const TimePoint expires = std::min(request.deadline, now + MaxWait(now, request));
   queues_[request.priority].push_back({request, expires});
   ++queued_;
   FillSlots(now, decisions);
@@ -176,11 +179,15 @@
   }
 }
 
-Duration Admission::MaxWait(const AdmissionRequest& request) const {
+Duration Admission::MaxWait(TimePoint now, const AdmissionRequest& request) const {
   if (!request.useful_for) {
     return policy_.queue_wait;
   }
   const auto reserve = std::chrono::duration_cast<Duration>(service_time_ * kServiceTimeReserve);
+  const Duration left = request.deadline - now;
+  if (left < kReturnTime) {
+    return std::max(left - reserve, Duration{});
+  }
   return std::max(*request.useful_for - reserve, *request.useful_for / kLeastWaitPart);
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -1,7 +1,9 @@
 // Decides which requests may use a target. The daemon beside the target asks it about every
 // request, and there is no other way to the target, so its limits hold exactly. The load pattern
 // that it answers: more requests than slots, of unequal urgency. The most urgent ones wait in
-// front, and a request that would wait longer than its answer is worth is refused at once.
+// front, and a request that would wait longer than its answer is worth is refused at once, unless
+// its caller has no time to come back: a call that a running request needs then waits, since its
+// refusal wastes what ran.
 #ifndef ENDIVECLEAT_ADMISSION_H_
 #define ENDIVECLEAT_ADMISSION_H_
 
@@ -83,7 +85,7 @@
 
   void Expire(TimePoint now, std::vector<AdmissionDecision>& decisions);
   Duration ExpectedWait(TimePoint now, Priority priority) const;
-  Duration MaxWait(const AdmissionRequest& request) const;
+  Duration MaxWait(TimePoint now, const AdmissionRequest& request) const;
   void FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions);
   bool MakeRoomFor(const AdmissionRequest& request, std::vector<AdmissionDecision>& decisions);
 
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -22,18 +22,28 @@
 constexpr int kServiceTimeWeight = 8;
 // An answer time of a target counts for this long; then the target is tried again like the others.
 constexpr Duration kServiceTimeValid = std::chrono::seconds(5);
-// Traffic between data centres is billed, so a free slot in the own one is worth a short wait.
-constexpr double kOwnRegionCost = 40'000;  // microseconds
-// The round trip of 60 ms and the bill of the link between the regions, which is several times that
-// of the link between data centres.
-constexpr double kOtherRegionCost = 200'000;  // microseconds
+// Costs are parts of what an answer within its objective is worth. Traffic between data centres is
+// billed: a small read costs 0.04 of its worth, a confirmation with its answer 0.09.
+constexpr double kOwnRegionCost = 0.06;
+// The link between the regions is billed at three times that.
+constexpr double kOtherRegionCost = 0.22;
+constexpr Duration kOtherRegionRoundTrip = std::chrono::milliseconds(60);
+// What an answer after its objective has lost.
+constexpr double kLateCost = 0.7;
+// With work of unequal length, an answer that is expected at half of the objective is late in one
+// of six cases, and one that is expected right at it in almost half of them.
+constexpr double kLateSpread = 1.2;
+// Where a route states no objective, a multiple of the mean answer time takes its place.
+constexpr int kDefaultObjectivePart = 4;
 // Targets slow down when they are nearly full.
 constexpr double kUtilisationCost = 0.3;  // of the service time, with all slots taken
-// The time to try again elsewhere and the load of a request that runs twice. It grows with the
-// square of the share, since a single error says little.
-constexpr double kErrorCost = 500'000;  // microseconds, with every answer an error
-// Daemons with the same reports must not all choose the same target.
-constexpr uint64_t kSpreadPercent = 10;
+// With every answer an error: the answer is lost, or late and paid for with a second run. It grows
+// with the square of the share, since a single error says little.
+constexpr double kErrorCost = 0.9;
+// Daemons with the same reports must not all choose the same target. Smaller than the cost of the
+// next data centre, and larger than that of a single error.
+constexpr double kSpread = 0.03;
+constexpr uint64_t kSpreadSteps = 1000;
 
 double DistanceCost(Locality locality) {
   switch (locality) {
@@ -47,6 +57,12 @@
   return kOtherRegionCost;
 }
 
+// The part of answers that come after their objective, when they take `expected` on average.
+double LateShare(double expected, double objective) {
+  const double ratio = expected / objective;
+  return ratio * ratio / (ratio * ratio + kLateSpread);
+}
+
 Duration MovingMean(Duration mean, Duration newest) {
   return mean + (newest - mean) / kServiceTimeWeight;
 }
@@ -74,7 +90,8 @@
   });
 }
 
-std::optional<Endpoint> Balancer::Choose(TimePoint now, const std::vector<InstanceId>& tried) {
+std::optional<Endpoint> Balancer::Choose(TimePoint now, const std::vector<InstanceId>& tried,
+                                         Duration objective) {
   constexpr std::array kLocalities = {Locality::kOwnDataCentre, Locality::kOwnRegion,
                                       Locality::kOtherRegion};
   std::vector<const Target*> usable;
@@ -85,15 +102,17 @@
   for (size_t next = 0; usable.empty() && next < kLocalities.size(); ++next) {
     usable = Untried(kLocalities[next], tried);
   }
-  return usable.empty() ? std::nullopt : std::optional(Best(now, usable));
+  return usable.empty() ? std::nullopt : std::optional(Best(now, usable, objective));
 }
 
-Endpoint Balancer::Best(TimePoint now, const std::vector<const Target*>& usable) {
+Endpoint Balancer::Best(TimePoint now, const std::vector<const Target*>& usable,
+                        Duration objective) {
   const Target* best = nullptr;
   double best_cost = 0;
   for (const Target* target : usable) {
-    const double spread = 1 + static_cast<double>(random_.Below(kSpreadPercent)) / 100.0;
-    const double cost = Cost(now, *target) * spread;
+    const double spread =
+        kSpread * static_cast<double>(random_.Below(kSpreadSteps)) / double{kSpreadSteps};
+    const double cost = Cost(now, *target, objective) + spread;
     if (best == nullptr || cost < best_cost) {
       best = target;
       best_cost = cost;
@@ -102,21 +121,26 @@
   return best->candidate.endpoint;
 }
 
-double Balancer::Cost(TimePoint now, const Target& target) const {
+double Balancer::Cost(TimePoint now, const Target& target, Duration objective) const {
   const double service = ServiceTime(now, target);
+  const Duration within =
+      objective > Duration{} ? objective : service_time_ * kDefaultObjectivePart;
   const auto slots = static_cast<double>(std::max<uint64_t>(target.candidate.load.slots, 1));
   const double busy = std::max(static_cast<double>(target.candidate.load.busy),
                                static_cast<double>(target.in_flight));
   const double utilisation = std::min(busy / slots, 1.0);
+  const double expected = service * (1 + WaitingTurns(target) + kUtilisationCost * utilisation);
   return DistanceCost(target.candidate.locality) +
          kErrorCost * target.error_share * target.error_share +
-         service * (1 + WaitingTurns(target) + kUtilisationCost * utilisation);
+         kLateCost * LateShare(expected, static_cast<double>(within.count()));
 }
 
 double Balancer::ServiceTime(TimePoint now, const Target& target) const {
   const bool known =
       target.service_time > Duration{} && now - target.service_time_at < kServiceTimeValid;
-  return static_cast<double>((known ? target.service_time : service_time_).count());
+  const bool far = target.candidate.locality == Locality::kOtherRegion;
+  const Duration unknown = service_time_ + (far ? kOtherRegionRoundTrip : Duration{});
+  return static_cast<double>((known ? target.service_time : unknown).count());
 }
 
 // How many service times pass before a slot is free.
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -1,8 +1,10 @@
 // Chooses the target of an attempt. Each calling daemon has one balancer for each service; it
 // knows its own calls in flight exactly and the load of the targets from reports that are late.
 // The load pattern that it answers: data centres and targets that are loaded unequally, targets of
-// unequal or changing speed, and a link between regions that costs time and money. It compares
-// candidates by the time to the answer that it expects of each, with the distance counted as time.
+// unequal or changing speed, and links that cost time and money. An answer within its objective is
+// worth most and no more for being faster, so near targets are used while the wait there meets the
+// objective; it compares candidates by what the distance, the errors and the risk of a late answer
+// cost.
 #ifndef ENDIVECLEAT_BALANCER_H_
 #define ENDIVECLEAT_BALANCER_H_
 
@@ -62,10 +64,11 @@
   /// target that stays is kept.
   void SetCandidates(TimePoint now, const std::vector<Candidate>& candidates,
                      const std::vector<std::string>& patterns);
-  /// The candidate outside `tried` from which the answer is expected first, with a penalty for
-  /// distance and for errors. Candidates whose daemon was just found unreachable are the last
-  /// resort.
-  std::optional<Endpoint> Choose(TimePoint now, const std::vector<InstanceId>& tried);
+  /// The candidate outside `tried` that costs least for an answer that is wanted within the
+  /// objective; 0: the route states none. Candidates whose daemon was just found unreachable are
+  /// the last resort.
+  std::optional<Endpoint> Choose(TimePoint now, const std::vector<InstanceId>& tried,
+                                 Duration objective = Duration{});
   void Sent(const InstanceId& instance);
   /// Must follow each Sent. The load is the one that the answer or the refusal carried.
   void Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
@@ -97,8 +100,8 @@
                                     const std::vector<InstanceId>& tried) const;
   std::vector<const Target*> Untried(Locality locality, const std::vector<InstanceId>& tried) const;
   std::vector<const Target*> Avoided(TimePoint now, Locality locality) const;
-  Endpoint Best(TimePoint now, const std::vector<const Target*>& usable);
-  double Cost(TimePoint now, const Target& target) const;
+  Endpoint Best(TimePoint now, const std::vector<const Target*>& usable, Duration objective);
+  double Cost(TimePoint now, const Target& target, Duration objective) const;
   double ServiceTime(TimePoint now, const Target& target) const;
   static double WaitingTurns(const Target& target);
   static bool IsGone(TimePoint now, const Target& target);
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -30,6 +30,8 @@
 // A daemon or a target that starts takes about this long.
 constexpr Duration kRecoveryRetryAfter = std::chrono::seconds(1);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(2);
+// An answer that is late already is still wanted soon.
+constexpr Duration kLeastObjective = std::chrono::milliseconds(50);
 constexpr size_t kSuccessSample = 64;  // one in so many successful calls is logged
 
 // Seconds with a fraction, as Retry-After takes them here.
@@ -359,8 +361,13 @@
   for (const CallEffect& effect : effects) {
     if (const auto* choose = std::get_if<ChooseCandidate>(&effect)) {
       const TimePoint now = context_.loop.now();
+      const Duration objective = exchange->route->policy.objective;
+      const Duration left = objective - (now - exchange->started);
       Carry(exchange,
-            exchange->call->Chosen(now, exchange->state->balancer.Choose(now, choose->tried)));
+            exchange->call->Chosen(
+                now, exchange->state->balancer.Choose(
+                         now, choose->tried,
+                         objective > Duration{} ? std::max(left, kLeastObjective) : Duration{})));
     } else if (const auto* send = std::get_if<SendAttempt>(&effect)) {
       Send(exchange, *send);
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -18,6 +18,10 @@
 constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr ByteCount kMaxConfigMessage{8U << 20U};
 constexpr uint64_t kMostSlots = 100000;
+// A stopping daemon waits for its callers to be sent elsewhere. For the first part of that time its
+// target goes on serving the others; the rest is enough for nearly all that it runs then. Stopped
+// at once, it would be missing twice as long in a restart of all daemons in turn.
+constexpr int kServedPercentOfNotice = 60;
 
 std::string RunId(const CommonSettings& settings, uint64_t seed) {
   constexpr char kDigits[] = "0123456789abcdef";
@@ -83,8 +87,11 @@
        {"target_in_flight", static_cast<uint64_t>(target_.in_flight())}});
   draining_ = true;
   caller_server_.CloseConnectionsAfterAnswers();
-  target_.DrainAndHold();
-  UpdateSelf();
+  const Duration serves = settings_.common.drain_notice * kServedPercentOfNotice / 100;
+  loop_.After(serves, [this] {
+    target_.DrainAndHold();
+    UpdateSelf();
+  });
   const TimePoint now = loop_.now();
   FinishDrain(now + settings_.common.drain_notice, now + settings_.common.drain_timeout);
 }
--- a/test/correctness/admission_test.cc
+++ b/test/correctness/admission_test.cc
@@ -250,6 +250,29 @@
   }
 }
 
+// Guards against the refusal of calls that running requests need: with half a second left their
+// callers cannot come back, and what ran for them is lost.
+TEST(AdmissionBurst, KeepsACallWhoseCallerCannotComeBack) {
+  Admission admission = Open({.slots = SlotCount(1), .queue_length = QueueLength(40)});
+  admission.Arrive(kWarm, Read(1));
+  TimePoint now = kWarm + milliseconds(100);
+  admission.Finish(now, RequestNumber(1));  // a request takes 100 ms
+  const auto arrive = [&](uint64_t number, Duration left) {
+    return admission.Arrive(
+        now,
+        {.number = RequestNumber(number), .deadline = now + left, .useful_for = milliseconds(150)});
+  };
+  arrive(2, seconds(4));
+  const auto refused = [](uint64_t number) {
+    return Decisions{Refused(number, ResultCode::kOverloaded)};
+  };
+  CHECK(arrive(3, seconds(4)) == refused(3));
+  CHECK(arrive(4, milliseconds(500)).empty());
+  CHECK(arrive(5, milliseconds(500)).empty());
+  CHECK(arrive(6, milliseconds(500)).empty());
+  CHECK(arrive(7, milliseconds(500)) == refused(7));
+}
+
 TEST(AdmissionClosing, DrainStartsNothingAfterItsLimit) {
   Admission admission = Open({.slots = SlotCount(1), .queue_wait = seconds(60)});
   admission.Arrive(kWarm, Read(1));
--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -243,6 +243,16 @@
   CHECK(chosen(60) == Instance(3));
 }
 
+// Guards against answers that cross a billed link only to come earlier than they have to.
+TEST(BalancerUnequalLoad, StaysNearWhileASlowerTargetMeetsTheObjective) {
+  const std::vector<Candidate> candidates = {Make(1), Make(2, Locality::kOwnRegion)};
+  balancer.SetCandidates(kStart, candidates, {"*"});
+  Answer(1, 150);
+  Answer(2, 100);
+  CHECK(balancer.Choose(kStart, {}, milliseconds(600))->instance == Instance(1));
+  CHECK(balancer.Choose(kStart, {}, milliseconds(150))->instance == Instance(2));
+}
+
 TEST(BalancerUnequalLoad, PrefersAFasterTargetUntilItIsFull) {
   balancer.SetCandidates(kStart, {Make(1), Make(2)}, {"*"});
   Answer(1, 600);
--- a/test/correctness/config_replica_test.cc
+++ b/test/correctness/config_replica_test.cc
@@ -56,6 +56,27 @@
   CHECK(mesh.AllNewest());
 }
 
+// Guards against a source that compresses the same step again for each daemon that pulls it.
+TEST_GROUP(ConfigSourcePulledByMany){};
+
+TEST(ConfigSourcePulledByMany, EncodesTheSameStepOnce) {
+  int encodings = 0;
+  auto codec = PlainCodec();
+  codec.encode = [&, encode = codec.encode](const auto* base, const auto& next) {
+    ++encodings;
+    return encode(base, next);
+  };
+  ConfigSource source(ConfigSourceSettings{}, codec, 1);
+  source.Publish(kStart, MakeText(1), {});
+  for (int number = 1; number <= 4; ++number) {
+    LONGS_EQUAL(1, source.Receive(kStart, Peer(number), Pull()).size());
+  }
+  LONGS_EQUAL(1, encodings);
+  source.Publish(kStart, MakeText(2), {});
+  source.Receive(kStart, Peer(1), Pull());
+  LONGS_EQUAL(2, encodings);
+}
+
 TEST_GROUP(ConfigSourceAsked) {
   ConfigSource source{ConfigSourceSettings{}, PlainCodec(), 1};
   void setup() override { source.Hold(kStart, MakeText(5)); }
