--- a/src/admission.cc
+++ b/src/admission.cc
@@ -16,7 +16,9 @@
 constexpr int kLeastWaitPart = 6;  // of the time that the answer keeps its worth
 // A refusal helps a caller that can come back. One with less time left than the shortest pause and
 // another attempt take has lost its request, and what it did for it so far.
-constexpr Duration kReturnTime = std::chrono::milliseconds(600);
+constexpr Duration kReturnTime = std::chrono::milliseconds(520);
+// Such a request waits for a part of the time left only; the rest is for its work.
+constexpr int kLastWaitPart = 2;
 
 }  // namespace
 
@@ -186,7 +188,7 @@
   const auto reserve = std::chrono::duration_cast<Duration>(service_time_ * kServiceTimeReserve);
   const Duration left = request.deadline - now;
   if (left < kReturnTime) {
-    return std::max(left - reserve, Duration{});
+    return std::max(std::min(left - reserve, left / kLastWaitPart), Duration{});
   }
   return std::max(*request.useful_for - reserve, *request.useful_for / kLeastWaitPart);
 }
--- a/test/correctness/admission_test.cc
+++ b/test/correctness/admission_test.cc
@@ -269,8 +269,7 @@
   CHECK(arrive(3, seconds(4)) == refused(3));
   CHECK(arrive(4, milliseconds(500)).empty());
   CHECK(arrive(5, milliseconds(500)).empty());
-  CHECK(arrive(6, milliseconds(500)).empty());
-  CHECK(arrive(7, milliseconds(500)) == refused(7));
+  CHECK(arrive(6, milliseconds(500)) == refused(6));
 }
 
 TEST(AdmissionClosing, DrainStartsNothingAfterItsLimit) {
