--- a/test/platform/target_report_test.cc
+++ b/test/platform/target_report_test.cc
@@ -104,8 +104,17 @@
 
 TEST(TargetReportsOrder, DoesNotBringBackATargetThatHasLeft) {
   CHECK(reports.Accept(Report("a", 10, 5)));
-  CHECK(reports.Leave(TargetId("a")));
+  CHECK(reports.Leave(TargetId("a"), WallTime(12)));
   CHECK_FALSE(reports.Accept(Report("a", 10, 6)));
   CHECK(reports.Accept(Report("b", 11, 1)));
-  CHECK_FALSE(reports.Leave(TargetId("a")));
+  CHECK_FALSE(reports.Leave(TargetId("a"), WallTime(12)));
+}
+
+// Guards against a daemon that restarted beside a leaving target and goes on giving it work.
+TEST(TargetReportsOrder, LetsATargetLeaveThatHasNotReportedYet) {
+  reports.Found(TargetId("a"));
+  CHECK_FALSE(reports.Leave(TargetId("b"), WallTime(12)));
+  CHECK(reports.Leave(TargetId("a"), WallTime(12)));
+  CHECK_FALSE(reports.Accept(Report("a", 10, 7)));
+  CHECK(reports.Accept(Report("a", 13, 1)));
 }
