Keep ring pings inside a data centre; soak the real processes with faults from outside

Change: the failure detector's ring is ordered by region and data centre, so that only the random pings cross. Test: FailureDetectorOfTwoDataCentres.

The soak runs control instances, daemons and targets as processes, with signals and proxies that delay, reset, cut one way or silence connections, and checks at most once, answers, versions and acknowledged changes.

Callers that meet a daemon without a configuration are asked to come back after 0.5 to 1 s, since recovery takes less than that now.

--- a/apps/standin_target/standin_target.cc
+++ b/apps/standin_target/standin_target.cc
@@ -41,6 +41,7 @@
 
 struct Options {
   char* listen = nullptr;
+  char* announce = nullptr;
   char* daemon = nullptr;
   char* service = nullptr;
   char* target = nullptr;
@@ -64,6 +65,7 @@
       : loop_(loop),
         options_(options),
         listen_(ParseAddress(options.listen).value()),
+        announced_(options.announce == nullptr ? listen_ : ParseAddress(options.announce).value()),
         token_(ReadTokenFile(options.token_file)),
         announcer_(loop, ParseAddress(options.daemon).value(), 1),
         server_(loop, listen_, HttpServerLimits{},
@@ -133,7 +135,7 @@
     if (method == "POST") {
       request.body =
           nlohmann::json{{"service", options_.service}, {"target", options_.target},
-                         {"address", listen_.ip},       {"port", listen_.port},
+                         {"address", announced_.ip},    {"port", announced_.port},
                          {"slots", options_.slots},     {"connections", options_.connections}}
               .dump();
     }
@@ -161,6 +163,7 @@
   EventLoop& loop_;
   Options options_;
   Address listen_;
+  Address announced_;  // of a proxy before it, or its own
   std::string token_;
   HttpClient announcer_;
   std::map<std::string, int> runs_;
@@ -176,6 +179,8 @@
   Options options;
   const poptOption table[] = {
       {"listen", 0, POPT_ARG_STRING, &options.listen, 0, "own address", "ADDRESS"},
+      {"announce", 0, POPT_ARG_STRING, &options.announce, 0, "address to announce, if another",
+       "ADDRESS"},
       {"daemon", 0, POPT_ARG_STRING, &options.daemon, 0, "local address of the daemon", "ADDRESS"},
       {"service", 0, POPT_ARG_STRING, &options.service, 0, "service name", "NAME"},
       {"target", 0, POPT_ARG_STRING, &options.target, 0, "target id", "ID"},
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,4 +19,7 @@
 for name in "${red[@]}"; do
   build/process_tests -v -sn "$name" || echo "known red: process_tests $name failed in this run"
 done
+# One short run of the soak, and the seeds that once found a fault.
+build/soak 1 1 12
+sed -n 's/^seed \([0-9]*\).*/\1/p' test/soak/failed_seeds.txt | while read -r seed; do build/soak "$seed" "$seed"; done
 [ ! -e KNOWN-RED.txt ] || cat KNOWN-RED.txt
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -27,8 +27,8 @@
 constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(20);
 // A backlog is seldom gone before the requests in the slots have ended.
 constexpr Duration kLeastBacklogRetryAfter = std::chrono::milliseconds(250);
-// A daemon or a target that starts takes about this long.
-constexpr Duration kRecoveryRetryAfter = std::chrono::seconds(1);
+// A daemon has its configuration 0.3 s after its start, and a target is found soon after.
+constexpr Duration kRecoveryRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(2);
 // An answer that is late already is still wanted soon.
 constexpr Duration kLeastObjective = std::chrono::milliseconds(50);
--- a/src/failure_detector.cc
+++ b/src/failure_detector.cc
@@ -19,13 +19,15 @@
   next_random_ping_ = now + Duration(static_cast<int64_t>(random_.Below(period)));
 }
 
-void FailureDetector::SetMembers(MemberKey self, std::vector<MemberKey> others) {
+void FailureDetector::SetMembers(RingMember self, std::vector<RingMember> others) {
   self_ = self;
   ring_ = std::move(others);
   std::sort(ring_.begin(), ring_.end());
-  const auto gone = [this](MemberKey key) {
-    return !std::binary_search(ring_.begin(), ring_.end(), key);
-  };
+  std::set<MemberKey> present;
+  for (const RingMember& member : ring_) {
+    present.insert(member.key);
+  }
+  const auto gone = [&](MemberKey key) { return !present.contains(key); };
   std::erase_if(probes_, [&](const auto& item) { return gone(item.second.target); });
   std::erase_if(pinged_at_, [&](const auto& item) { return gone(item.first); });
   std::erase_if(doubted_, [&](const auto& item) { return gone(item.first); });
@@ -72,7 +74,7 @@
       probe.indirect = true;
       silent_.insert(probe.target);
       for (size_t i = 0; i < settings_.indirect_pings && ring_.size() > 1; ++i) {
-        const MemberKey through = ring_[random_.Below(ring_.size())];
+        const MemberKey through = ring_[random_.Below(ring_.size())].key;
         if (through != probe.target) {
           actions->indirect_pings.push_back({probe.target, through, it->first});
         }
@@ -98,7 +100,7 @@
     return;
   }
   next_random_ping_ = std::max(next_random_ping_ + settings_.period, now);
-  StartProbe(now, ring_[random_.Below(ring_.size())], actions);
+  StartProbe(now, ring_[random_.Below(ring_.size())].key, actions);
 }
 
 void FailureDetector::PingRing(TimePoint now, Actions* actions) {
@@ -108,7 +110,7 @@
   // are passed quickly.
   size_t range = std::min(settings_.ring_pings, ring_.size());
   for (size_t i = 0; i < range; ++i) {
-    const MemberKey target = ring_[(first + i) % ring_.size()];
+    const MemberKey target = ring_[(first + i) % ring_.size()].key;
     const auto pinged = pinged_at_.find(target);
     if (pinged == pinged_at_.end() || now - pinged->second >= settings_.period) {
       StartProbe(now, target, actions);
--- a/src/failure_detector.h
+++ b/src/failure_detector.h
@@ -28,6 +28,15 @@
   Duration doubt_time = std::chrono::seconds(2);
 };
 
+/// A member's place on the ring. Members of one data centre follow each other there, as do data
+/// centres of one region, so that ring pings seldom cross a billed link.
+struct RingMember {
+  uint64_t place = 0;  // the same for all members of a data centre
+  MemberKey key;
+
+  auto operator<=>(const RingMember&) const = default;
+};
+
 class FailureDetector {
  public:
   struct Ping {
@@ -47,8 +56,8 @@
 
   FailureDetector(FailureDetectorSettings settings, uint64_t seed, TimePoint now);
 
-  /// The other members; the ring is their order by key.
-  void SetMembers(MemberKey self, std::vector<MemberKey> others);
+  /// The other members; the ring is their order.
+  void SetMembers(RingMember self, std::vector<RingMember> others);
   Actions Tick(TimePoint now);
   /// An answer to a ping or indirect ping arrived. Unknown nonces are ignored.
   void Acknowledge(uint32_t nonce);
@@ -74,8 +83,8 @@
 
   FailureDetectorSettings settings_;
   SeededRandom random_;
-  MemberKey self_;
-  std::vector<MemberKey> ring_;  // sorted, without self
+  RingMember self_;
+  std::vector<RingMember> ring_;  // sorted, without self
   std::map<uint32_t, Probe> probes_;
   std::map<MemberKey, TimePoint> pinged_at_;  // start of the newest probe of a member
   std::map<MemberKey, Doubt> doubted_;        // failed a probe of this member
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -24,6 +24,14 @@
 constexpr uint32_t kMismatchesBeforeSync = 3;  // fewer also match news that is still spreading
 constexpr size_t kSyncTombstones = 24;
 
+// Orders members by region, then by data centre; the same in every process.
+uint64_t RingPlace(const MemberRecord& member) {
+  const std::string& region = member.region.value();
+  const std::string& data_centre = member.data_centre.value();
+  const uint64_t high = XXH3_64bits(region.data(), region.size()) & ~uint64_t{UINT32_MAX};
+  return high | (XXH3_64bits(data_centre.data(), data_centre.size()) & UINT32_MAX);
+}
+
 }  // namespace
 
 Membership::Membership(const MemberRecord& self, MembershipSettings settings,
@@ -340,11 +348,11 @@
     return;
   }
   ring_revision_ = table_.revision();
-  std::vector<MemberKey> others;
+  std::vector<RingMember> others;
   for (size_t i = 1; i < members().size(); ++i) {
-    others.push_back(table_.peer(i).key);
+    others.push_back({RingPlace(members()[i]), table_.peer(i).key});
   }
-  detector_.SetMembers(table_.self_key(), std::move(others));
+  detector_.SetMembers({RingPlace(table_.self()), table_.self_key()}, std::move(others));
 }
 
 void Membership::RunDetector(Datagrams* out) {
--- a/test/correctness/membership_test.cc
+++ b/test/correctness/membership_test.cc
@@ -100,3 +100,32 @@
   LONGS_EQUAL(90, summary.services.front().free_slots);
   LONGS_EQUAL(4, summary.services.front().daemons.size());
 }
+
+TEST_GROUP(FailureDetectorOfTwoDataCentres){};
+
+// Guards against probes that cross a billed link when a member of the own data centre would do.
+TEST(FailureDetectorOfTwoDataCentres, CrossesOnlyWithItsRandomPings) {
+  using endivecleat::FailureDetector;
+  using endivecleat::MemberKey;
+  using endivecleat::RingMember;
+  const endivecleat::TimePoint start{};
+  FailureDetector detector({}, 7, start);
+  std::vector<RingMember> others;
+  for (uint64_t number = 2; number <= 20; ++number) {
+    others.push_back({1 + number % 2, MemberKey(number)});  // the keys of the two alternate
+  }
+  const RingMember self{1, MemberKey(0)};  // first of its data centre
+  detector.SetMembers(self, others);
+  size_t local = 0;
+  size_t crossing = 0;
+  constexpr size_t kSeconds = 20;
+  for (size_t tick = 0; tick < kSeconds * 10; ++tick) {
+    const auto actions = detector.Tick(start + tick * std::chrono::milliseconds(100));
+    for (const FailureDetector::Ping& ping : actions.pings) {
+      ++(ping.target.value() % 2 == 0 ? local : crossing);
+      detector.Acknowledge(ping.nonce);
+    }
+  }
+  CHECK(local >= 2 * (kSeconds - 1));
+  CHECK(crossing <= kSeconds);
+}
--- a/test/process_cluster.cc
+++ b/test/process_cluster.cc
@@ -60,13 +60,16 @@
   throw InternalError("no port is free");
 }
 
-std::string Text(const HttpRequest& request) {
+}  // namespace
+
+std::string RequestText(const HttpRequest& request, bool keep_alive) {
   std::string text = request.method + " " + request.path + " HTTP/1.1\r\nHost: mesh\r\n";
   for (const Header& header : request.headers) {
     text += header.name + ": " + header.value + "\r\n";
   }
-  return text + "Connection: close\r\nContent-Length: " + std::to_string(request.body.size()) +
-         "\r\n\r\n" + request.body;
+  text += keep_alive ? "" : "Connection: close\r\n";
+  return text + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" +
+         request.body;
 }
 
 HttpResponse ParseResponse(const std::string& text) {
@@ -93,6 +96,8 @@
   return response;
 }
 
+namespace {
+
 std::string ReadAll(const std::filesystem::path& path) {
   std::ifstream file(path);
   std::stringstream text;
@@ -146,7 +151,7 @@
   const timeval limit{kExchangeSeconds, 0};
   ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   const sockaddr_in address = Loopback(port);
-  const std::string text = Text(request);
+  const std::string text = RequestText(request, false);
   std::string answer;
   const bool sent =
       ::connect(socket, Generic(address), sizeof(address)) == 0 &&
@@ -181,7 +186,7 @@
   return std::atoi(response.headers.ValueOr("endivecleat-result", "-1").c_str());
 }
 
-ProcessCluster::ProcessCluster() : folder_(NewFolder()) {
+ProcessCluster::ProcessCluster(const TargetFront& front) : front_(front), folder_(NewFolder()) {
   for (const char* token : {"mesh", "operator", "announce"}) {
     std::ofstream(folder_ / (std::string(token) + ".token")) << kToken;
   }
@@ -203,7 +208,7 @@
   for (const auto& [name, process] : processes_) {
     Kill(name);
   }
-  if (std::getenv("ENDIVECLEAT_KEEP_FOLDER") == nullptr) {
+  if (!keep_folder_ && std::getenv("ENDIVECLEAT_KEEP_FOLDER") == nullptr) {
     std::filesystem::remove_all(folder_);
   }
 }
@@ -470,6 +475,10 @@
                                         (folder_ / "announce.token").string(),
                                         "--journal",
                                         (folder_ / (Target(number) + ".journal")).string()};
+  if (front_) {
+    std::vector<std::string>& command = processes_[Target(number)].command;
+    command.insert(command.end(), {"--announce", LoopbackText(front_(ports.fourth))});
+  }
 }
 
 void ProcessCluster::WriteSettings(const std::string& name, nlohmann::json settings,
--- a/test/process_cluster.h
+++ b/test/process_cluster.h
@@ -24,6 +24,11 @@
 /// Sends one request on a connection of its own. Status 0: no complete answer came within 10 s.
 HttpResponse Exchange(uint16_t port, const HttpRequest& request);
 
+/// An HTTP/1.1 request as it goes over a connection, which it asks to close unless `keep_alive`.
+std::string RequestText(const HttpRequest& request, bool keep_alive);
+/// Status 0: the text is no complete answer.
+HttpResponse ParseResponse(const std::string& text);
+
 HttpRequest GetRequest(const std::string& path);
 HttpRequest PostRequest(const std::string& path, const std::string& key);
 
@@ -44,12 +49,20 @@
   static constexpr int kControls = 3;
   static constexpr int kDaemons = 4;
 
-  ProcessCluster();
+  /// Gives the port that a target announces in place of the one on which it listens.
+  using TargetFront = std::function<uint16_t(uint16_t port)>;
+
+  explicit ProcessCluster(const TargetFront& front = nullptr);
   /// Kills every process that still runs and removes the folder.
   ~ProcessCluster();
   ProcessCluster(const ProcessCluster&) = delete;
   ProcessCluster& operator=(const ProcessCluster&) = delete;
 
+  /// Leaves settings, logs and journals behind.
+  void KeepFolder() { keep_folder_ = true; }
+  const std::filesystem::path& folder() const { return folder_; }
+  uint16_t CallerPort(int daemon) const { return daemons_.at(daemon).first; }
+
   /// Starts everything, submits the first configuration, and waits until every daemon has it and
   /// knows the targets of both data centres. False when that does not come about.
   bool Start();
@@ -115,6 +128,8 @@
   nlohmann::json ControlList() const;
   bool Settled() const;
 
+  TargetFront front_;
+  bool keep_folder_ = false;
   std::filesystem::path folder_;
   std::map<int, Ports> controls_;
   std::map<int, Ports> daemons_;
--- /dev/null
+++ b/test/soak/keep_alive_client.cc
@@ -0,0 +1,89 @@
+#include "keep_alive_client.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+
+#include "process_cluster.h"
+
+namespace endivecleat::test {
+namespace {
+
+constexpr int kAnswerSeconds = 3;  // longer than a daemon's own timeout
+
+// The length of a complete answer at the start of the text; 0 while it is not complete.
+size_t CompleteLength(const std::string& text) {
+  const size_t head = text.find("\r\n\r\n");
+  if (head == std::string::npos) {
+    return 0;
+  }
+  size_t length = 0;
+  for (const char* name : {"Content-Length: ", "content-length: "}) {
+    const size_t field = text.find(name);
+    if (field < head) {
+      length = std::strtoull(text.c_str() + field + 16, nullptr, 10);
+    }
+  }
+  return text.size() >= head + 4 + length ? head + 4 + length : 0;
+}
+
+}  // namespace
+
+HttpResponse KeepAliveClient::Exchange(const HttpRequest& request) {
+  if (socket_ < 0 && !Connect()) {
+    return {};
+  }
+  const std::string text = RequestText(request, true);
+  const bool sent =
+      ::send(socket_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+  const std::string answer = sent ? ReadAnswer() : "";
+  if (answer.empty()) {
+    Disconnect();
+    return {};
+  }
+  HttpResponse response = ParseResponse(answer);
+  if (response.headers.ValueOr("connection", "") == "close") {
+    Disconnect();
+  }
+  return response;
+}
+
+bool KeepAliveClient::Connect() {
+  socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval limit{kAnswerSeconds, 0};
+  ::setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port_);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (::connect(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    Disconnect();
+  }
+  return socket_ >= 0;
+}
+
+void KeepAliveClient::Disconnect() {
+  if (socket_ >= 0) {
+    ::close(socket_);
+    socket_ = -1;
+  }
+}
+
+// Empty when the connection ends, or falls silent, before the answer is complete.
+std::string KeepAliveClient::ReadAnswer() {
+  std::string answer;
+  std::array<char, 16384> buffer{};
+  while (CompleteLength(answer) == 0) {
+    const ssize_t count = ::recv(socket_, buffer.data(), buffer.size(), 0);
+    if (count <= 0) {
+      return "";
+    }
+    answer.append(buffer.data(), static_cast<size_t>(count));
+  }
+  return answer;
+}
+
+}  // namespace endivecleat::test
