Try refused links again within 0.3 s; hold requests for a second after a start

Change: the pause between attempts ends at 300 ms in place of 1 s; requests are held in the first second.

--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -20,8 +20,9 @@
 constexpr std::string_view kBearer = "Bearer ";
 constexpr size_t kMaxFieldBytes = 1024;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
-// Control instances that start one after the other must find each other within an election.
-constexpr Duration kLastBackoff = std::chrono::seconds(1);
+// Processes that restart together start up to 0.4 s apart; a longer pause would keep a daemon from
+// a control instance that listens already. A refused attempt costs a packet each way.
+constexpr Duration kLastBackoff = std::chrono::milliseconds(300);
 
 const unsigned char* Bytes(const char* text) {
   return reinterpret_cast<const unsigned char*>(text);
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -39,7 +39,7 @@
 bool TokensEqual(const std::string& left, const std::string& right);
 
 /// Delay before a link is tried again after this many failures in a row (at least 1): 100 ms
-/// doubling to 5 s, of which a random half is taken off.
+/// doubling to 300 ms, of which a random half is taken off.
 Duration BackoffDelay(unsigned failures, SeededRandom& random);
 
 /// The receiving side of one request, shared by the link and the PeerReplier's copies.
--- a/src/startup_queue.h
+++ b/src/startup_queue.h
@@ -16,15 +16,16 @@
 
 class StartupQueue {
  public:
-  /// A configuration comes within 0.3 s of the start while one control instance lives. Waiting much
-  /// longer would only delay the refusal.
+  /// Control instances start up to 0.4 s after the daemons, and a configuration comes 0.3 s later.
+  static constexpr Duration kStartTime = std::chrono::seconds(1);
+  /// Waiting much longer would only delay the refusal.
   static constexpr Duration kLongestWait = std::chrono::milliseconds(500);
   /// What is left must be enough for the caller to come back after a refusal.
   static constexpr int kWaitPart = 4;  // of the caller's timeout
   /// About a second of the requests of one daemon; more could not be served in time anyway.
   static constexpr size_t kMostWaiting = 200;
 
-  explicit StartupQueue(TimePoint started) : accepts_until_(started + kLongestWait) {}
+  explicit StartupQueue(TimePoint started) : accepts_until_(started + kStartTime) {}
 
   /// False when the request is to be refused at once: the daemon did not start just now, or enough
   /// requests wait.
