Find a target that falls silent within 1.5 s; log failed probes and calls that time out

A target that goes silent with its connections open was found by two probes in a row, 2 s apart with a timeout of 1 s each, or by its missing reports after 6 s; calls that ended at their deadline said nothing about it, and no line of its daemon told. Ruled out: the balancers of the others, which see only their own cancelled attempts.

Change: when calls were sent for 0.7 s and none was answered, the target is probed every 0.45 s; two failed probes without an answered call fail it as before. Lines target_probe_failed and call_timed_out. Tests: TargetSilent.

--- a/src/target_state.cc
+++ b/src/target_state.cc
@@ -69,16 +69,29 @@
 
 bool AnnouncedTarget::ProbeDue(TimePoint now) {
   const bool present = state_ != TargetState::kAbsent && state_ != TargetState::kLeft;
-  if (!present || now < next_probe_) {
+  const bool urgent = in_doubt(now) && now - settings_.doubt_probe_interval >= last_probe_;
+  if (!present || (now < next_probe_ && !urgent)) {
     return false;
   }
+  last_probe_ = now;
   next_probe_ = now + settings_.probe_interval;
   return true;
 }
 
+void AnnouncedTarget::CallStarted(TimePoint now) {
+  if (!unanswered_since_) {
+    unanswered_since_ = now;
+  }
+}
+
+bool AnnouncedTarget::in_doubt(TimePoint now) const {
+  return unanswered_since_ && now - *unanswered_since_ >= settings_.doubt_after;
+}
+
 void AnnouncedTarget::ProbeResult(TimePoint now, bool passed) {
   if (passed) {
     failed_probes_ = 0;
+    unanswered_since_.reset();
     // A failed target that no longer announces itself is not taken back by its endpoint alone.
     if (!silent_) {
       Handle(now, "probe_passed");
@@ -89,6 +102,7 @@
     first_failed_probe_at_ = now;
   }
   if (failed_probes_ >= settings_.failed_probes && call_succeeded_at_ < first_failed_probe_at_) {
+    unanswered_since_.reset();
     Handle(now, "probe_failed");
   }
 }
@@ -96,6 +110,7 @@
 void AnnouncedTarget::CallSucceeded(TimePoint now) {
   call_succeeded_at_ = now;
   failed_probes_ = 0;
+  unanswered_since_.reset();
 }
 
 void AnnouncedTarget::CallFailed(TimePoint now) { Handle(now, "probe_failed"); }
--- a/src/target_state.h
+++ b/src/target_state.h
@@ -4,6 +4,7 @@
 #define ENDIVECLEAT_TARGET_STATE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "member_record.h"
@@ -29,6 +30,11 @@
   Duration warm_up = std::chrono::seconds(5);
   /// Failed probes in a row that count as a failure, unless a call succeeded meanwhile.
   uint32_t failed_probes = 2;
+  /// A target that answers no call for this time, with calls sent to it, may have fallen silent
+  /// with its connections open. Most requests take less; a slower target still answers the probes.
+  Duration doubt_after = std::chrono::milliseconds(700);
+  /// Between the probes of a target in doubt; longer than the timeout of such a probe.
+  Duration doubt_probe_interval = std::chrono::milliseconds(450);
 };
 
 class AnnouncedTarget {
@@ -51,6 +57,10 @@
   /// True when a probe is to be sent now; then it counts as sent.
   bool ProbeDue(TimePoint now);
   void ProbeResult(TimePoint now, bool passed);
+  /// A call was sent to the target.
+  void CallStarted(TimePoint now);
+  /// Calls were sent for some time and none was answered.
+  bool in_doubt(TimePoint now) const;
   /// A call was answered by the target. This takes precedence over failed probes.
   void CallSucceeded(TimePoint now);
   /// The target refused a connection or broke one.
@@ -74,6 +84,8 @@
   TimePoint announced_at_;
   TimePoint warming_since_;
   TimePoint next_probe_;
+  TimePoint last_probe_ = TimePoint::min();
+  std::optional<TimePoint> unanswered_since_;  // first call after the last sign of life
   TimePoint call_succeeded_at_ = TimePoint::min();
   TimePoint first_failed_probe_at_;
   uint32_t failed_probes_ = 0;  // in a row
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -12,6 +12,8 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+// Of a target that answers no call either. A probe takes 6 ms and a slot.
+constexpr Duration kDoubtProbeTimeout = std::chrono::milliseconds(400);
 // Separates "the target died" from "this one request broke": a target that still accepts a
 // connection lives.
 constexpr Duration kDeathProbeTimeout = std::chrono::milliseconds(200);
@@ -298,6 +300,7 @@
   if (!names.target.empty()) {
     request.headers.Set(names.target, target_.announcement().target.value());
   }
+  target_.CallStarted(now);
   exchange->target_call =
       client_->Send(std::move(request), std::max(effect.limit - now, Duration(1)),
                     [this, exchange](const HttpOutcome& outcome) { OnOutcome(exchange, outcome); });
@@ -319,6 +322,7 @@
       FindOutWhetherItDied(exchange);
       return;
     case HttpOutcome::kTimedOut:
+      LogAttempt(*exchange, "call_timed_out", 0);
       Carry(exchange, exchange->call.TargetFailed(now, TargetFault::kBroken));
       return;
   }
@@ -418,7 +422,7 @@
   const TimePoint now = context_.loop.now();
   timer_ = context_.loop.After(kTick, [this] { Tick(); });
   target_.Tick(now);
-  if (client_ && target_.ProbeDue(now)) {
+  if (client_ && probe_client_->outstanding() == 0 && target_.ProbeDue(now)) {
     Probe();
   }
   if (target_.state() == TargetState::kDraining && admission_.empty()) {
@@ -436,10 +440,19 @@
 }
 
 void TargetTask::Probe() {
-  probe_client_->Send(HealthRequest(), kProbeTimeout, [this](const HttpOutcome& outcome) {
-    target_.ProbeResult(context_.loop.now(), Passed(outcome));
-    FollowState();
-  });
+  const bool in_doubt = target_.in_doubt(context_.loop.now());
+  probe_client_->Send(HealthRequest(), in_doubt ? kDoubtProbeTimeout : kProbeTimeout,
+                      [this, in_doubt](const HttpOutcome& outcome) {
+                        if (!Passed(outcome)) {
+                          Log(LogLevel::kWarning, "target_probe_failed",
+                              {{"target", target_.announcement().target.value()},
+                               {"calls_unanswered", in_doubt},
+                               {"status", int64_t{outcome.response.status}},
+                               {"running", static_cast<uint64_t>(admission_.running())}});
+                        }
+                        target_.ProbeResult(context_.loop.now(), Passed(outcome));
+                        FollowState();
+                      });
 }
 
 void TargetTask::FollowState() {
--- a/test/correctness/target_state_test.cc
+++ b/test/correctness/target_state_test.cc
@@ -121,3 +121,49 @@
   target.Announce(At(6000), other);
   CHECK(target.state() == TargetState::kWarming);
 }
+
+TEST_GROUP(TargetSilent) {
+  AnnouncedTarget target{TargetSettings{.warm_up = Duration{}}};
+  void setup() override {
+    target.Announce(At(0), Portal());
+    target.Tick(At(0));
+    CHECK(target.ProbeDue(At(0)));
+    target.ProbeResult(At(5), true);
+  }
+  /// Probes that are due are answered or not; the time at which the target counts as failed, or -1.
+  int64_t FailedAt(int64_t from, int64_t until, bool answers_probes) {
+    for (int64_t now = from; now < until; now += 50) {
+      target.CallStarted(At(now));
+      if (target.ProbeDue(At(now))) {
+        target.ProbeResult(At(now + 400), answers_probes);
+      }
+      if (target.state() == TargetState::kFailed) {
+        return now;
+      }
+    }
+    return -1;
+  }
+};
+
+// Guards against a target that falls silent with its connections open and keeps getting work until
+// its announcement expires.
+TEST(TargetSilent, FailsSoonWhenNeitherCallsNorProbesAreAnswered) {
+  const int64_t failed = FailedAt(100, 5000, false);
+  CHECK(failed > 0);
+  CHECK(failed <= 100 + 1500);
+}
+
+TEST(TargetSilent, StaysWhileItAnswersProbes) { LONGS_EQUAL(-1, FailedAt(100, 5000, true)); }
+
+TEST(TargetSilent, StaysWhileItAnswersCalls) {
+  for (int64_t now = 100; now < 5000; now += 50) {
+    target.CallStarted(At(now));
+    if (now % 600 == 0) {
+      target.CallSucceeded(At(now));
+    }
+    if (target.ProbeDue(At(now))) {
+      target.ProbeResult(At(now + 400), false);
+    }
+    CHECK(target.state() == TargetState::kReady);
+  }
+}
