--- a/test/process_cluster.cc
+++ b/test/process_cluster.cc
@@ -1,6 +1,5 @@
 #include "process_cluster.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/socket.h>
@@ -16,6 +15,7 @@
 #include <thread>
 
 #include "errors.h"
+#include "loopback.h"
 
 namespace endivecleat::test {
 namespace {
@@ -27,18 +27,6 @@
 constexpr uint16_t kPortCount = 2000;
 constexpr char kToken[] = "0123456789abcdef0123456789abcdef";
 
-sockaddr_in Loopback(uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
-const sockaddr* Generic(const sockaddr_in& address) {
-  return reinterpret_cast<const sockaddr*>(&address);
-}
-
 bool CanBind(uint16_t port, int type) {
   const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
   const sockaddr_in address = Loopback(port);
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -1,6 +1,5 @@
 #include "fault_proxy.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -9,6 +8,7 @@
 #include <array>
 
 #include "errors.h"
+#include "loopback.h"
 
 namespace endivecleat::test {
 namespace {
@@ -17,14 +17,6 @@
 constexpr int kPollMilliseconds = 5;
 constexpr size_t kMostPieces = 64;  // held up on one connection; more is not read
 
-sockaddr_in Loopback(uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 }  // namespace
 
 FaultProxy::FaultProxy(uint16_t upstream) : upstream_(upstream) {
@@ -32,7 +24,7 @@
   sockaddr_in address = Loopback(0);
   socklen_t length = sizeof(address);
   const bool listens =
-      ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 &&
+      ::bind(listener_, Generic(address), sizeof(address)) == 0 &&
       ::listen(listener_, SOMAXCONN) == 0 &&
       ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length) == 0;
   ENDIVECLEAT_CHECK(listens, "the proxy cannot listen");
@@ -83,7 +75,7 @@
   }
   const int upstream = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = Loopback(upstream_);
-  if (::connect(upstream, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+  if (::connect(upstream, Generic(address), sizeof(address)) != 0) {
     ::close(upstream);
     ::close(caller);
     return;
--- a/test/soak/keep_alive_client.cc
+++ b/test/soak/keep_alive_client.cc
@@ -1,12 +1,12 @@
 #include "keep_alive_client.h"
 
-#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <cstdlib>
 
+#include "loopback.h"
 #include "process_cluster.h"
 
 namespace endivecleat::test {
@@ -55,11 +55,8 @@
   socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const timeval limit{kAnswerSeconds, 0};
   ::setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port_);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (::connect(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+  const sockaddr_in address = Loopback(port_);
+  if (::connect(socket_, Generic(address), sizeof(address)) != 0) {
     Disconnect();
   }
   return socket_ >= 0;
