--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -47,7 +47,8 @@
     for (const auto& connection : connections_) {
       for (const Direction* direction : {&connection->there, &connection->back}) {
         const bool full = direction->pieces.size() >= kMostPieces;
-        watched.push_back({direction->from, static_cast<short>(full ? 0 : POLLIN), 0});
+        const decltype(pollfd::events) events = full ? 0 : POLLIN;
+        watched.push_back({direction->from, events, 0});
       }
     }
     ::poll(watched.data(), watched.size(), kPollMilliseconds);
