Log and count pulls, transfers and installations

Change: ConfigReplica and ConfigSource collect events; the processes log them (rate limited) and count them; version_in_force says how long the installation took; daemon_drained what was in flight. No decision changes. Ruled out: logging in the core, which has no output. Test: ConfigSourceEvents.

--- a/src/config_replica.cc
+++ b/src/config_replica.cc
@@ -67,7 +67,7 @@
     case Kind::kBusy:
       ++counters_.busy;
       if (pull_ && pull_->from == from) {
-        pull_.reset();
+        EndPull(now, ConfigEvent::Kind::kPullBusy);
       }
       candidates_[from].busy_until = now + message.retry_after;
       break;
@@ -83,7 +83,7 @@
   if (pull_ && now - pull_->sent_at >= settings_.pull_timeout) {
     ++counters_.timeouts;
     AvoidPeer(now, pull_->from, settings_.avoid_after_timeout);
-    pull_.reset();
+    EndPull(now, ConfigEvent::Kind::kPullTimedOut);
   }
   SendHellos(now, &out);
   PollRemote(now, &out);
@@ -119,7 +119,10 @@
 void ConfigReplica::HandleTransfer(TimePoint now, const InstanceId& from,
                                    const ConfigMessage& transfer, Messages* out) {
   if (pull_ && pull_->from == from) {
-    pull_.reset();
+    EndPull(now, ConfigEvent::Kind::kPullAnswered);
+    events_.back().version = transfer.version;
+    events_.back().base = transfer.base;
+    events_.back().bytes = ByteCount(transfer.bytes.size());
   }
   ConfigTextPtr text = VerifyAndInstall(now, from, transfer);
   if (!text) {
@@ -180,6 +183,22 @@
       ConfigText{transfer.version, transfer.digest, std::move(*text)});
 }
 
+void ConfigReplica::EndPull(TimePoint now, ConfigEvent::Kind how) {
+  events_.push_back({.kind = how,
+                     .peer = pull_->from,
+                     .version = pull_->version,
+                     .waited = now - pull_->sent_at});
+  pull_.reset();
+}
+
+ConfigEvents ConfigReplica::TakeEvents() {
+  ConfigEvents events = std::exchange(events_, {});
+  for (ConfigEvent& event : source_.TakeEvents()) {
+    events.push_back(std::move(event));
+  }
+  return events;
+}
+
 void ConfigReplica::AvoidPeer(TimePoint now, const InstanceId& from, Duration time) {
   avoided_until_[from] = now + time;
 }
@@ -250,7 +269,7 @@
   if (holders.empty()) {
     return;
   }
-  pull_ = Pull{holders[random_.Below(holders.size())], now};
+  pull_ = Pull{holders[random_.Below(holders.size())], best, now};
   ++counters_.pulls;
   out->push_back({pull_->from, MakeOwnMessage(Kind::kPull)});
 }
--- a/src/config_replica.h
+++ b/src/config_replica.h
@@ -86,6 +86,8 @@
   /// Null before the first version. Never replaced by an older version.
   ConfigTextPtr in_force() const { return source_.newest(); }
   const Counters& counters() const { return counters_; }
+  /// Returns and clears the events since the last call, including those of the source.
+  ConfigEvents TakeEvents();
 
  private:
   using Messages = std::vector<PeerMessage>;
@@ -100,6 +102,7 @@
   };
   struct Pull {
     InstanceId from;
+    ConfigVersion version;  // that was offered
     TimePoint sent_at;
   };
 
@@ -112,6 +115,7 @@
   /// Verifies and installs a transfer. Returns null, and counts the reason, when it is discarded.
   ConfigTextPtr VerifyAndInstall(TimePoint now, const InstanceId& from,
                                  const ConfigMessage& transfer);
+  void EndPull(TimePoint now, ConfigEvent::Kind how);
   void AvoidPeer(TimePoint now, const InstanceId& from, Duration time);
   void SendHellos(TimePoint now, Messages* out);
   void PollRemote(TimePoint now, Messages* out);
@@ -144,6 +148,7 @@
   size_t remote_index_ = 0;
   bool remote_poll_answered_ = true;
   Counters counters_;
+  ConfigEvents events_;
 };
 
 }  // namespace endivecleat
--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -95,10 +95,20 @@
 
 std::vector<PeerMessage> ConfigSource::Tick(TimePoint now) {
   std::vector<PeerMessage> out;
-  std::erase_if(in_flight_, [now](const auto& item) { return now >= item.second.expires_at; });
+  std::erase_if(in_flight_, [&](const auto& item) {
+    const auto& [peer, transfer] = item;
+    if (now < transfer.expires_at) {
+      return false;
+    }
+    events_.push_back({.kind = ConfigEvent::Kind::kTransferExpired,
+                       .peer = peer,
+                       .version = transfer.version,
+                       .waited = now - transfer.sent_at});
+    return true;
+  });
   ServeQueue(now, &out);
   while (!queue_.empty() && now - queue_.front().since >= settings_.queue_wait) {
-    out.push_back({queue_.front().from, MakeBusy()});
+    out.push_back(RefusePull(now, queue_.front()));
     queue_.pop_front();
   }
   return out;
@@ -135,7 +145,7 @@
     return out;
   }
   if (queue_.size() >= settings_.queue_length) {
-    out.push_back({from, MakeBusy()});
+    out.push_back(RefusePull(now, {from, pull, now}));
     return out;
   }
   queue_.push_back({from, pull, now});
@@ -157,8 +167,15 @@
       out->push_back({next.from, MakeNotice()});
       continue;
     }
-    in_flight_[next.from] = {newest()->version, now + settings_.transfer_time};
+    in_flight_[next.from] = {newest()->version, now, now + settings_.transfer_time};
     out->push_back({next.from, MakeTransfer(next.pull)});
+    const ConfigMessage& transfer = out->back().message;
+    events_.push_back({.kind = ConfigEvent::Kind::kTransferSent,
+                       .peer = next.from,
+                       .version = transfer.version,
+                       .base = transfer.base,
+                       .bytes = ByteCount(transfer.bytes.size()),
+                       .waited = now - next.since});
   }
 }
 
@@ -186,6 +203,14 @@
   return busy;
 }
 
+PeerMessage ConfigSource::RefusePull(TimePoint now, const QueuedPull& refused) {
+  events_.push_back({.kind = ConfigEvent::Kind::kBusySent,
+                     .peer = refused.from,
+                     .version = newest() ? newest()->version : ConfigVersion(),
+                     .waited = now - refused.since});
+  return {refused.from, MakeBusy()};
+}
+
 const ConfigText* ConfigSource::FindBase(ConfigVersion version, const std::string& digest) const {
   for (const ConfigTextPtr& text : history_) {
     if (text->version == version && text->digest == digest) {
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -7,8 +7,11 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
+#include "config_event.h"
 #include "config_message.h"
 #include "seeded_random.h"
 #include "units.h"
@@ -55,6 +58,9 @@
   /// Expires transfers and queued pulls. Must be called every 100 ms.
   std::vector<PeerMessage> Tick(TimePoint now);
 
+  /// Returns and clears the events since the last call.
+  ConfigEvents TakeEvents() { return std::exchange(events_, {}); }
+
   /// Null before the first version.
   ConfigTextPtr newest() const { return history_.empty() ? nullptr : history_.back(); }
   /// A notice that announces the newest version.
@@ -68,6 +74,7 @@
   };
   struct TransferInFlight {
     ConfigVersion version;
+    TimePoint sent_at;
     TimePoint expires_at;
   };
 
@@ -83,6 +90,7 @@
                                       const ConfigMessage& pull);
   ConfigMessage MakeTransfer(const ConfigMessage& pull);
   ConfigMessage MakeBusy();
+  PeerMessage RefusePull(TimePoint now, const QueuedPull& refused);
   const ConfigText* FindBase(ConfigVersion version, const std::string& digest) const;
 
   ConfigSourceSettings settings_;
@@ -97,6 +105,7 @@
   ConfigVersion newest_known_;
   TimePoint newest_known_at_;
   ConfigVersion rejected_;
+  ConfigEvents events_;
 };
 
 /// Returns up to `count` distinct random elements.
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <utility>
 
+#include "config_log.h"
 #include "configuration.h"
 #include "errors.h"
 #include "heap.h"
@@ -103,7 +104,8 @@
               [this](const InstanceId& to, const std::string& message) {
                 node_.Send(to, PeerChannel::kConfigLog, message);
               }),
-      source_(SourceSettings(settings_.common), MakeTransferCodec(), seed),
+      source_(SourceSettings(settings_.common), MakeMeasuredCodec(MakeTransferCodec(), metrics_),
+              seed),
       crash_relay_(ControlInstances(settings_)) {
   if (settings_.ledger_enabled) {
     once_ = std::make_unique<ReplicaTask<OnceState>>(
@@ -315,6 +317,7 @@
 }
 
 void ControlProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
+  RecordConfigEvents(source_.TakeEvents(), metrics_);
   for (const PeerMessage& message : messages) {
     node_.Send(message.to, PeerChannel::kConfigDistribution, EncodeConfigMessage(message.message));
   }
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -3,9 +3,11 @@
 #include "daemon_process.h"
 
 #include <algorithm>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "config_log.h"
 #include "errors.h"
 #include "heap.h"
 #include "json_reader.h"
@@ -62,7 +64,8 @@
       target_(context_),
       callers_(context_, target_),
       replica_(
-          settings_.common.instance, MakeReplicaSettings(), MakeTransferCodec(),
+          settings_.common.instance, MakeReplicaSettings(),
+          MakeMeasuredCodec(MakeTransferCodec(), metrics_),
           [this](ConfigVersion version, const std::string& text) { return Install(version, text); },
           seed, loop.now()),
       caller_server_(loop, settings_.caller_address, HttpServerLimits{},
@@ -189,6 +192,7 @@
 }
 
 bool DaemonProcess::Install(ConfigVersion version, const std::string& text) {
+  const auto start = std::chrono::steady_clock::now();
   try {
     context_.configuration = CompileStored(text, version);
   } catch (const UserError& error) {
@@ -196,8 +200,6 @@
         {{"version", version.value()}, {"reason", std::string(error.what())}});
     return false;
   }
-  Log(LogLevel::kInfo, "version_in_force",
-      {{"version", version.value()}, {"preset", context_.configuration->preset().value()}});
   if (const Duration idle = context_.configuration->callers().idle_timeout; idle > Duration{}) {
     caller_server_.SetIdleTimeout(idle);
   }
@@ -205,6 +207,13 @@
   callers_.ConfigurationChanged();
   UpdateSelf();
   TrimHeap();
+  const auto taken = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start);
+  RecordInstallation(taken, metrics_);
+  Log(LogLevel::kInfo, "version_in_force",
+      {{"version", version.value()},
+       {"preset", context_.configuration->preset().value()},
+       {"bytes", static_cast<uint64_t>(text.size())},
+       {"taken_ms", static_cast<int64_t>(taken.count() / 1000)}});
   return true;
 }
 
@@ -223,6 +232,7 @@
 }
 
 void DaemonProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
+  RecordConfigEvents(replica_.TakeEvents(), metrics_);
   for (const PeerMessage& message : messages) {
     node_.Send(message.to, PeerChannel::kConfigDistribution, EncodeConfigMessage(message.message));
   }
@@ -266,6 +276,9 @@
     return;
   }
   caller_server_.StopAccepting();
+  Log(LogLevel::kInfo, "daemon_drained",
+      {{"calls_in_flight", static_cast<uint64_t>(callers_.in_flight())},
+       {"requests_in_flight", static_cast<uint64_t>(caller_server_.in_flight())}});
   node_.Leave();
   loop_.RunAfter(kTickInterval, [this] { loop_.Stop(); });
 }
--- a/test/correctness/config_replica_test.cc
+++ b/test/correctness/config_replica_test.cc
@@ -7,6 +7,8 @@
 #include "config_mesh.h"
 #include "config_source.h"
 
+using endivecleat::ConfigEvent;
+using endivecleat::ConfigEvents;
 using endivecleat::ConfigMessage;
 using endivecleat::ConfigSource;
 using endivecleat::ConfigSourceSettings;
@@ -152,3 +154,33 @@
   pull.digest = MakeText(2)->digest;
   CHECK(bounded.Receive(kStart, Peer(1), pull).at(0).message.transfer == TransferKind::kSnapshot);
 }
+
+// Guards against a slow distribution that no log line explains: the events are all that the
+// processes log of it.
+TEST_GROUP(ConfigSourceEvents) {
+  ConfigSource source{ConfigSourceSettings{}, PrefixCodec(), 1};
+  void setup() override { source.Store(kStart, MakeText(5)); }
+};
+
+TEST(ConfigSourceEvents, TellHowLongAPullWaitedForItsTransfer) {
+  for (int peer = 1; peer <= 5; ++peer) {
+    source.Receive(kStart, Peer(peer), Pull());
+  }
+  source.TakeEvents();
+  const TimePoint later = kStart + std::chrono::milliseconds(300);
+  source.Receive(later, Peer(2), {Kind::kNotice, ConfigVersion(5)});
+  const ConfigEvents events = source.TakeEvents();
+  LONGS_EQUAL(1, events.size());
+  CHECK(events[0].kind == ConfigEvent::Kind::kTransferSent && events[0].peer == Peer(5));
+  CHECK(events[0].waited == later - kStart);
+  LONGS_EQUAL(MakeText(5)->text.size(), events[0].bytes.value());
+}
+
+TEST(ConfigSourceEvents, TellWhichTransferWasNotAcknowledged) {
+  source.Receive(kStart, Peer(1), Pull());
+  source.TakeEvents();
+  source.Tick(kStart + std::chrono::seconds(5));
+  const ConfigEvents events = source.TakeEvents();
+  LONGS_EQUAL(1, events.size());
+  CHECK(events[0].kind == ConfigEvent::Kind::kTransferExpired && events[0].peer == Peer(1));
+}
