Answer requests that a stalled daemon reads at the end of its drain

Cause: FinishDrain checked for requests in flight, then stopped accepting, which reads what the open connections hold. A daemon that was busy (an installation takes 0.2 s there) finds requests in that read; it started them and ended 100 ms later. Change: stop accepting before the check, and check again before the end. Why it works: after StopAccepting nothing new is accepted, and what its read started counts as in flight in both checks.

--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -265,22 +265,34 @@
 
 void DaemonProcess::FinishDrain(TimePoint not_before, TimePoint deadline) {
   const TimePoint now = loop_.now();
-  const bool idle =
-      callers_.in_flight() == 0 && target_.in_flight() == 0 && caller_server_.in_flight() == 0;
-  if (now < not_before || (!idle && now < deadline)) {
-    if (now >= not_before) {
-      caller_server_.StopAccepting();
-    }
+  if (now >= not_before) {
+    // Reads what the open connections hold. It comes before the check for requests in flight, since
+    // a daemon that was busy may find requests there.
+    caller_server_.StopAccepting();
+  }
+  if (now < not_before || (!Idle() && now < deadline)) {
     loop_.RunAfter(kTickInterval,
                    [this, not_before, deadline] { FinishDrain(not_before, deadline); });
     return;
   }
-  caller_server_.StopAccepting();
+  node_.Leave();
+  loop_.RunAfter(kTickInterval, [this, deadline] { StopWhenIdle(deadline); });
+}
+
+// A connection that was not idle when the server stopped accepting may still deliver a request.
+void DaemonProcess::StopWhenIdle(TimePoint deadline) {
+  if (!Idle() && loop_.now() < deadline) {
+    loop_.RunAfter(kTickInterval, [this, deadline] { StopWhenIdle(deadline); });
+    return;
+  }
   Log(LogLevel::kInfo, "daemon_drained",
       {{"calls_in_flight", static_cast<uint64_t>(callers_.in_flight())},
        {"requests_in_flight", static_cast<uint64_t>(caller_server_.in_flight())}});
-  node_.Leave();
-  loop_.RunAfter(kTickInterval, [this] { loop_.Stop(); });
+  loop_.Stop();
+}
+
+bool DaemonProcess::Idle() const {
+  return callers_.in_flight() == 0 && target_.in_flight() == 0 && caller_server_.in_flight() == 0;
 }
 
 ConfigReplicaSettings DaemonProcess::MakeReplicaSettings() const {
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -57,6 +57,8 @@
   void UpdateSelf();
   void UpdateMetrics();
   void FinishDrain(TimePoint not_before, TimePoint deadline);
+  void StopWhenIdle(TimePoint deadline);
+  bool Idle() const;
   ConfigReplicaSettings MakeReplicaSettings() const;
 
   EventLoop& loop_;
