Answer pulls before daemons give them up, and limit transfers by bytes

Cause: limits that belong together were set apart. A control instance queued a pull for up to 2 s, the daemon gave it up after 0.6 s and avoided the instance for 1 s. Four transfers at a time, each held until the daemon had installed the version and its notice was back, were all that an instance served: 19 a second for 22 daemons and a change each 0.4 s. Ruled out: lost messages (transfers reached their daemons, too late). A source limits the bytes under way (64 KiB, 4 MiB in a control instance) in place of the number of transfers. Control instances go before daemons while they aren't busy, notify up to 64 daemons directly, and tell a daemon that acknowledges an older version of the newest. A daemon takes a version in between when the sources of the newest are busy.

--- a/src/config_replica.cc
+++ b/src/config_replica.cc
@@ -57,9 +57,6 @@
       if (pull_ && pull_->from == from && message.version <= own_version()) {
         pull_.reset();  // the source has no newer version
       }
-      if (message.version < own_version() && !IsRemote(from)) {
-        out.push_back({from, source_.MakeNotice()});
-      }
       break;
     case Kind::kTransfer:
       HandleTransfer(now, from, message, &out);
@@ -245,24 +242,31 @@
     return;
   }
   ConfigVersion best = own_version();
+  // While changes follow one another, the sources of the newest version may be busy; a version in
+  // between that another can send now is better than none.
   for (const auto& [instance, candidate] : candidates_) {
-    if (IsUsable(now, instance, candidate)) {
+    if (now >= candidate.busy_until && IsUsable(now, instance, candidate)) {
       best = std::max(best, candidate.version);
     }
   }
   // Gossip may still list instances that have become unreachable, so the pull goes to one with the
-  // most recent direct notice.
+  // most recent direct notice. A control instance goes before daemons, whose links and processors
+  // are needed for calls; it answers busy when it is at its limit.
+  using Rank = std::pair<bool, TimePoint>;
   std::vector<InstanceId> holders;
-  TimePoint latest_notice{};
+  Rank highest{false, TimePoint{}};
   for (const auto& [instance, candidate] : candidates_) {
     const bool holds = candidate.version == best && best > own_version();
+    const bool noticed = candidate.last_notice_at > TimePoint{};
+    const Rank rank{noticed && Contains(settings_.local_controls, instance),
+                    candidate.last_notice_at};
     if (!holds || !IsUsable(now, instance, candidate) || now < candidate.busy_until ||
-        candidate.last_notice_at < latest_notice) {
+        rank < highest) {
       continue;
     }
-    if (candidate.last_notice_at > latest_notice) {
+    if (rank > highest) {
       holders.clear();
-      latest_notice = candidate.last_notice_at;
+      highest = rank;
     }
     holders.push_back(instance);
   }
--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -86,6 +86,9 @@
         in_flight_.erase(found);
         ServeQueue(now, &out);
       }
+      if (newest() && message.version < newest()->version) {
+        out.push_back({from, MakeNotice()});
+      }
       return out;
     }
     default:
@@ -154,7 +157,7 @@
 }
 
 void ConfigSource::ServeQueue(TimePoint now, std::vector<PeerMessage>* out) {
-  while (in_flight_.size() < settings_.max_transfers) {
+  while (BytesInFlight() < settings_.max_transfer_bytes) {
     const auto next_pull = std::find_if(queue_.begin(), queue_.end(), [&](const QueuedPull& each) {
       return MayServe(now, each.pull.version);
     });
@@ -167,9 +170,10 @@
       out->push_back({next.from, MakeNotice()});
       continue;
     }
-    in_flight_[next.from] = {newest()->version, now, now + settings_.transfer_time};
     out->push_back({next.from, MakeTransfer(next.pull)});
     const ConfigMessage& transfer = out->back().message;
+    in_flight_[next.from] = {newest()->version, ByteCount(transfer.bytes.size()), now,
+                             now + settings_.transfer_time};
     events_.push_back({.kind = ConfigEvent::Kind::kTransferSent,
                        .peer = next.from,
                        .version = transfer.version,
@@ -179,6 +183,14 @@
   }
 }
 
+ByteCount ConfigSource::BytesInFlight() const {
+  uint64_t bytes = 0;
+  for (const auto& [peer, transfer] : in_flight_) {
+    bytes += transfer.bytes.value();
+  }
+  return ByteCount(bytes);
+}
+
 ConfigMessage ConfigSource::MakeTransfer(const ConfigMessage& pull) {
   const ConfigText* base = FindBase(pull.version, pull.digest);
   const ConfigVersion from = base == nullptr ? ConfigVersion() : base->version;
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -20,7 +20,9 @@
 
 /// Limits and timeouts of a source.
 struct ConfigSourceSettings {
-  size_t max_transfers = 4;  // concurrent
+  // Bytes of transfers that are under way together; a transfer starts while they are fewer. They
+  // occupy the link and memory of the source: a quarter of a second of a link of 2 Mbit/s.
+  ByteCount max_transfer_bytes{64U << 10U};
   size_t queue_length = 16;
   Duration queue_wait = std::chrono::seconds(2);  // maximum time of a pull in the queue
   /// A transfer that is not acknowledged within this time no longer occupies a slot.
@@ -52,7 +54,8 @@
   /// Records that the installer rejected this version, so that it no longer prevents this source
   /// from serving an older one.
   void MarkRejected(ConfigVersion version);
-  /// Handles Hello, Pull, and the Notice that acknowledges a transfer; ignores the other kinds.
+  /// Handles Hello, Pull and Notice; ignores the other kinds. A notice acknowledges a transfer; one
+  /// of a version that is no longer the newest is answered with a notice.
   std::vector<PeerMessage> Receive(TimePoint now, const InstanceId& from,
                                    const ConfigMessage& message);
   /// Expires transfers and queued pulls. Must be called every 100 ms.
@@ -74,6 +77,7 @@
   };
   struct TransferInFlight {
     ConfigVersion version;
+    ByteCount bytes;
     TimePoint sent_at;
     TimePoint expires_at;
   };
@@ -88,6 +92,7 @@
   void ServeQueue(TimePoint now, std::vector<PeerMessage>* out);
   std::vector<PeerMessage> HandlePull(TimePoint now, const InstanceId& from,
                                       const ConfigMessage& pull);
+  ByteCount BytesInFlight() const;
   ConfigMessage MakeTransfer(const ConfigMessage& pull);
   ConfigMessage MakeBusy();
   PeerMessage RefusePull(TimePoint now, const QueuedPull& refused);
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "config_log.h"
+#include "config_timing.h"
 #include "configuration.h"
 #include "errors.h"
 #include "heap.h"
@@ -26,7 +27,11 @@
 constexpr Duration kLedgerForwardTimeout = std::chrono::milliseconds(800);
 // Number of local daemons that are notified of a new version directly; the others learn of it from
 // these.
-constexpr size_t kDirectNotifications = 16;
+constexpr size_t kDirectNotifications = 64;
+// A control instance has a faster link than daemons, and after a change all daemons of its data
+// centre pull from it at once.
+constexpr ByteCount kMaxTransferBytes{4U << 20U};
+constexpr size_t kMaxQueuedPulls = 256;
 constexpr ByteCount kMaxConfigMessage{8U << 20U};
 
 std::filesystem::path LogFolder(const ControlSettings& settings, const std::string& log) {
@@ -75,6 +80,9 @@
   if (settings.discovery) {
     source.notice_fanout = kDirectNotifications;
   }
+  source.max_transfer_bytes = kMaxTransferBytes;
+  source.queue_length = kMaxQueuedPulls;
+  LimitTimes(settings.in_force_within, source);
   return source;
 }
 
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "config_log.h"
+#include "config_timing.h"
 #include "errors.h"
 #include "heap.h"
 #include "json_reader.h"
@@ -299,13 +300,7 @@
 
 ConfigReplicaSettings DaemonProcess::MakeReplicaSettings() const {
   ConfigReplicaSettings replica;
-  // After a pull times out, there must be time left for another pull and its notification.
-  const Duration within = settings_.in_force_within;
-  replica.pull_timeout = std::min(replica.pull_timeout, within / 4);
-  replica.source.queue_wait = std::min(replica.source.queue_wait, within / 5);
-  replica.source.transfer_time = std::min(replica.source.transfer_time, within / 5);
-  replica.hello_wait = std::min(replica.hello_wait, within / 8);
-  replica.start_jitter = std::min(replica.start_jitter, within / 25);
+  LimitTimes(settings_.common.in_force_within, replica);
   const Location& here = settings_.common.location;
   replica.data_centre = here.data_centre;
   if (settings_.common.discovery) {
--- a/src/endivecleat_core.h
+++ b/src/endivecleat_core.h
@@ -10,6 +10,7 @@
 #include "config_replica.h"
 #include "config_source.h"
 #include "config_store.h"
+#include "config_timing.h"
 #include "configuration.h"
 #include "configuration_diff.h"
 #include "crash_guard.h"
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -140,6 +140,8 @@
                                              std::chrono::hours(1), common.drain_timeout);
   common.drain_notice = reader.ReadDuration("drain_notice", Duration(0), std::chrono::minutes(10),
                                             common.drain_notice);
+  common.in_force_within = reader.ReadDuration("in_force_within", std::chrono::milliseconds(100),
+                                               std::chrono::hours(1), common.in_force_within);
   return common;
 }
 
@@ -237,8 +239,6 @@
   SetSeedPorts(settings.common, settings.peer_address.port);
   settings.service = ServiceName(reader.ReadString("service", Presence::kOptional));
   settings.headers = ReadHeaders(reader);
-  settings.in_force_within = reader.ReadDuration("in_force_within", std::chrono::milliseconds(100),
-                                                 std::chrono::hours(1), settings.in_force_within);
   settings.shared_retry_burst = reader.ReadNumber("shared_retry_burst", 0, 1'000'000, 0);
   for (const std::string& address_text : reader.ReadStrings("neighbours", Presence::kOptional)) {
     const std::optional<Address> address = ParseAddress(address_text);
--- a/src/settings.h
+++ b/src/settings.h
@@ -58,6 +58,9 @@
   // How long a draining process still accepts connections, while callers and peers learn that it
   // stops.
   Duration drain_notice = std::chrono::seconds(2);
+  // Deadline for an accepted configuration to be in force on every daemon; limits the times of the
+  // distribution (config_timing.h). The same in all processes of a deployment.
+  Duration in_force_within = std::chrono::seconds(16);
 };
 
 struct ControlSettings {
@@ -80,9 +83,6 @@
   // Burst of the retry budget for all daemons together, divided evenly among them. 0: each daemon
   // has a separate burst.
   uint64_t shared_retry_burst = 0;
-  // Deadline for an accepted configuration to be in force on this daemon; limits the timeouts of
-  // configuration pulls.
-  Duration in_force_within = std::chrono::seconds(16);
   CallHeaders headers;
   ServiceName service;  // service of the local target, sent as the origin of this instance's calls
   std::vector<Address> neighbours;  // peers to join the gossip group through if no seed is a member
