End calls whose responses never come to an end

Callers saw: a call to a target that sends bytes which are no answer, a few at a time, or complete responses to other requests without end, held its slot until its deadline and got 504 only then. Cause: the parser looks at a status line only when the whole header is there, and interim responses and responses to other requests were skipped without a limit. Heads and bodies were bounded by their size limits already. Change: bytes that cannot begin a status line end the call at once, and so do more than 16 interim responses or responses to others. Test: HttpEndlessResponse; 2 of its 5 tests failed before (kTimedOut in place of kBroken), for bytes in small parts and for complete responses.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -16,6 +16,9 @@
 namespace endivecleat {
 namespace {
 
+// Responses to earlier requests that may precede the expected one. A server that sends more does
+// not answer at all.
+constexpr size_t kMaxDiscardedResponses = 16;
 // An idle connection is no longer reused this long before the server's keep-alive timeout expires:
 // a request sent while the server closes the connection is lost.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
@@ -74,6 +77,7 @@
     const std::string& echoed = client_.options_.echoed_header;
     expected_echo_ = echoed.empty() ? "" : call.request.headers.ValueOr(echoed, "");
     desynchronized_ = false;
+    discarded_responses_ = 0;
     reader_.ResetFor(method_);
     output_.Append(SerializeRequestHead(call.request, client_.target_.text()));
     has_body_ = !call.request.body.empty();
@@ -169,6 +173,10 @@
         return response;
       }
       desynchronized_ = true;
+      if (++discarded_responses_ > kMaxDiscardedResponses) {
+        malformed_ = true;
+        return std::nullopt;
+      }
       reader_.ResetFor(method_);
       read = reader_.Feed(input_);
     }
@@ -238,10 +246,11 @@
   OutputQueue output_;  // bytes of the current call only
   bool has_body_ = false;
   std::optional<CallId> call_;
-  std::string method_;           // of the current call
-  std::string expected_echo_;    // expected value of the echoed header; empty: not checked
-  bool desynchronized_ = false;  // a response to another call has arrived
-  bool malformed_ = false;       // the received bytes are not a valid response
+  std::string method_;              // of the current call
+  std::string expected_echo_;       // expected value of the echoed header; empty: not checked
+  bool desynchronized_ = false;     // a response to another call has arrived
+  size_t discarded_responses_ = 0;  // responses to other calls during the current one
+  bool malformed_ = false;          // the received bytes are not a valid response
   TimePoint reusable_until_ = TimePoint::max();
 };
 
--- a/src/http_codec.cc
+++ b/src/http_codec.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <string_view>
 
 namespace http = boost::beast::http;
 
@@ -18,6 +19,9 @@
 
 // Maximum size of an incomplete chunk header or trailer section of a request.
 constexpr size_t kMaxPendingBytes = 16384;
+// Interim responses before a final one; a server sends one or two at most.
+constexpr size_t kMaxInterimResponses = 16;
+constexpr std::string_view kResponseStart = "HTTP/1.";
 
 template <class Parser>
 void ConfigureParser(Parser& parser, const MessageLimits& limits) {
@@ -100,6 +104,11 @@
   }
 }
 
+bool MayBeginResponse(std::string_view input) {
+  const std::string_view start = input.substr(0, kResponseStart.size());
+  return kResponseStart.starts_with(start);
+}
+
 /// Feeds the parser and removes the consumed bytes from input.
 template <class Parser>
 boost::beast::error_code FeedParser(Parser& parser, std::string& input) {
@@ -222,6 +231,12 @@
 
 void ResponseReader::ResetFor(const std::string& method) {
   request_is_head_ = method == "HEAD";
+  interim_responses_ = 0;
+  ResetParser();
+}
+
+void ResponseReader::ResetParser() {
+  started_ = false;
   parser_ = std::make_unique<Parser>();
   ConfigureParser(*parser_, limits_);
   parser_->skip(request_is_head_);
@@ -229,7 +244,13 @@
 
 ReadStatus ResponseReader::Feed(std::string& input) {
   while (!input.empty()) {
+    // The parser waits for a whole header before it looks at the first line.
+    if (!started_ && !MayBeginResponse(input)) {
+      return ReadStatus::kError;
+    }
+    const size_t available = input.size();
     const auto error = FeedParser(*parser_, input);
+    started_ = started_ || input.size() < available;
     if (error && error != http::error::need_more) {
       return ReadStatus::kError;
     }
@@ -241,7 +262,10 @@
       if (status >= 200) {
         return ReadStatus::kComplete;
       }
-      ResetFor(request_is_head_ ? "HEAD" : "GET");  // interim (1xx) response: the final one follows
+      if (++interim_responses_ > kMaxInterimResponses) {
+        return ReadStatus::kError;
+      }
+      ResetParser();  // interim (1xx) response: the final one follows
     } else if (error) {
       return input.size() > limits_.header.value() ? ReadStatus::kError : ReadStatus::kNeedMore;
     }
--- a/src/http_codec.h
+++ b/src/http_codec.h
@@ -65,7 +65,7 @@
 
   /// Prepares for the response to a request with this method; a response to HEAD has no body.
   void ResetFor(const std::string& method);
-  /// Consumes bytes from the front of input. Interim responses (1xx) are skipped.
+  /// Consumes bytes from the front of input. Interim responses (1xx) are skipped, up to a limit.
   ReadStatus Feed(std::string& input);
   /// Signals that the peer has closed the connection in an orderly way. Returns kComplete for a
   /// response that is delimited by the close, and kError for any other, which is truncated.
@@ -76,10 +76,14 @@
  private:
   struct Parser;
 
+  void ResetParser();
+
   MessageLimits limits_;
   std::unique_ptr<Parser> parser_;
   bool request_is_head_ = false;
   bool keep_alive_ = false;
+  bool started_ = false;          // the parser has consumed bytes of the current response
+  size_t interim_responses_ = 0;  // since ResetFor
 };
 
 /// Whether the request can be serialized without changing its meaning: no space or control
--- a/test/failure/http_broken_response_test.cc
+++ b/test/failure/http_broken_response_test.cc
@@ -9,10 +9,14 @@
 #include "http_client.h"
 #include "network_fixture.h"
 
+using endivecleat::Duration;
 using endivecleat::EventLoop;
 using endivecleat::HttpClient;
 using endivecleat::HttpOutcome;
+using endivecleat::HttpRequest;
+using endivecleat::TimePoint;
 using endivecleat::test::kLongTimeout;
+using endivecleat::test::RawConnection;
 using endivecleat::test::RawListener;
 using endivecleat::test::RunFor;
 using endivecleat::test::RunUntil;
@@ -141,3 +145,103 @@
   WaitForOutcomes(2);
   LONGS_EQUAL(HttpOutcome::kAnswered, outcomes[1].kind);
 }
+
+// Guards against a target whose bytes never end: memory that grows with them, a call that holds its
+// slot past its deadline, and a call without an outcome.
+TEST_GROUP(HttpEndlessResponse) {
+  static constexpr Duration kTimeout = std::chrono::milliseconds(800);
+  static constexpr size_t kBodyLimit = 64U << 10U;
+  static constexpr size_t kPartBytes = 16U << 10U;
+  static constexpr size_t kUnsentTarget = 256U << 10U;
+
+  EventLoop loop;
+  RawListener target{loop};
+  HttpClient client{loop,
+                    target.address(),
+                    {.connections = 1,
+                     .limits = {.body = endivecleat::ByteCount(kBodyLimit),
+                                .header = endivecleat::ByteCount(8U << 10U)},
+                     .echoed_header = "Request-Id"}};
+  std::vector<HttpOutcome> outcomes;
+  TimePoint started;
+
+  void Send() {
+    HttpRequest request{"GET", "/", "", {}, "", ""};
+    request.headers.Add("Request-Id", "mine");
+    started = loop.now();
+    client.Send(std::move(request), kTimeout,
+                [this](HttpOutcome outcome) { outcomes.push_back(std::move(outcome)); });
+  }
+
+  /// Sends `start` and then `repeated` until the call has an outcome or the client closes. Requires
+  /// that this is before the deadline of the call, or at it, and that the client then closes.
+  HttpOutcome::Kind OutcomeOfEndless(const std::string& start, const std::string& repeated,
+                                     Duration pause = Duration{}) {
+    const size_t index = target.size();
+    const size_t before = outcomes.size();
+    Send();
+    CHECK(RunUntil(loop, [&] { return target.HasReceived(index, "\r\n\r\n"); }));
+    RawConnection& connection = *target.connections[index];
+    connection.Send(start);
+    std::string part = repeated;
+    while (pause == Duration{} && part.size() < kPartBytes) {
+      part += repeated;
+    }
+    while (outcomes.size() == before) {
+      if (connection.unsent() < kUnsentTarget) {
+        connection.Send(part);
+      }
+      RunFor(loop, std::max<Duration>(pause, std::chrono::microseconds(100)));
+    }
+    CHECK(loop.now() - started < kTimeout + kLongestDelay);
+    CHECK(RunUntil(loop, [&] { return connection.ended(); }));
+    LONGS_EQUAL(before + 1, outcomes.size());
+    return outcomes.back().kind;
+  }
+  static constexpr Duration kLongestDelay = std::chrono::seconds(3);  // of a busy machine
+};
+
+TEST(HttpEndlessResponse, InAHeadIsBroken) {
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless("", std::string(4096, 'x')));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless("", std::string(4096, '\0')));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless("", "\r\n"));
+  LONGS_EQUAL(HttpOutcome::kBroken,
+              OutcomeOfEndless("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless("HTTP/1.1 200 OK\r\nX: ", "and more"));
+}
+
+TEST(HttpEndlessResponse, InABodyIsBroken) {
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless(head + "\r\n", std::string(4096, 'x')));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless(chunked, "5\r\nhello\r\n"));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless(chunked + "5;", "extension;"));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless(chunked, std::string(4096, '0')));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless(chunked + "0\r\n", "X: trailer\r\n"));
+}
+
+TEST(HttpEndlessResponse, OfCompleteResponsesToOthersIsBroken) {
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless("", "HTTP/1.1 100 Continue\r\n\r\n"));
+  LONGS_EQUAL(
+      HttpOutcome::kBroken,
+      OutcomeOfEndless("", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n\r\nno"));
+}
+
+// A target that sends slowly cannot be told from a slow answer, except where its first bytes are no
+// status line.
+TEST(HttpEndlessResponse, InSmallPartsEndsAtTheDeadline) {
+  constexpr Duration kPause = std::chrono::milliseconds(20);
+  LONGS_EQUAL(HttpOutcome::kTimedOut, OutcomeOfEndless("HTTP/1.1 200 OK\r\nX: ", "x", kPause));
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless("", "x", kPause));
+}
+
+TEST(HttpEndlessResponse, FreesItsConnectionForTheNextCall) {
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOfEndless("", std::string(4096, 'x')));
+  Send();
+  const size_t index = target.size();
+  CHECK(RunUntil(loop, [&] { return target.HasReceived(index, "\r\n\r\n"); }));
+  target.connections[index]->Send(
+      "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(RunUntil(loop, [&] { return outcomes.size() == 2; }));
+  LONGS_EQUAL(HttpOutcome::kAnswered, outcomes.back().kind);
+}
--- a/test/network_fixture.h
+++ b/test/network_fixture.h
@@ -86,6 +86,9 @@
     }
   }
 
+  size_t unsent() const { return output_.size(); }
+  bool ended() const { return descriptor_ < 0; }
+
   std::string received;
   bool closed_by_peer = false;  // the peer has closed the connection
 
@@ -98,7 +101,8 @@
         return;
       }
     }
-    if (ReadAvailable(descriptor_, received) == SocketStatus::kClosed) {
+    const SocketStatus status = ReadAvailable(descriptor_, received);
+    if (status == SocketStatus::kClosed || status == SocketStatus::kFailed) {
       closed_by_peer = true;
       Close();
     }
--- a/test/process_cluster.cc
+++ b/test/process_cluster.cc
@@ -267,6 +267,15 @@
   return process.pid != 0;
 }
 
+double ProcessCluster::PeakMemoryKb(const std::string& name) const {
+  constexpr std::string_view kField = "VmHWM:";
+  const std::string status =
+      ReadFile("/proc/" + std::to_string(processes_.at(name).pid) + "/status");
+  const size_t field = status.find(kField);
+  ENDIVECLEAT_CHECK(field != std::string::npos, name + " does not run");
+  return std::strtod(status.c_str() + field + kField.size(), nullptr);
+}
+
 void ProcessCluster::DeleteData(const std::string& control) {
   std::filesystem::remove_all(folder_ / (control + ".data"));
 }
--- a/test/process_cluster.h
+++ b/test/process_cluster.h
@@ -85,6 +85,8 @@
   /// Returns whether the process runs, and reaps it if it has exited.
   bool IsRunning(const std::string& name);
   void DeleteData(const std::string& control);
+  /// Largest resident memory of a running process so far, in KiB.
+  double PeakMemoryKb(const std::string& name) const;
 
   RpcAnswer Rpc(int control, const std::string& method, const nlohmann::json& parameters) const;
   RpcAnswer Submit(int control, const std::string& operation, uint64_t base,
