Send the endless response of a test in small parts

The process test of a response in small parts sent them without a pause, so that it ended at the header limit and not at the deadline, the case that it is meant for.

--- a/test/failure/process_endless_response_test.cc
+++ b/test/failure/process_endless_response_test.cc
@@ -30,9 +30,10 @@
 /// and then `repeated` until the connection ends.
 class EndlessTarget {
  public:
-  EndlessTarget(std::string start, std::string repeated)
+  EndlessTarget(std::string start, std::string repeated, std::chrono::milliseconds pause)
       : start_(std::move(start)),
         repeated_(std::move(repeated)),
+        pause_(pause),
         listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in address = Loopback(0);
     socklen_t size = sizeof(address);
@@ -92,6 +93,7 @@
         open = Send(socket, start_);
         while (open && !stop_) {
           open = Send(socket, repeated_);
+          std::this_thread::sleep_for(pause_);
         }
       }
       received.clear();
@@ -116,6 +118,7 @@
 
   const std::string start_;
   const std::string repeated_;
+  const std::chrono::milliseconds pause_;  // between two parts
   int listener_;
   uint16_t port_ = 0;
   std::atomic<bool> stop_ = false;
@@ -130,8 +133,9 @@
     /// Starts a cluster whose targets all answer so, calls it, and requires one clear answer to
     /// each
     /// call in time, free slots after them, and a bounded memory.
-    static void RequireBounded(const std::string& start,
-                               const std::string& repeated){EndlessTarget target(start, repeated);
+    static void RequireBounded(const std::string& start, const std::string& repeated,
+                               std::chrono::milliseconds pause = {}){
+        EndlessTarget target(start, repeated, pause);
 ProcessCluster cluster([&](uint16_t) { return target.port(); });
 CHECK(cluster.Start());
 const double before = cluster.PeakMemoryKb(ProcessCluster::Daemon(1));
@@ -171,7 +175,7 @@
 }
 
 TEST(ProcessEndlessResponse, InSmallPartsEndsAtTheDeadline) {
-  RequireBounded("HTTP/1.1 200 OK\r\nX: ", "x");
+  RequireBounded("HTTP/1.1 200 OK\r\nX: ", "x", std::chrono::milliseconds(20));
 }
 
 }  // namespace endivecleat::test
