Check routes for duplicates without a key for each method

Change: routes are grouped by host and prefix; methods are compared only when a group has more than one route. The reports are the same. Tests: configuration_error_test, stored_compiler_test (unchanged).

--- a/src/configuration_check.cc
+++ b/src/configuration_check.cc
@@ -371,29 +371,44 @@
     if (!route.path_prefix) {
       return;
     }
-    std::set<std::string> reported;
-    std::set<std::string> methods(kMethods.begin(), kMethods.end());
-    if (route.methods) {
-      methods = std::set<std::string>(route.methods->begin(), route.methods->end());
+    std::vector<const ParsedRoute*>& earlier =
+        routes_by_match_[{route.host.value_or(""), *route.path_prefix}];
+    if (!earlier.empty()) {
+      ReportDuplicates(path, route, earlier);
     }
-    for (const std::string& method : methods) {
-      const auto [existing, is_new] = route_names_by_key_.try_emplace(
-          {route.host.value_or(""), *route.path_prefix, method}, route.name.value_or(""));
-      if (!is_new && reported.insert(existing->second).second) {
-        Report(path, "equals route " + Quoted(existing->second) +
-                         " in host, path prefix and method " + method);
+    earlier.push_back(&route);
+  }
+
+  static std::set<std::string> MethodsOf(const ParsedRoute& route) {
+    return route.methods ? std::set<std::string>(route.methods->begin(), route.methods->end())
+                         : std::set<std::string>(kMethods.begin(), kMethods.end());
+  }
+
+  void ReportDuplicates(const std::string& path, const ParsedRoute& route,
+                        const std::vector<const ParsedRoute*>& earlier) {
+    std::set<std::string> reported;
+    for (const std::string& method : MethodsOf(route)) {
+      const auto existing = std::find_if(
+          earlier.begin(), earlier.end(),
+          [&](const ParsedRoute* other) { return MethodsOf(*other).contains(method); });
+      if (existing == earlier.end()) {
+        continue;
+      }
+      const std::string name = (*existing)->name.value_or("");
+      if (reported.insert(name).second) {
+        Report(path, "equals route " + Quoted(name) + " in host, path prefix and method " + method);
       }
     }
   }
 
-  using RouteKey = std::array<std::string, 3>;  // host, path prefix, method
+  using RouteMatch = std::pair<std::string, std::string>;  // host, path prefix
 
   const ParsedPreset& preset_;
   std::string path_;
   std::vector<Problem>& problems_;
   std::set<std::string> service_names_;
   std::set<std::string> route_names_;
-  std::map<RouteKey, std::string> route_names_by_key_;  // name of the first route with this key
+  std::map<RouteMatch, std::vector<const ParsedRoute*>> routes_by_match_;
 };
 
 }  // namespace
