Notify daemons that pulled not long ago of the next version

Cause: a control instance notifies the daemons that gossip lists. One that has just started isn't listed yet; it hears of the next version by the random notices of daemons in other regions, pulls from those, and two of these pulls timed out after 0.7 s each. Evidence: sidecar-ebro-b-23, started at 24.9 s, pulls version 10 from 10.1.0.47 and 10.3.0.45 (both another region), in force at 27.50 s with 12. Change: a source also notifies those that pulled last, up to its fan-out, for 10 s. Test: ConfigSourceWithOneVersion NotifiesADaemonThatPulledAndIsNotListed; without the change one notice is sent in place of two.

--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -43,12 +43,34 @@
     return {};
   }
   std::vector<PeerMessage> out = Store(now, std::move(text));
-  for (const InstanceId& peer : ChooseRandom(peers, settings_.notice_fanout, &random_)) {
+  for (const InstanceId& peer : NoticeReceivers(now, peers)) {
     out.push_back({peer, MakeNotice()});
   }
   return out;
 }
 
+std::vector<InstanceId> ConfigSource::NoticeReceivers(TimePoint now,
+                                                      const std::vector<InstanceId>& peers) {
+  std::erase_if(pullers_,
+                [&](const auto& item) { return now - item.second > settings_.puller_lifetime; });
+  std::vector<InstanceId> receivers = ChooseRandom(peers, settings_.notice_fanout, &random_);
+  for (const auto& [puller, at] : pullers_) {
+    if (std::find(receivers.begin(), receivers.end(), puller) == receivers.end()) {
+      receivers.push_back(puller);
+    }
+  }
+  return receivers;
+}
+
+void ConfigSource::RecordPuller(TimePoint now, const InstanceId& from) {
+  pullers_[from] = now;
+  if (pullers_.size() > settings_.notice_fanout) {
+    pullers_.erase(std::min_element(
+        pullers_.begin(), pullers_.end(),
+        [](const auto& one, const auto& other) { return one.second < other.second; }));
+  }
+}
+
 void ConfigSource::NoteKnownVersion(TimePoint now, ConfigVersion version) {
   if (version == rejected_) {
     return;
@@ -141,6 +163,7 @@
 std::vector<PeerMessage> ConfigSource::HandlePull(TimePoint now, const InstanceId& from,
                                                   const ConfigMessage& pull) {
   std::vector<PeerMessage> out;
+  RecordPuller(now, from);
   std::erase_if(queue_, [&](const QueuedPull& queued) { return queued.from == from; });
   in_flight_.erase(from);  // a repeated pull means that the earlier transfer is over or lost
   if (newest() && pull.version >= newest()->version) {
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -34,6 +34,8 @@
   // Each daemon holds this history; beyond this size the memory costs more than the saved traffic.
   ByteCount history_bytes{512U << 10U};
   size_t notice_fanout = 4;  // random peers notified by Publish
+  // Of the peers that pulled last, as many as notice_fanout are notified as well, for this long.
+  Duration puller_lifetime = std::chrono::seconds(10);
   /// A newer version that no message has mentioned for this time is considered lost.
   Duration known_version_lifetime = std::chrono::seconds(30);
 };
@@ -45,7 +47,8 @@
 
   /// Stores a new version and serves the queued pulls. A version that is not newer is ignored.
   std::vector<PeerMessage> Store(TimePoint now, ConfigTextPtr text);
-  /// Stores a new version and notifies random peers.
+  /// Stores a new version and notifies random peers, and those that pulled not long ago: gossip may
+  /// not list them yet after their start.
   std::vector<PeerMessage> Publish(TimePoint now, ConfigTextPtr text,
                                    const std::vector<InstanceId>& peers);
   /// Records that another instance has this version. While the stored version is older, it is not
@@ -88,6 +91,8 @@
     EncodedTransfer transfer;
   };
 
+  void RecordPuller(TimePoint now, const InstanceId& from);
+  std::vector<InstanceId> NoticeReceivers(TimePoint now, const std::vector<InstanceId>& peers);
   bool MayServe(TimePoint now, ConfigVersion requester_version) const;
   void ServeQueue(TimePoint now, std::vector<PeerMessage>* out);
   std::vector<PeerMessage> HandlePull(TimePoint now, const InstanceId& from,
@@ -107,6 +112,7 @@
   size_t history_bytes_ = 0;           // total size of the texts in history_
   std::map<InstanceId, TransferInFlight> in_flight_;
   std::deque<QueuedPull> queue_;
+  std::map<InstanceId, TimePoint> pullers_;  // last pull of each; at most notice_fanout
   ConfigVersion newest_known_;
   TimePoint newest_known_at_;
   ConfigVersion rejected_;
--- a/test/correctness/config_replica_test.cc
+++ b/test/correctness/config_replica_test.cc
@@ -123,6 +123,21 @@
   LONGS_EQUAL(6, answer.front().message.version.value());
 }
 
+// Guards against a daemon that has just started, which gossip does not list yet, and that hears of
+// the next version from far away only.
+TEST(ConfigSourceWithOneVersion, NotifiesADaemonThatPulledAndIsNotListed) {
+  source.Receive(kStart, Peer(1), Pull());
+  const auto sent = source.Publish(kStart + std::chrono::seconds(1), MakeText(6), {Peer(2)});
+  LONGS_EQUAL(2, sent.size());
+  CHECK(sent[0].to == Peer(2) && sent[1].to == Peer(1));
+  CHECK(sent[1].message.kind == Kind::kNotice);
+}
+
+TEST(ConfigSourceWithOneVersion, ForgetsPullsAfterTheirLifetime) {
+  source.Receive(kStart, Peer(1), Pull());
+  LONGS_EQUAL(0, source.Publish(kStart + std::chrono::seconds(11), MakeText(6), {}).size());
+}
+
 // Guards against a source that lets daemons wait for small transfers, which cost it next to
 // nothing.
 TEST(ConfigSourceWithOneVersion, SendsDeltasToAllAtOnce) {
