Send deltas to daemons that are some versions behind

Cause: a control instance kept 512 kB of texts, one version of 400 kB, so most transfers were whole (26 kB, 75 ms of a daemon's link of 2.8 Mbit/s); and it cached only its last encoding, so daemons with different versions had it encode a transfer for each pull. Change: control instances keep 4 MiB of texts (3.6 MiB more in each of four processes), and a source caches one transfer for each base version. Ruled out: chains of deltas in daemons; control instances now answer nearly all pulls. Test: ConfigSourcePulledByMany EncodesOneTransferForEachBase; 20 encodings in place of 2 before.

--- a/src/config_source.cc
+++ b/src/config_source.cc
@@ -26,6 +26,7 @@
   if (newest() && text->version <= newest()->version) {
     return out;
   }
+  cached_transfers_.clear();
   history_bytes_ += text->text.size();
   history_.push_back(std::move(text));
   while (history_.size() > 1 && (history_.size() > settings_.history ||
@@ -217,14 +218,14 @@
 ConfigMessage ConfigSource::MakeTransfer(const ConfigMessage& pull) {
   const ConfigText* base = FindBase(pull.version, pull.digest);
   const ConfigVersion from = base == nullptr ? ConfigVersion() : base->version;
-  if (!cached_transfer_ || cached_transfer_->from != from ||
-      cached_transfer_->to != newest()->version) {
-    cached_transfer_ = CachedTransfer{from, newest()->version, codec_.encode(base, *newest())};
+  auto cached = cached_transfers_.find(from);
+  if (cached == cached_transfers_.end()) {
+    cached = cached_transfers_.emplace(from, codec_.encode(base, *newest())).first;
   }
   ConfigMessage transfer = MakeNotice();
   transfer.kind = Kind::kTransfer;
-  transfer.transfer = cached_transfer_->transfer.kind;
-  transfer.bytes = cached_transfer_->transfer.bytes;
+  transfer.transfer = cached->second.kind;
+  transfer.bytes = cached->second.bytes;
   if (transfer.transfer == TransferKind::kDelta) {
     transfer.base = pull.version;
   }
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -85,12 +85,6 @@
     TimePoint expires_at;
   };
 
-  struct CachedTransfer {
-    ConfigVersion from;  // base version; 0 when there is no base
-    ConfigVersion to;
-    EncodedTransfer transfer;
-  };
-
   void RecordPuller(TimePoint now, const InstanceId& from);
   std::vector<InstanceId> NoticeReceivers(TimePoint now, const std::vector<InstanceId>& peers);
   bool MayServe(TimePoint now, ConfigVersion requester_version) const;
@@ -106,8 +100,9 @@
   ConfigSourceSettings settings_;
   TransferCodec codec_;
   SeededRandom random_;
-  // Cache of the last encoded transfer: after a change most pulls need the same one.
-  std::optional<CachedTransfer> cached_transfer_;
+  // Encoded transfers of the newest version, by base version (0: none). After a change most pulls
+  // need the same few.
+  std::map<ConfigVersion, EncodedTransfer> cached_transfers_;
   std::deque<ConfigTextPtr> history_;  // ascending versions
   size_t history_bytes_ = 0;           // total size of the texts in history_
   std::map<InstanceId, TransferInFlight> in_flight_;
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -32,6 +32,9 @@
 // centre pull from it at once.
 constexpr ByteCount kMaxTransferBytes{4U << 20U};
 constexpr size_t kMaxQueuedPulls = 256;
+// Holds the last ten versions of a text of 400 kB, so that daemons a few versions behind get
+// deltas.
+constexpr ByteCount kHistoryBytes{4U << 20U};
 constexpr ByteCount kMaxConfigMessage{8U << 20U};
 
 std::filesystem::path LogFolder(const ControlSettings& settings, const std::string& log) {
@@ -82,6 +85,7 @@
   }
   source.max_transfer_bytes = kMaxTransferBytes;
   source.queue_length = kMaxQueuedPulls;
+  source.history_bytes = kHistoryBytes;
   LimitTimes(settings.in_force_within, source);
   return source;
 }
--- a/test/config_mesh.h
+++ b/test/config_mesh.h
@@ -83,8 +83,8 @@
   size_t text_bytes = 0;    // of each version, beside what MakeText always writes
   // Bytes per second of a daemon's link, for transfers in either direction; 0: unlimited.
   size_t link_rate = 0;
-  // The control instance knows every daemon. Otherwise it knows those of which the simplified gossip
-  // has told it in the last 5 s.
+  // The control instance knows every daemon. Otherwise it knows those of which the simplified
+  // gossip has told it in the last 5 s.
   bool all_daemons_known = false;
 };
 
@@ -98,7 +98,7 @@
   std::vector<uint64_t> installed;  // versions in order of installation since the last start
   TimePoint next_tick;
   TimePoint link_free_at;  // a transfer occupies the link until then
-  TimePoint busy_until;    // neither handles nor sends anything before, because it installs a version
+  TimePoint busy_until;  // neither handles nor sends anything before, because it installs a version
   std::vector<std::pair<InstanceId, ConfigMessage>> inbox;  // received while it was busy
 };
 
@@ -306,7 +306,8 @@
                     Id(from), outgoing.to, outgoing.message);
     }
   }
-  /// Returns when the last byte has left, given that a daemon's link carries one transfer at a time.
+  /// Returns when the last byte has left, given that a daemon's link carries one transfer at a
+  /// time.
   TimePoint OccupyLinks(TimePoint sent_at, size_t from, size_t to, size_t bytes) {
     if (options_.link_rate == 0 || bytes == 0) {
       return sent_at;
--- a/test/correctness/config_replica_test.cc
+++ b/test/correctness/config_replica_test.cc
@@ -79,6 +79,28 @@
   LONGS_EQUAL(2, encodings);
 }
 
+// Guards against a source that encodes a transfer for each pull when daemons have different
+// versions.
+TEST(ConfigSourcePulledByMany, EncodesOneTransferForEachBase) {
+  int encodings = 0;
+  auto codec = PrefixCodec();
+  codec.encode = [&, encode = codec.encode](const auto* base, const auto& next) {
+    ++encodings;
+    return encode(base, next);
+  };
+  ConfigSource source(ConfigSourceSettings{}, codec, 1);
+  for (uint64_t version = 1; version <= 3; ++version) {
+    source.Store(kStart, MakeText(version));
+  }
+  for (int peer = 1; peer <= 20; ++peer) {
+    const auto base = static_cast<uint64_t>(1 + peer % 2);
+    const auto answer = source.Receive(kStart, Peer(peer),
+                                       {Kind::kPull, ConfigVersion(base), MakeText(base)->digest});
+    LONGS_EQUAL(base, answer.at(0).message.base.value());
+  }
+  LONGS_EQUAL(2, encodings);
+}
+
 TEST_GROUP(ConfigSourceWithOneVersion) {
   ConfigSource source{ConfigSourceSettings{}, PrefixCodec(), 1};
   void setup() override { source.Store(kStart, MakeText(5)); }
--- a/test/failure/process_endless_response_test.cc
+++ b/test/failure/process_endless_response_test.cc
@@ -13,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "errors.h"
 #include "loopback.h"
 #include "process_cluster.h"
 
@@ -20,6 +21,7 @@
 namespace {
 
 constexpr int kPollMs = 20;
+constexpr int kBacklog = 64;
 // ServicePolicy::timeout of ProcessCluster::Document, and what a busy machine may add.
 constexpr std::chrono::seconds kAnswerWithin(2 + 4);
 constexpr int kCalls = 18;  // twice the slots of the target
@@ -37,8 +39,8 @@
         listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in address = Loopback(0);
     socklen_t size = sizeof(address);
-    ::bind(listener_, AsSockaddr(address), size);
-    ::listen(listener_, 64);
+    ENDIVECLEAT_CHECK(::bind(listener_, AsSockaddr(address), size) == 0, "cannot bind");
+    ENDIVECLEAT_CHECK(::listen(listener_, kBacklog) == 0, "cannot listen");
     ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
     acceptor_ = std::thread([this] { Accept(); });
