Split the reuse of routes into steps

CompileParts found the unchanged routes, parsed the others and checked them all in one function of 70 lines; each step is now a function.

--- a/src/stored_compiler.cc
+++ b/src/stored_compiler.cc
@@ -85,6 +85,33 @@
 
 std::shared_ptr<const CompiledConfiguration> StoredCompiler::CompileParts(
     const StoredTextParts& parts, const std::string& text, ConfigVersion version) {
+  Routes routes = ReuseRoutes(parts);
+  std::optional<CheckedConfiguration> checked;
+  try {
+    checked = ParseChanged(parts, routes);
+  } catch (const UserError&) {
+    return nullptr;  // the whole text has the problem as well, and its place there is reported
+  }
+  if (!checked) {
+    return nullptr;
+  }
+  CheckedPreset& preset = checked->presets.front();
+  if (!NameIsUnique(routes.compiled) || !ServicesExist(routes.compiled, preset.services) ||
+      !MatchIsUnique(routes.compiled)) {
+    return nullptr;
+  }
+  work_ = {.parsed_routes = routes.changed.size(),
+           .reused_routes = routes.compiled.size() - routes.changed.size()};
+  preset.routes = std::move(routes.compiled);
+  routes_ = std::move(routes.digests);
+  checked_presets_.clear();
+  for (const StoredTextParts::Preset& other : parts.other_presets) {
+    checked_presets_.insert(DigestOf(other));
+  }
+  return CompileChecked(std::move(*checked), version, text);
+}
+
+StoredCompiler::Routes StoredCompiler::ReuseRoutes(const StoredTextParts& parts) const {
   struct DigestHash {
     size_t operator()(const Digest& digest) const { return digest[0]; }
   };
@@ -92,60 +119,46 @@
   for (size_t position = 0; position < routes_.size(); ++position) {
     positions.emplace(routes_[position], position);
   }
-  std::vector<Digest> digests;
-  std::vector<CompiledRoute> routes(parts.routes.size());
-  std::vector<size_t> changed;  // positions in parts.routes
+  Routes routes;
+  routes.compiled.resize(parts.routes.size());
   for (size_t position = 0; position < parts.routes.size(); ++position) {
-    digests.push_back(DigestOf(parts.routes[position]));
-    if (const auto known = positions.find(digests.back()); known != positions.end()) {
-      routes[position] = compiled_->routes()[known->second];
+    routes.digests.push_back(DigestOf(parts.routes[position]));
+    if (const auto known = positions.find(routes.digests.back()); known != positions.end()) {
+      routes.compiled[position] = compiled_->routes()[known->second];
     } else {
-      changed.push_back(position);
+      routes.changed.push_back(position);
     }
   }
+  return routes;
+}
 
+std::optional<CheckedConfiguration> StoredCompiler::ParseChanged(const StoredTextParts& parts,
+                                                                 Routes& routes) const {
   std::optional<CheckedConfiguration> checked;
   std::vector<StoredTextParts::Preset> presets = UncheckedPresets(parts);
   size_t done = 0;
-  do {
+  do {  // once at least, for what is not a route
     const auto together =
-        std::span(changed).subspan(done, std::min(changed.size() - done, kRoutesParsedTogether));
+        std::span(routes.changed)
+            .subspan(done, std::min(routes.changed.size() - done, kRoutesParsedTogether));
     std::vector<std::string_view> texts;
     for (const size_t position : together) {
       texts.push_back(parts.routes[position]);
     }
-    CheckedConfiguration part;
-    try {
-      part = ParseAndCheck({JoinStoredText(parts, texts, std::exchange(presets, {}))});
-    } catch (const UserError&) {
-      return nullptr;
-    }
-    const auto preset =
-        std::find_if(part.presets.begin(), part.presets.end(),
-                     [&](const CheckedPreset& each) { return each.name == part.preset_in_force; });
-    if (preset == part.presets.end() || preset->routes.size() != together.size()) {
-      return nullptr;
+    checked = ParseAndCheck({JoinStoredText(parts, texts, std::exchange(presets, {}))});
+    const auto preset = std::find_if(
+        checked->presets.begin(), checked->presets.end(),
+        [&](const CheckedPreset& each) { return each.name == checked->preset_in_force; });
+    if (preset == checked->presets.end() || preset->routes.size() != together.size()) {
+      return std::nullopt;
     }
     for (size_t index = 0; index < together.size(); ++index) {
-      routes[together[index]] = std::move(preset->routes[index]);
+      routes.compiled[together[index]] = std::move(preset->routes[index]);
     }
+    checked->presets = {std::move(*preset)};
     done += together.size();
-    part.presets = {std::move(*preset)};
-    checked = std::move(part);
-  } while (done < changed.size());
-
-  CheckedPreset& preset = checked->presets.front();
-  if (!NameIsUnique(routes) || !ServicesExist(routes, preset.services) || !MatchIsUnique(routes)) {
-    return nullptr;
-  }
-  work_ = {.parsed_routes = changed.size(), .reused_routes = routes.size() - changed.size()};
-  preset.routes = std::move(routes);
-  routes_ = std::move(digests);
-  checked_presets_.clear();
-  for (const StoredTextParts::Preset& other : parts.other_presets) {
-    checked_presets_.insert(DigestOf(other));
-  }
-  return CompileChecked(std::move(*checked), version, text);
+  } while (done < routes.changed.size());
+  return checked;
 }
 
 StoredCompiler::Digest StoredCompiler::DigestOf(std::string_view text) {
--- a/src/stored_compiler.h
+++ b/src/stored_compiler.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,6 +19,7 @@
 
 namespace endivecleat {
 
+/// Compiles texts in the order of their versions.
 class StoredCompiler {
  public:
   /// What the last Compile did with the routes of the preset in force.
@@ -34,12 +36,25 @@
  private:
   using Digest = std::array<uint64_t, 2>;  // XXH3-128 of a part of a text
 
+  // The routes of a text; all vectors but `changed` are parallel to StoredTextParts::routes.
+  struct Routes {
+    std::vector<Digest> digests;
+    std::vector<CompiledRoute> compiled;
+    std::vector<size_t> changed;  // positions of routes that the text before did not have
+  };
+
   static Digest DigestOf(std::string_view text);
   static Digest DigestOf(const StoredTextParts::Preset& preset);
   /// Returns null when the text has to be compiled as a whole.
   std::shared_ptr<const CompiledConfiguration> CompileParts(const StoredTextParts& parts,
                                                             const std::string& text,
                                                             ConfigVersion version);
+  Routes ReuseRoutes(const StoredTextParts& parts) const;
+  /// Fills in the changed routes. Returns the rest of the configuration with the preset in force
+  /// alone, without its routes; nullopt when the parts are not what they seem. Throws UserError.
+  std::optional<CheckedConfiguration> ParseChanged(const StoredTextParts& parts,
+                                                   Routes& routes) const;
+  /// The presets not in force that the text before did not have.
   std::vector<StoredTextParts::Preset> UncheckedPresets(const StoredTextParts& parts) const;
 
   std::shared_ptr<const CompiledConfiguration> compiled_;  // the result of the last Compile
