--- a/src/stored_text.cc
+++ b/src/stored_text.cc
@@ -63,7 +63,8 @@
     return complete ? std::optional(text_.substr(start, position_ - start)) : std::nullopt;
   }
 
-  /// Calls `read` at the value of each member of an object. Returns false if it does so.
+  /// Calls `read` at the value of each member of an object, which it has to skip. Stops and returns
+  /// false when `read` does, or when the text is no object.
   bool ReadObject(const std::function<bool(std::string_view key)>& read) {
     if (!Skip('{')) {
       return false;
--- a/test/correctness/config_replica_test.cc
+++ b/test/correctness/config_replica_test.cc
@@ -12,9 +12,11 @@
 using endivecleat::ConfigMessage;
 using endivecleat::ConfigSource;
 using endivecleat::ConfigSourceSettings;
+using endivecleat::ConfigText;
 using endivecleat::ConfigVersion;
 using endivecleat::InstanceId;
 using endivecleat::TimePoint;
+using endivecleat::TransferCodec;
 using endivecleat::TransferKind;
 using endivecleat::test::ConfigMesh;
 using endivecleat::test::MakeText;
@@ -59,16 +61,21 @@
 }
 
 // Guards against a source that encodes the same transfer again for each daemon that pulls it.
-TEST_GROUP(ConfigSourcePulledByMany){};
+TEST_GROUP(ConfigSourcePulledByMany) {
+  int encodings = 0;
+
+  TransferCodec CountingCodec() {
+    TransferCodec codec = PrefixCodec();
+    codec.encode = [this, encode = codec.encode](const ConfigText* base, const ConfigText& next) {
+      ++encodings;
+      return encode(base, next);
+    };
+    return codec;
+  }
+};
 
 TEST(ConfigSourcePulledByMany, EncodesTheSameTransferOnce) {
-  int encodings = 0;
-  auto codec = PrefixCodec();
-  codec.encode = [&, encode = codec.encode](const auto* base, const auto& next) {
-    ++encodings;
-    return encode(base, next);
-  };
-  ConfigSource source(ConfigSourceSettings{}, codec, 1);
+  ConfigSource source(ConfigSourceSettings{}, CountingCodec(), 1);
   source.Publish(kStart, MakeText(1), {});
   for (int number = 1; number <= 4; ++number) {
     LONGS_EQUAL(1, source.Receive(kStart, Peer(number), Pull()).size());
@@ -82,13 +89,7 @@
 // Guards against a source that encodes a transfer for each pull when daemons have different
 // versions.
 TEST(ConfigSourcePulledByMany, EncodesOneTransferForEachBase) {
-  int encodings = 0;
-  auto codec = PrefixCodec();
-  codec.encode = [&, encode = codec.encode](const auto* base, const auto& next) {
-    ++encodings;
-    return encode(base, next);
-  };
-  ConfigSource source(ConfigSourceSettings{}, codec, 1);
+  ConfigSource source(ConfigSourceSettings{}, CountingCodec(), 1);
   for (uint64_t version = 1; version <= 3; ++version) {
     source.Store(kStart, MakeText(version));
   }
--- a/test/correctness/stored_compiler_test.cc
+++ b/test/correctness/stored_compiler_test.cc
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -51,6 +52,43 @@
   return Outcome([&] { return compiler.Compile(text, ConfigVersion(1)); });
 }
 
+/// Changes, adds, moves or removes a part of the document, not always to a valid one.
+void ChangeAtRandom(SeededRandom& random, Json& document) {
+  constexpr std::array kPresets = {"ordinary", "peak", "maintenance"};
+  Json& preset = document["presets"][kPresets.at(random.Below(kPresets.size()))];
+  Json& routes = preset["routes"];
+  const size_t index = random.Below(routes.size());
+  switch (random.Below(8)) {
+    case 0:
+      routes[index]["objective_ms"] = 1 + random.Below(1000);
+      break;
+    case 1:
+      routes.erase(index);
+      break;
+    case 2:
+      std::swap(routes[index], routes[random.Below(routes.size())]);
+      break;
+    case 3: {
+      Json route = routes[index];
+      route["name"] = "added-" + std::to_string(random.Below(50));
+      route["path_prefix"] = "/added" + std::to_string(random.Below(50));
+      routes.push_back(route);
+      break;
+    }
+    case 4:
+      preset["services"]["service-" + std::to_string(index)]["targets"] = {"*"};
+      break;
+    case 5:
+      preset["services"].erase("service-" + std::to_string(random.Below(200)));
+      break;
+    case 6:
+      document["preset_in_force"] = kPresets.at(random.Below(kPresets.size()));
+      break;
+    default:
+      document["revision"] = std::to_string(random.Below(1000));
+  }
+}
+
 }  // namespace
 
 TEST_GROUP(StoredCompilerWithAConfiguration) {
@@ -133,45 +171,7 @@
   CHECK(WholeOutcome(document.dump(2)) == OutcomeOf(compiler, document.dump(2)));
 }
 
-TEST_GROUP(StoredCompilerUnderRandomChanges){
-    /// Changes, adds, moves or removes a part of the document, not always to a valid one.
-    static void ChangeAtRandom(SeededRandom & random, Json& document){
-        const char * names[] = {"ordinary", "peak", "maintenance"};
-Json& preset = document["presets"][names[random.Below(3)]];
-Json& routes = preset["routes"];
-const size_t index = random.Below(routes.size());
-switch (random.Below(8)) {
-  case 0:
-    routes[index]["objective_ms"] = 1 + random.Below(1000);
-    break;
-  case 1:
-    routes.erase(index);
-    break;
-  case 2:
-    std::swap(routes[index], routes[random.Below(routes.size())]);
-    break;
-  case 3: {
-    Json route = routes[index];
-    route["name"] = "added-" + std::to_string(random.Below(50));
-    route["path_prefix"] = "/added" + std::to_string(random.Below(50));
-    routes.push_back(route);
-    break;
-  }
-  case 4:
-    preset["services"]["service-" + std::to_string(index)]["targets"] = {"*"};
-    break;
-  case 5:
-    preset["services"].erase("service-" + std::to_string(random.Below(200)));
-    break;
-  case 6:
-    document["preset_in_force"] = names[random.Below(3)];
-    break;
-  default:
-    document["revision"] = std::to_string(random.Below(1000));
-}
-}
-}
-;
+TEST_GROUP(StoredCompilerUnderRandomChanges){};
 
 TEST(StoredCompilerUnderRandomChanges, GivesTheSameAsTheWholeText) {
   for (const uint64_t seed : Seeds(20)) {
@@ -193,7 +193,7 @@
   }
 }
 
-TEST(StoredCompilerUnderRandomChanges, GivesTheSameForSpoiltTexts) {
+TEST(StoredCompilerUnderRandomChanges, GivesTheSameForCorruptedTexts) {
   constexpr std::string_view kBytes = "{}[]\",:\\ a0";
   for (const uint64_t seed : Seeds(20)) {
     SeededRandom random(seed);
@@ -201,22 +201,22 @@
     StoredCompiler compiler;
     for (int trial = 0; trial < 60; ++trial) {
       CHECK(WholeOutcome(valid) == OutcomeOf(compiler, valid));
-      std::string spoilt = valid;
+      std::string corrupted = valid;
       for (uint64_t count = 1 + random.Below(3); count > 0; --count) {
-        const size_t position = random.Below(spoilt.size());
+        const size_t position = random.Below(corrupted.size());
         const char byte = kBytes[random.Below(kBytes.size())];
         switch (random.Below(3)) {
           case 0:
-            spoilt[position] = byte;
+            corrupted[position] = byte;
             break;
           case 1:
-            spoilt.insert(position, 1, byte);
+            corrupted.insert(position, 1, byte);
             break;
           default:
-            spoilt.erase(position, 1 + random.Below(40));
+            corrupted.erase(position, 1 + random.Below(40));
         }
       }
-      if (OutcomeOf(compiler, spoilt) != WholeOutcome(spoilt)) {
+      if (OutcomeOf(compiler, corrupted) != WholeOutcome(corrupted)) {
         FailWithSeed(seed, "trial " + std::to_string(trial) + " gives another result");
       }
     }
--- a/test/failure/process_endless_response_test.cc
+++ b/test/failure/process_endless_response_test.cc
@@ -129,44 +129,42 @@
   std::vector<std::thread> servers_;
 };
 
+/// Starts a cluster whose targets all answer so and calls it. Requires one clear answer to each
+/// call in time, free slots after them, and a bounded memory.
+void RequireBounded(const std::string& start, const std::string& repeated,
+                    std::chrono::milliseconds pause = {}) {
+  EndlessTarget target(start, repeated, pause);
+  ProcessCluster cluster([&](uint16_t) { return target.port(); });
+  CHECK(cluster.Start());
+  const double before = cluster.PeakMemoryKb(ProcessCluster::Daemon(1));
+  std::array<HttpResponse, kCalls> answers;
+  std::array<std::chrono::steady_clock::duration, kCalls> taken{};
+  std::vector<std::thread> callers;
+  for (size_t call = 0; call < kCalls; ++call) {
+    callers.emplace_back([&, call] {
+      const auto sent_at = std::chrono::steady_clock::now();
+      answers.at(call) = cluster.Call(1, GetRequest("/bins"));
+      taken.at(call) = std::chrono::steady_clock::now() - sent_at;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(target.requests() > 0);
+  for (size_t call = 0; call < kCalls; ++call) {
+    CHECK(answers.at(call).status >= 500);
+    CHECK(taken.at(call) < kAnswerWithin);
+  }
+  CHECK(WaitFor([&] {
+    const nlohmann::json health = cluster.Health(1);
+    return health.is_object() && health["running"] == 0;
+  }));
+  CHECK(cluster.PeakMemoryKb(ProcessCluster::Daemon(1)) - before < kMaxGrowthKb);
+}
+
 }  // namespace
 
-TEST_GROUP(ProcessEndlessResponse){
-    /// Starts a cluster whose targets all answer so, calls it, and requires one clear answer to
-    /// each
-    /// call in time, free slots after them, and a bounded memory.
-    static void RequireBounded(const std::string& start, const std::string& repeated,
-                               std::chrono::milliseconds pause = {}){
-        EndlessTarget target(start, repeated, pause);
-ProcessCluster cluster([&](uint16_t) { return target.port(); });
-CHECK(cluster.Start());
-const double before = cluster.PeakMemoryKb(ProcessCluster::Daemon(1));
-std::array<HttpResponse, kCalls> answers;
-std::array<std::chrono::steady_clock::duration, kCalls> taken{};
-std::vector<std::thread> callers;
-for (size_t call = 0; call < kCalls; ++call) {
-  callers.emplace_back([&, call] {
-    const auto sent_at = std::chrono::steady_clock::now();
-    answers.at(call) = cluster.Call(1, GetRequest("/bins"));
-    taken.at(call) = std::chrono::steady_clock::now() - sent_at;
-  });
-}
-for (std::thread& caller : callers) {
-  caller.join();
-}
-CHECK(target.requests() > 0);
-for (size_t call = 0; call < kCalls; ++call) {
-  CHECK(answers.at(call).status >= 500);
-  CHECK(taken.at(call) < kAnswerWithin);
-}
-CHECK(WaitFor([&] {
-  const nlohmann::json health = cluster.Health(1);
-  return health.is_object() && health["running"] == 0;
-}));
-CHECK(cluster.PeakMemoryKb(ProcessCluster::Daemon(1)) - before < kMaxGrowthKb);
-}  // namespace endivecleat::test
-}
-;
+TEST_GROUP(ProcessEndlessResponse){};
 
 TEST(ProcessEndlessResponse, InAHeadLeavesMemoryAndSlotsBounded) {
   RequireBounded("", std::string(65536, 'x'));
