--- a/src/config_log.cc
+++ b/src/config_log.cc
@@ -15,7 +15,7 @@
 struct EventText {
   const char* event;       // name of the log line
   const char* result;      // label of the counter
-  const char* waited_for;  // what `waited` measures, in the name of the histogram
+  const char* waited_for;  // name of the histogram of ConfigEvent::waited; null: none
 };
 
 EventText TextOf(Kind kind) {
