Log lost links, and from whom a daemon first hears of a version

Two events for the first word of a version, with the time since a control instance last sent anything, and two for links that close or can't be opened. No decision changes.

--- a/src/config_event.h
+++ b/src/config_event.h
@@ -15,6 +15,10 @@
     kPullAnswered,  // a transfer arrived
     kPullBusy,      // the source told the replica to retry later
     kPullTimedOut,  // no answer arrived in time
+    // of a replica, at the first word of a version newer than any before; `waited` is the time since
+    // the last message of a control instance
+    kVersionNoticed,   // from the peer itself
+    kVersionGossiped,  // from the membership's record of the peer
     // of a source; `waited` is the time that the pull was queued
     kTransferSent,
     kTransferExpired,  // not acknowledged in time; `waited` is the time since it was sent
--- a/src/config_log.cc
+++ b/src/config_log.cc
@@ -26,6 +26,10 @@
       return {"config_pull_busy", "busy", nullptr};
     case Kind::kPullTimedOut:
       return {"config_pull_timed_out", "timed_out", nullptr};
+    case Kind::kVersionNoticed:
+      return {"config_version_noticed", "noticed", nullptr};
+    case Kind::kVersionGossiped:
+      return {"config_version_gossiped", "gossiped", nullptr};
     case Kind::kTransferSent:
       return {"config_transfer_sent", "sent", "endivecleat_config_queue_seconds"};
     case Kind::kTransferExpired:
@@ -55,7 +59,7 @@
          {"waited_ms", ToMilliseconds(event.waited)}});
     metrics
         .Counter("endivecleat_config_distribution_total",
-                 "Pulls and transfers of configurations by result", {{"result", text.result}})
+                 "Versions learned of, pulls and transfers of configurations by result", {{"result", text.result}})
         .Increment();
     if (text.waited_for != nullptr) {
       metrics.DurationHistogram(text.waited_for, "Time that a pull waited")
--- a/src/config_replica.cc
+++ b/src/config_replica.cc
@@ -28,7 +28,8 @@
       codec_(codec),
       installer_(std::move(installer)),
       random_(seed),
-      source_(settings_.source, std::move(codec), random_.Next()) {
+      source_(settings_.source, std::move(codec), random_.Next()),
+      last_control_contact_(now) {
   const auto jitter = static_cast<uint64_t>(settings_.start_jitter.count());
   next_control_hello_ = now + Duration(random_.Below(jitter + 1));
   next_peer_hello_ = next_control_hello_;
@@ -39,15 +40,19 @@
 std::vector<PeerMessage> ConfigReplica::Receive(TimePoint now, const InstanceId& from,
                                                 const ConfigMessage& message) {
   Messages out;
+  if (Contains(settings_.local_controls, from)) {
+    last_control_contact_ = now;
+  }
+  constexpr auto kLearned = ConfigEvent::Kind::kVersionNoticed;
   switch (message.kind) {
     case Kind::kHello:
     case Kind::kPull:
-      RecordOffer(now, from, message.version, message.digest);
+      RecordOffer(now, from, message.version, message.digest, kLearned);
       out = source_.Receive(now, from, message);
       break;
     case Kind::kNotice:
       out = source_.Receive(now, from, message);
-      RecordOffer(now, from, message.version, message.digest);
+      RecordOffer(now, from, message.version, message.digest, kLearned);
       if (const auto candidate = candidates_.find(from); candidate != candidates_.end()) {
         candidate->second.last_notice_at = now;
         earliest_pull_at_ = std::min(earliest_pull_at_, now + settings_.offer_delay);
@@ -95,11 +100,16 @@
 }
 
 void ConfigReplica::RecordOffer(TimePoint now, const InstanceId& from, ConfigVersion version,
-                                const std::string& digest) {
+                                const std::string& digest, ConfigEvent::Kind learned) {
   if (version <= own_version()) {
     candidates_.erase(from);
     return;
   }
+  if (version > newest_offered_) {
+    newest_offered_ = version;
+    events_.push_back(
+        {.kind = learned, .peer = from, .version = version, .waited = now - last_control_contact_});
+  }
   source_.NoteKnownVersion(now, version);
   const auto [found, added] = candidates_.try_emplace(from);
   Candidate& candidate = found->second;
@@ -327,7 +337,7 @@
         same_version_peers_.push_back(peer.instance);
       }
     }
-    RecordOffer(now, peer.instance, peer.version, peer.digest);
+    RecordOffer(now, peer.instance, peer.version, peer.digest, ConfigEvent::Kind::kVersionGossiped);
   }
   std::sort(peers_.begin(), peers_.end());
 }
--- a/src/config_replica.h
+++ b/src/config_replica.h
@@ -109,7 +109,7 @@
   ConfigVersion own_version() const { return in_force() ? in_force()->version : ConfigVersion(); }
   ConfigMessage MakeOwnMessage(ConfigMessage::Kind kind) const;
   void RecordOffer(TimePoint now, const InstanceId& from, ConfigVersion version,
-                   const std::string& digest);
+                   const std::string& digest, ConfigEvent::Kind learned);
   void HandleTransfer(TimePoint now, const InstanceId& from, const ConfigMessage& transfer,
                       Messages* out);
   /// Verifies and installs a transfer. Returns null, and counts the reason, when it is discarded.
@@ -148,6 +148,8 @@
   size_t remote_index_ = 0;
   bool remote_poll_answered_ = true;
   Counters counters_;
+  ConfigVersion newest_offered_;     // of which a kVersion... event was recorded
+  TimePoint last_control_contact_;  // last message of a control instance, or the start
   ConfigEvents events_;
 };
 
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <system_error>
 
+#include "log.h"
 #include "tcp_socket.h"
 
 namespace endivecleat {
@@ -122,4 +123,17 @@
   }
 }
 
+void LogLostLink(const PeerLink& link, TimePoint now) {
+  const auto milliseconds_since = [now](TimePoint then) {
+    return static_cast<int64_t>((now - then).count() / 1000);
+  };
+  Log(LogLevel::kInfo, link.open ? "peer_link_lost" : "peer_link_not_opened",
+      {{"peer", link.peer.text()},
+       {"opened_by", std::string(link.outbound ? "this" : "peer")},
+       {"sent_ms_ago", milliseconds_since(link.last_sent_at)},
+       {"received_ms_ago", milliseconds_since(link.last_received_at)},
+       {"unsent_bytes", static_cast<uint64_t>(link.send_queue.queued_bytes())},
+       {"unanswered", static_cast<uint64_t>(link.sent_requests.size())}});
+}
+
 }  // namespace endivecleat
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -74,6 +74,10 @@
   const bool peer_acknowledges;  // the peer acknowledges fragments of large responses
   lws* wsi = nullptr;
   bool open = false;
+  // When bytes were last written to it and last arrived on it; before that, when it was opened or,
+  // until it is open, when the attempt began.
+  TimePoint last_sent_at;
+  TimePoint last_received_at;
   FrameQueue send_queue;
   FrameReassembler reassembler;
   uint32_t next_stream = 1;
@@ -82,6 +86,9 @@
   std::map<uint32_t, std::shared_ptr<PeerResponder::State>> received_requests;
 };
 
+/// Logs that a link has closed or could not be opened, and what was under way on it.
+void LogLostLink(const PeerLink& link, TimePoint now);
+
 }  // namespace endivecleat
 
 #endif  // ENDIVECLEAT_PEER_LINK_H_
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -257,7 +257,9 @@
 PeerLink* PeerNetwork::Impl::OpenLink(const Address& to, OutboundLink& outbound) {
   const uint64_t id = RegisterConnection();
   const auto epoch = static_cast<uint32_t>(random_.Next());
-  links_.emplace(id, std::make_unique<PeerLink>(id, true, to, epoch));
+  PeerLink& link =
+      *links_.emplace(id, std::make_unique<PeerLink>(id, true, to, epoch)).first->second;
+  link.last_sent_at = link.last_received_at = loop_.now();
   outbound.link_id = id;
   const std::string host = to.text();
   lws_client_connect_info info = {};
@@ -285,6 +287,7 @@
   SetStreamOptions(lws_get_socket_fd(wsi));
   link.wsi = wsi;
   link.open = true;
+  link.last_sent_at = link.last_received_at = loop_.now();
   if (link.outbound) {
     outbound_links_[link.peer].failures = 0;
   }
@@ -305,6 +308,9 @@
     return;
   }
   PeerLink& link = *node.mapped();
+  if (link.open || link.outbound) {
+    LogLostLink(link, loop_.now());
+  }
   bulk_window_.Remove(LinkNumber(id));
   std::erase(waiting_bulk_links_, id);
   WakeBulkLinks();
@@ -362,6 +368,7 @@
     WaitForBulkWindow(link.id);
     return 0;
   }
+  link.last_sent_at = now;
   auto* start = reinterpret_cast<unsigned char*>(write_buffer_.data()) + LWS_PRE;
   if (lws_write(link.wsi, start, bytes, LWS_WRITE_BINARY) < 0) {
     return -1;
@@ -426,6 +433,7 @@
 int PeerNetwork::Impl::OnReceived(PeerLink& link, std::string_view bytes) {
   std::array<uint64_t, kPeerChannelCount> counts = {};
   const uint64_t mismatches_before = link.reassembler.epoch_mismatches();
+  link.last_received_at = loop_.now();
   bool valid = false;
   loop_.RunCapturingException([&] {
     valid = link.reassembler.Feed(
