Replace a link on which nothing arrives when a request on it times out

What callers saw: routes that had been added were refused with 404 up to eight seconds after the acknowledgement of the change. Cause: a link that went silent without being closed was used again for each later request to that peer, until the kernel gave up unacknowledged data 2.5 s after its first use. A request that times out, while nothing arrived on its link since it was sent, detaches the link: the next request opens another one, and the old one closes when its other requests have ended. Ruled out: to close it at once, since a link to a slow peer may still bring responses.

--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -123,11 +123,13 @@
   }
 }
 
-void LogLostLink(const PeerLink& link, TimePoint now) {
+namespace {
+
+void LogLink(const char* event, const PeerLink& link, TimePoint now) {
   const auto milliseconds_since = [now](TimePoint then) {
     return static_cast<int64_t>((now - then).count() / 1000);
   };
-  Log(LogLevel::kInfo, link.open ? "peer_link_lost" : "peer_link_not_opened",
+  Log(LogLevel::kInfo, event,
       {{"peer", link.peer.text()},
        {"opened_by", std::string(link.outbound ? "this" : "peer")},
        {"sent_ms_ago", milliseconds_since(link.last_sent_at)},
@@ -136,4 +138,12 @@
        {"unanswered", static_cast<uint64_t>(link.sent_requests.size())}});
 }
 
+}  // namespace
+
+void LogLostLink(const PeerLink& link, TimePoint now) {
+  LogLink(link.open ? "peer_link_lost" : "peer_link_not_opened", link, now);
+}
+
+void LogSilentLink(const PeerLink& link, TimePoint now) { LogLink("peer_link_silent", link, now); }
+
 }  // namespace endivecleat
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -74,6 +74,7 @@
   const bool peer_acknowledges;  // the peer acknowledges fragments of large responses
   lws* wsi = nullptr;
   bool open = false;
+  bool detached = false;  // gets no more messages or requests; closes when its requests have ended
   // When bytes were last written to it and last arrived on it; before that, when it was opened or,
   // until it is open, when the attempt began.
   TimePoint last_sent_at;
@@ -89,6 +90,9 @@
 /// Logs that a link has closed or could not be opened, and what was under way on it.
 void LogLostLink(const PeerLink& link, TimePoint now);
 
+/// Logs that nothing arrives on a link, so that a new one replaces it.
+void LogSilentLink(const PeerLink& link, TimePoint now);
+
 }  // namespace endivecleat
 
 #endif  // ENDIVECLEAT_PEER_LINK_H_
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -314,7 +314,7 @@
   bulk_window_.Remove(LinkNumber(id));
   std::erase(waiting_bulk_links_, id);
   WakeBulkLinks();
-  if (link.outbound) {
+  if (link.outbound && !link.detached) {
     OutboundLink& outbound = outbound_links_[link.peer];
     outbound.link_id = 0;
     if (!link.open) {
@@ -329,6 +329,24 @@
   CancelReceivedRequests(link);
 }
 
+void PeerNetwork::Impl::DetachLink(PeerLink& link) {
+  OutboundLink& outbound = outbound_links_[link.peer];
+  if (outbound.link_id != link.id) {
+    return;
+  }
+  outbound.link_id = 0;
+  link.detached = true;
+  LogSilentLink(link, loop_.now());
+  CloseIfDetachedAndDone(link);
+}
+
+void PeerNetwork::Impl::CloseIfDetachedAndDone(PeerLink& link) {
+  const auto connection = connections_.find(link.id);
+  if (link.detached && link.sent_requests.empty() && connection != connections_.end()) {
+    lws_set_timeout(connection->second, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
+  }
+}
+
 void PeerNetwork::Impl::CancelReceivedRequests(PeerLink& link) {
   const auto requests = std::move(link.received_requests);
   for (const auto& [stream, state] : requests) {
@@ -525,6 +543,7 @@
   }
   const PeerRequestId id = found->second;
   link.sent_requests.erase(found);
+  CloseIfDetachedAndDone(link);
   Finish(id, {PeerOutcome::kAnswered, std::move(frame.payload)});
 }
 
@@ -541,9 +560,23 @@
     return true;
   }
   Push(link, {entry.channel, entry.stream, PeerFrameKind::kCancel, {}});
+  CloseIfDetachedAndDone(link);
   return false;
 }
 
+bool PeerNetwork::Impl::ReplaceLinkIfSilent(PeerRequestId id) {
+  const auto request = requests_.find(id);
+  if (request == requests_.end()) {
+    return false;
+  }
+  const auto found = links_.find(request->second.link_id);
+  if (found != links_.end() && found->second->open &&
+      found->second->last_received_at < request->second.sent_at) {
+    DetachLink(*found->second);
+  }
+  return true;
+}
+
 void PeerNetwork::Impl::OnTimeout(PeerRequestId id) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) {
@@ -551,6 +584,7 @@
   }
   // If the link is gone, the request's outcome is already posted to the loop.
   if (links_.contains(found->second.link_id)) {
+    ReplaceLinkIfSilent(id);
     const bool unsent = RemoveFromLink(found->second);
     Finish(id, {unsent ? PeerOutcome::kNotSent : PeerOutcome::kTimedOut, {}});
   }
@@ -633,6 +667,10 @@
 
 void PeerNetwork::Cancel(PeerRequestId request) { impl_->Cancel(request); }
 
+bool PeerNetwork::ReplaceLinkIfSilent(PeerRequestId request) {
+  return impl_->ReplaceLinkIfSilent(request);
+}
+
 bool PeerNetwork::SendDatagram(const Address& to, const std::string& datagram) {
   return impl_->SendDatagram(to, datagram);
 }
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -113,6 +113,11 @@
   /// part of the request was written.
   void Cancel(PeerRequestId request);
 
+  /// To be called when a request has waited longer than an answer takes. If nothing has arrived on
+  /// its link since it was written, later messages and requests to that address use a new link; the
+  /// old one stays open for its outstanding requests. Returns false if the request has an outcome.
+  bool ReplaceLinkIfSilent(PeerRequestId request);
+
   /// Returns false if the kernel rejects the datagram.
   bool SendDatagram(const Address& to, const std::string& datagram);
 
--- a/src/peer_network_impl.h
+++ b/src/peer_network_impl.h
@@ -69,6 +69,7 @@
     RequestEntry entry;
     entry.channel = channel;
     entry.callback = std::move(callback);
+    entry.sent_at = loop_.now();
     PeerLink* link = FindOrOpenLink(to);
     if (link != nullptr) {
       entry.link_id = link->id;
@@ -93,6 +94,8 @@
     }
   }
 
+  bool ReplaceLinkIfSilent(PeerRequestId id);
+
   bool SendDatagram(const Address& to, const std::string& datagram) {
     if (!SendUdp(datagram_socket_, to, datagram)) {
       return false;
@@ -111,6 +114,7 @@
     PeerChannel channel = PeerChannel::kConfigLog;
     Callback callback;
     TimerId timer;
+    TimePoint sent_at;
   };
 
   /// The outbound link to one address, and its backoff.
@@ -133,6 +137,9 @@
   void OnOpen(PeerLink& link, lws* wsi);
   void OnClosed(uint64_t id);
   void CloseLink(uint64_t id);
+  /// Lets the next message to the peer open a new link.
+  void DetachLink(PeerLink& link);
+  void CloseIfDetachedAndDone(PeerLink& link);
   void CancelReceivedRequests(PeerLink& link);
   int OnHandshake(uint64_t id, lws* wsi);
   int OnWritable(PeerLink& link);
