Confirm the version in force with a control instance on a link that answers

A daemon now asks the nearest control instance five times in the time allowed. A Hello or Pull is a request and its answer returns on the same link (ConfigExchange), so that a silent link shows and is replaced, in either direction. A control instance that hears no leader tells the daemon to ask another. What only gossip tells is asked of the contact first. Ruled out: TCP keep-alive on every link, which costs some 100 bytes a second for each of up to 130 links and bounds nothing when a peer is behind; pings on all links, which cost a daemon of 0.1 core an eighth of its time.

--- a/src/config_event.h
+++ b/src/config_event.h
@@ -12,10 +12,12 @@
 struct ConfigEvent {
   enum class Kind {
     // of a replica; `waited` is the time since the pull was sent
-    kPullAnswered,  // a transfer arrived
-    kPullBusy,      // the source told the replica to retry later
-    kPullTimedOut,  // no answer arrived in time
-    // of a replica, at the first word of a version newer than any before; `waited` is the time since
+    kPullAnswered,      // a transfer arrived
+    kPullBusy,          // the source told the replica to retry later
+    kPullTimedOut,      // no answer arrived in time
+    kPullNotDelivered,  // it could not be sent, or its link closed
+    // of a replica, at the first word of a version newer than any before; `waited` is the time
+    // since
     // the last message of a control instance
     kVersionNoticed,   // from the peer itself
     kVersionGossiped,  // from the membership's record of the peer
--- a/src/config_log.cc
+++ b/src/config_log.cc
@@ -26,6 +26,8 @@
       return {"config_pull_busy", "busy", nullptr};
     case Kind::kPullTimedOut:
       return {"config_pull_timed_out", "timed_out", nullptr};
+    case Kind::kPullNotDelivered:
+      return {"config_pull_not_delivered", "not_delivered", nullptr};
     case Kind::kVersionNoticed:
       return {"config_version_noticed", "noticed", nullptr};
     case Kind::kVersionGossiped:
@@ -59,7 +61,8 @@
          {"waited_ms", ToMilliseconds(event.waited)}});
     metrics
         .Counter("endivecleat_config_distribution_total",
-                 "Versions learned of, pulls and transfers of configurations by result", {{"result", text.result}})
+                 "Versions learned of, pulls and transfers of configurations by result",
+                 {{"result", text.result}})
         .Increment();
     if (text.waited_for != nullptr) {
       metrics.DurationHistogram(text.waited_for, "Time that a pull waited")
--- a/src/config_replica.cc
+++ b/src/config_replica.cc
@@ -13,6 +13,10 @@
 
 using Kind = ConfigMessage::Kind;
 
+// Polls of all daemons that start together spread over this part of their interval.
+constexpr uint64_t kConfirmJitterDivisor = 4;
+// After this time a nearer control instance is tried again.
+constexpr Duration kContactLifetime = std::chrono::seconds(10);
 constexpr Duration kRelayCheckInterval = std::chrono::milliseconds(500);
 
 bool Contains(const std::vector<InstanceId>& instances, const InstanceId& instance) {
@@ -58,6 +62,9 @@
         earliest_pull_at_ = std::min(earliest_pull_at_, now + settings_.offer_delay);
       }
       unanswered_hellos_.erase(from);
+      if (from == contact_) {
+        contact_asked_at_.reset();
+      }
       remote_poll_answered_ = remote_poll_answered_ || IsRemote(from);
       if (pull_ && pull_->from == from && message.version <= own_version()) {
         pull_.reset();  // the source has no newer version
@@ -72,6 +79,9 @@
         EndPull(now, ConfigEvent::Kind::kPullBusy);
       }
       candidates_[from].busy_until = now + message.retry_after;
+      if (from == contact_ && contact_asked_at_) {
+        UseNextContact(now);
+      }
       break;
   }
   PullIfNeeded(now, &out);
@@ -90,6 +100,20 @@
   SendHellos(now, &out);
   PollRemote(now, &out);
   PullIfNeeded(now, &out);
+  ConfirmVersion(now, &out);
+  return out;
+}
+
+std::vector<PeerMessage> ConfigReplica::NotDelivered(TimePoint now, const InstanceId& to) {
+  Messages out;
+  if (to == contact_ && contact_asked_at_) {
+    UseNextContact(now);
+  }
+  if (pull_ && pull_->from == to) {
+    AvoidPeer(now, to, settings_.avoid_after_timeout);
+    EndPull(now, ConfigEvent::Kind::kPullNotDelivered);
+    PullIfNeeded(now, &out);
+  }
   return out;
 }
 
@@ -246,6 +270,47 @@
   out->push_back({settings_.remote_controls[remote_index_], MakeOwnMessage(Kind::kHello)});
 }
 
+void ConfigReplica::ConfirmVersion(TimePoint now, Messages* out) {
+  const std::vector<InstanceId>& controls = settings_.local_controls;
+  // A pull shows as well whether its source answers.
+  if (!in_force() || controls.empty() || pull_) {
+    return;
+  }
+  if (contact_asked_at_ && now - *contact_asked_at_ >= settings_.confirm_timeout) {
+    UseNextContact(now);
+  }
+  if (contact_asked_at_ || now < next_confirm_) {
+    return;
+  }
+  if (!Contains(controls, contact_) || now - contact_since_ > kContactLifetime) {
+    contact_ = controls.front();
+    contact_since_ = now;
+  }
+  const auto spread =
+      static_cast<uint64_t>(settings_.confirm_interval.count()) / kConfirmJitterDivisor;
+  next_confirm_ =
+      now + settings_.confirm_interval - Duration(static_cast<int64_t>(random_.Below(spread + 1)));
+  contact_asked_at_ = now;
+  out->push_back({contact_, MakeOwnMessage(Kind::kHello)});
+}
+
+void ConfigReplica::UseNextContact(TimePoint now) {
+  const std::vector<InstanceId>& controls = settings_.local_controls;
+  const auto found = std::find(controls.begin(), controls.end(), contact_);
+  contact_ =
+      found == controls.end() || found + 1 == controls.end() ? controls.front() : *(found + 1);
+  contact_since_ = now;
+  contact_asked_at_.reset();
+  next_confirm_ = now;
+}
+
+// A version that only gossip tells of may be held by any member, however far and busy. The contact
+// is asked first.
+bool ConfigReplica::WaitsForContact(TimePoint now, TimePoint first_offer) const {
+  return in_force() && Contains(settings_.local_controls, contact_) &&
+         now - first_offer < settings_.confirm_timeout;
+}
+
 void ConfigReplica::PullIfNeeded(TimePoint now, Messages* out) {
   const bool all_answered = hello_sent_ && unanswered_hellos_.empty();
   if (pull_ || (!in_force() && now < earliest_pull_at_ && !all_answered)) {
@@ -283,6 +348,11 @@
   if (holders.empty()) {
     return;
   }
+  if (highest.second == TimePoint{} &&
+      WaitsForContact(now, candidates_.at(holders.front()).first_offer_at)) {
+    next_confirm_ = now;
+    return;
+  }
   pull_ = Pull{holders[random_.Below(holders.size())], best, now};
   ++counters_.pulls;
   out->push_back({pull_->from, MakeOwnMessage(Kind::kPull)});
--- a/src/config_replica.h
+++ b/src/config_replica.h
@@ -1,5 +1,6 @@
-// A daemon's replica of the configuration. It learns of newer versions from notices and gossip and
-// pulls them from a ConfigSource in a control instance or another daemon. A version is put in force
+// A daemon's replica of the configuration. It learns of newer versions from notices and gossip,
+// asks a control instance regularly, since neither of these has a bound in time, and pulls them
+// from a ConfigSource in a control instance or another daemon. A version is put in force
 // atomically, and only if it is newer, matches its digest and is accepted by the installer.
 #ifndef ENDIVECLEAT_CONFIG_REPLICA_H_
 #define ENDIVECLEAT_CONFIG_REPLICA_H_
@@ -34,6 +35,10 @@
   size_t notice_fanout = 3;                 // daemons notified after an installation
   Duration start_jitter = std::chrono::seconds(2);
   Duration hello_wait = std::chrono::seconds(1);
+  // Between two questions to a control instance for its version, and how long one may stay
+  // unanswered before the next control instance is asked.
+  Duration confirm_interval = std::chrono::seconds(1);
+  Duration confirm_timeout = std::chrono::seconds(1);
   // Interval of Hello messages to control instances. It is short because after a restart of all
   // processes the control instances start to listen later than the daemons.
   Duration control_hello_interval = std::chrono::milliseconds(100);
@@ -80,8 +85,10 @@
   /// learned by gossip. Returns the messages to send.
   std::vector<PeerMessage> Tick(TimePoint now, const std::vector<PeerVersion>& peers);
 
-  /// Replaces the control instances that are treated as local. An empty list is ignored, since the
-  /// instances known so far may still be reachable.
+  /// Tells that a Hello or Pull to this instance was not delivered. Returns the messages to send.
+  std::vector<PeerMessage> NotDelivered(TimePoint now, const InstanceId& to);
+  /// Replaces the control instances that are treated as local, nearest first. An empty list is
+  /// ignored, since the instances known so far may still be reachable.
   void SetLocalControls(std::vector<InstanceId> controls);
   /// Null before the first version. Never replaced by an older version.
   ConfigTextPtr in_force() const { return source_.newest(); }
@@ -119,6 +126,9 @@
   void AvoidPeer(TimePoint now, const InstanceId& from, Duration time);
   void SendHellos(TimePoint now, Messages* out);
   void PollRemote(TimePoint now, Messages* out);
+  void ConfirmVersion(TimePoint now, Messages* out);
+  void UseNextContact(TimePoint now);
+  bool WaitsForContact(TimePoint now, TimePoint first_offer) const;
   void PullIfNeeded(TimePoint now, Messages* out);
   bool IsRemote(const InstanceId& instance) const;
   bool IsUsable(TimePoint now, const InstanceId& instance, const Candidate& candidate) const;
@@ -148,7 +158,11 @@
   size_t remote_index_ = 0;
   bool remote_poll_answered_ = true;
   Counters counters_;
-  ConfigVersion newest_offered_;     // of which a kVersion... event was recorded
+  InstanceId contact_;  // the local control instance that is asked for its version
+  TimePoint contact_since_;
+  std::optional<TimePoint> contact_asked_at_;  // set while its answer is awaited
+  TimePoint next_confirm_;
+  ConfigVersion newest_offered_;    // of which a kVersion... event was recorded
   TimePoint last_control_contact_;  // last message of a control instance, or the start
   ConfigEvents events_;
 };
--- a/src/config_source.h
+++ b/src/config_source.h
@@ -71,6 +71,8 @@
   ConfigTextPtr newest() const { return history_.empty() ? nullptr : history_.back(); }
   /// A notice that announces the newest version.
   ConfigMessage MakeNotice() const;
+  /// An answer that tells the receiver to ask another instance, or later.
+  ConfigMessage MakeBusy();
 
  private:
   struct QueuedPull {
@@ -93,7 +95,6 @@
                                       const ConfigMessage& pull);
   ByteCount BytesInFlight() const;
   ConfigMessage MakeTransfer(const ConfigMessage& pull);
-  ConfigMessage MakeBusy();
   PeerMessage RefusePull(TimePoint now, const QueuedPull& refused);
   const ConfigText* FindBase(ConfigVersion version, const std::string& digest) const;
 
--- a/src/config_timing.cc
+++ b/src/config_timing.cc
@@ -15,6 +15,11 @@
 constexpr int kHelloDivisor = 8;
 constexpr int kStartJitterDivisor = 25;
 
+// Asking for the newest version, a link that has to be replaced, and asking again take less than
+// half, so that a pull fits in as well.
+constexpr int kConfirmDivisor = 5;
+constexpr int kLinkCheckDivisor = 8;
+
 void Limit(Duration& time, Duration longest) { time = std::min(time, longest); }
 
 }  // namespace
@@ -30,8 +35,14 @@
   LimitTimes(in_force_within, replica.source);
   Limit(replica.pull_timeout, in_force_within / kPullDivisor);
   Limit(replica.avoid_after_timeout, in_force_within / kPullDivisor);
+  Limit(replica.confirm_interval, in_force_within / kConfirmDivisor);
+  Limit(replica.confirm_timeout, in_force_within / kConfirmDivisor);
   Limit(replica.hello_wait, in_force_within / kHelloDivisor);
   Limit(replica.start_jitter, in_force_within / kStartJitterDivisor);
 }
 
+ConfigExchangeTimes ExchangeTimes(Duration in_force_within) {
+  return {.link_check = in_force_within / kLinkCheckDivisor, .answer = in_force_within};
+}
+
 }  // namespace endivecleat
--- a/src/config_timing.h
+++ b/src/config_timing.h
@@ -4,6 +4,7 @@
 #ifndef ENDIVECLEAT_CONFIG_TIMING_H_
 #define ENDIVECLEAT_CONFIG_TIMING_H_
 
+#include "config_exchange_times.h"
 #include "config_replica.h"
 #include "config_source.h"
 
@@ -16,6 +17,9 @@
 /// The same for a replica and its own source.
 void LimitTimes(Duration in_force_within, ConfigReplicaSettings& replica);
 
+/// How long a request of the distribution waits, in a daemon or a control instance.
+ConfigExchangeTimes ExchangeTimes(Duration in_force_within);
+
 }  // namespace endivecleat
 
 #endif  // ENDIVECLEAT_CONFIG_TIMING_H_
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -35,7 +35,6 @@
 // Holds the last ten versions of a text of 400 kB, so that daemons a few versions behind get
 // deltas.
 constexpr ByteCount kHistoryBytes{4U << 20U};
-constexpr ByteCount kMaxConfigMessage{8U << 20U};
 
 std::filesystem::path LogFolder(const ControlSettings& settings, const std::string& log) {
   return std::filesystem::path(settings.data_folder) / log;
@@ -118,6 +117,11 @@
               }),
       source_(SourceSettings(settings_.common), MakeMeasuredCodec(MakeTransferCodec(), metrics_),
               seed),
+      config_exchange_(
+          loop, node_, settings_.common.instance, ExchangeTimes(settings_.common.in_force_within),
+          {.on_message = [this](const InstanceId& from,
+                                const ConfigMessage& message) { OnConfigMessage(from, message); },
+           .on_not_delivered = [](const InstanceId&) {}}),
       crash_relay_(ControlInstances(settings_)) {
   if (settings_.ledger_enabled) {
     once_ = std::make_unique<ReplicaTask<OnceState>>(
@@ -159,9 +163,7 @@
       }
       return;
     case PeerChannel::kConfigDistribution:
-      if (const auto message = DecodeConfigMessage(bytes, kMaxConfigMessage)) {
-        SendConfigMessages(source_.Receive(now, from, *message));
-      }
+      config_exchange_.OnMessage(from, bytes);
       return;
     case PeerChannel::kDataCentreSummary:
       if (const auto summary = DecodeSummary(bytes)) {
@@ -180,6 +182,9 @@
 
 void ControlProcess::OnRequest(PeerChannel channel, const std::string& payload,
                                const PeerResponder& replier) {
+  if (channel == PeerChannel::kConfigDistribution) {
+    config_exchange_.OnRequest(payload, replier);
+  }
   if (channel != PeerChannel::kOnceLedger) {
     return;
   }
@@ -328,11 +333,22 @@
   TrimHeap();
 }
 
+// A replica that hears no leader cannot know the newest version. A daemon that has a version asks
+// in order to confirm it, so it is told to ask another; one that has none gets what there is.
+void ControlProcess::OnConfigMessage(const InstanceId& from, const ConfigMessage& message) {
+  const bool confirms =
+      message.kind == ConfigMessage::Kind::kHello && message.version > ConfigVersion();
+  if (confirms && !config_.log().leader()) {
+    source_.NoteKnownVersion(loop_.now(), message.version);
+    SendConfigMessages({{from, source_.MakeBusy()}});
+    return;
+  }
+  SendConfigMessages(source_.Receive(loop_.now(), from, message));
+}
+
 void ControlProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
   RecordConfigEvents(source_.TakeEvents(), metrics_);
-  for (const PeerMessage& message : messages) {
-    node_.Send(message.to, PeerChannel::kConfigDistribution, EncodeConfigMessage(message.message));
-  }
+  config_exchange_.Send(messages);
 }
 
 void ControlProcess::ExchangeSummaries() {
--- a/src/control_process.h
+++ b/src/control_process.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "config_exchange.h"
 #include "config_source.h"
 #include "crash_relay.h"
 #include "event_loop.h"
@@ -50,6 +51,7 @@
   void Tick();
   void Flush();
   void PublishNewVersion();
+  void OnConfigMessage(const InstanceId& from, const ConfigMessage& message);
   void SendConfigMessages(const std::vector<PeerMessage>& messages);
   void ExchangeSummaries();
   void ExchangeCrashTotals();
@@ -72,6 +74,7 @@
   ReplicaTask<ConfigState> config_;
   std::unique_ptr<ReplicaTask<OnceState>> once_;  // null if the settings disable the ledger
   ConfigSource source_;
+  ConfigExchange config_exchange_;
   SummarySchedule summary_schedule_;
   CrashRelay crash_relay_;
   std::unique_ptr<OperatorService> operators_;
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -21,7 +21,6 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
-constexpr ByteCount kMaxConfigMessage{8U << 20U};
 constexpr uint64_t kMaxSlots = 100000;
 // During the drain notice, callers are moved away from a stopping daemon. For this share of the
 // notice its target still accepts requests from other daemons; the remainder suffices for nearly
@@ -69,6 +68,16 @@
           MakeMeasuredCodec(MakeTransferCodec(), metrics_),
           [this](ConfigVersion version, const std::string& text) { return Install(version, text); },
           seed, loop.now()),
+      config_exchange_(loop, node_, settings_.common.instance,
+                       ExchangeTimes(settings_.common.in_force_within),
+                       {.on_message =
+                            [this](const InstanceId& from, const ConfigMessage& message) {
+                              SendConfigMessages(replica_.Receive(loop_.now(), from, message));
+                            },
+                        .on_not_delivered =
+                            [this](const InstanceId& to) {
+                              SendConfigMessages(replica_.NotDelivered(loop_.now(), to));
+                            }}),
       caller_server_(loop, settings_.caller_address, HttpServerLimits{},
                      [this](HttpRequest request, const ResponseSink& sink) {
                        callers_.Handle(std::move(request), sink);
@@ -123,13 +132,15 @@
   if (channel != PeerChannel::kConfigDistribution) {
     return;
   }
-  if (const auto message = DecodeConfigMessage(bytes, kMaxConfigMessage)) {
-    SendConfigMessages(replica_.Receive(loop_.now(), from, *message));
-  }
+  config_exchange_.OnMessage(from, bytes);
 }
 
 void DaemonProcess::OnRequest(PeerChannel channel, const std::string& payload,
                               const PeerResponder& replier) {
+  if (channel == PeerChannel::kConfigDistribution) {
+    config_exchange_.OnRequest(payload, replier);
+    return;
+  }
   try {
     if (channel == PeerChannel::kCall) {
       target_.HandlePeer(payload, replier);
@@ -224,7 +235,7 @@
   timer_ = loop_.RunAfter(kTickInterval, [this] { Tick(); });
   const TimePoint now = loop_.now();
   if (settings_.common.discovery) {
-    replica_.SetLocalControls(node_.control_instances());
+    replica_.SetLocalControls(node_.nearest_control_instances());
   }
   SendConfigMessages(replica_.Tick(now, node_.membership().peer_versions()));
   UpdateSelf();
@@ -236,9 +247,7 @@
 
 void DaemonProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
   RecordConfigEvents(replica_.TakeEvents(), metrics_);
-  for (const PeerMessage& message : messages) {
-    node_.Send(message.to, PeerChannel::kConfigDistribution, EncodeConfigMessage(message.message));
-  }
+  config_exchange_.Send(messages);
 }
 
 void DaemonProcess::UpdateSelf() {
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "caller_task.h"
+#include "config_exchange.h"
 #include "config_replica.h"
 #include "crash_report_exchange.h"
 #include "daemon_context.h"
@@ -74,6 +75,7 @@
   CallerTask callers_;
   StoredCompiler compiler_;
   ConfigReplica replica_;
+  ConfigExchange config_exchange_;
   HttpServer caller_server_;
   HttpServer local_server_;
   TimerId timer_;
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -2,10 +2,13 @@
 // network, the membership and the handlers.
 #include "mesh_node.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "byte_codec.h"
@@ -155,6 +158,26 @@
   return instances;
 }
 
+std::vector<InstanceId> MeshNode::nearest_control_instances() const {
+  const MemberRecord& self = membership_.self();
+  using Rank = std::tuple<bool, bool, uint64_t>;
+  std::vector<std::pair<Rank, InstanceId>> ranked;
+  for (const MemberRecord& member : membership_.members()) {
+    if (member.is_control) {
+      const std::string pair = self_.value() + '/' + member.instance.value();
+      ranked.emplace_back(Rank{member.region != self.region, member.data_centre != self.data_centre,
+                               XXH3_64bits(pair.data(), pair.size())},
+                          member.instance);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<InstanceId> instances;
+  for (auto& [rank, instance] : ranked) {
+    instances.push_back(std::move(instance));
+  }
+  return instances;
+}
+
 void MeshNode::ReportTraffic(Metrics& metrics) const {
   std::map<std::pair<std::string, bool>, ByteCounters> sums;
   for (const auto& [address, traffic] : network_.traffic()) {
--- a/src/mesh_node.h
+++ b/src/mesh_node.h
@@ -51,6 +51,9 @@
 
   /// The control instances among the members, including this one, in no particular order.
   std::vector<InstanceId> control_instances() const;
+  /// The same, those of the own data centre first, then of the own region. Among equals the order
+  /// differs from member to member, so that the first ones are not the same for all.
+  std::vector<InstanceId> nearest_control_instances() const;
   /// The address on which the instance listens for peers, or nullopt if unknown.
   std::optional<Address> FindAddress(const InstanceId& instance) const;
   Membership& membership() { return membership_; }
--- a/test/config_mesh.h
+++ b/test/config_mesh.h
@@ -86,6 +86,9 @@
   // The control instance knows every daemon. Otherwise it knows those of which the simplified
   // gossip has told it in the last 5 s.
   bool all_daemons_known = false;
+  // The control instance knows no daemon and notifies only those that pulled not long ago.
+  bool no_daemon_known = false;
+  Duration gossip_interval = std::chrono::milliseconds(250);
 };
 
 /// The state of one simulated process.
@@ -235,6 +238,9 @@
   }
   std::vector<InstanceId> KnownPeers(size_t index) {
     std::vector<InstanceId> peers;
+    if (options_.no_daemon_known) {
+      return peers;
+    }
     if (options_.all_daemons_known) {
       for (size_t daemon = kRemote + 1; daemon < size(); ++daemon) {
         peers.push_back(Id(daemon));
@@ -258,13 +264,13 @@
     }
     Send(index, node.replica->Tick(now_, peers));
   }
-  /// Four times a second each node of the data centre learns the versions of two random nodes that
-  /// can reach it. Entries expire after 5 s without an update.
+  /// Once in each gossip interval each node of the data centre learns the versions of two random
+  /// nodes that can reach it. Entries expire after 5 s without an update.
   void Gossip() {
     if (now_ < next_gossip_) {
       return;
     }
-    next_gossip_ = now_ + std::chrono::milliseconds(250);
+    next_gossip_ = now_ + options_.gossip_interval;
     for (size_t i = 0; i < nodes_.size(); ++i) {
       if (i == kRemote || !live(i)) {
         continue;
--- a/test/failure/config_storm_test.cc
+++ b/test/failure/config_storm_test.cc
@@ -114,6 +114,32 @@
   }
 }
 
+// A daemon whose notice is lost, or that isn't listed yet, has nothing but gossip, which may be
+// late.
+TEST_GROUP(ConfigWithoutNoticesAndWithLateGossip) {
+  MeshOptions options;
+  void setup() override {
+    LimitTimes(kInForceWithin, options.control);
+    LimitTimes(kInForceWithin, options.daemon);
+    options.no_daemon_known = true;
+    options.gossip_interval = 4 * kInForceWithin;
+  }
+};
+
+TEST(ConfigWithoutNoticesAndWithLateGossip, ReachesEachDaemonInTime) {
+  for (const uint64_t seed : Seeds(5)) {
+    ConfigMesh mesh(12, seed, NetworkFaults{}, options);
+    mesh.Publish({ConfigMesh::kLocal, ConfigMesh::kRemote});
+    mesh.Run(options.control.puller_lifetime + std::chrono::seconds(20));
+    CHECK_TRUE(mesh.AllNewest());
+    mesh.Publish({ConfigMesh::kLocal, ConfigMesh::kRemote});
+    mesh.Run(kInForceWithin);
+    if (!mesh.AllNewest()) {
+      FailWithSeed(seed, "a daemon is late for version " + std::to_string(mesh.newest()));
+    }
+  }
+}
+
 TEST_GROUP(ConfigTiming){};
 
 TEST(ConfigTiming, ForAnyTimeAllowedASourceAnswersBeforeTheReplicaGivesUp) {
