Give an attempt to open a link more time after one that failed

Each failed attempt now doubles the time of the next, up to 2 s. The first stays at 500 ms, for hosts that have lost power. ProcessLinkOpenedSlowly fails without the doubling (20 attempts).

--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -34,6 +34,9 @@
 // Eight round trips between regions. If a host has lost power, the kernel retransmits the SYN only
 // after one second, so a new attempt connects sooner than the retransmission.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+// Each failed attempt doubles the time of the next one, up to four times kConnectTimeout: the
+// packets of a handshake may wait for longer than that on a link that is full.
+constexpr unsigned kMaxConnectDoublings = 2;
 // Interval at which large responses that wait for the window or for a socket are tried again.
 constexpr Duration kBulkRetryInterval = std::chrono::milliseconds(20);
 // Datagrams are not authenticated at this layer, so forged source addresses must not exhaust the
@@ -275,7 +278,7 @@
   info.opaque_user_data = ToOpaqueUserData(id);
   if (lws* wsi = lws_client_connect_via_info(&info); wsi != nullptr) {
     connections_.emplace(id, wsi);
-    StartOpenTimer(id, kConnectTimeout);
+    StartOpenTimer(id, kConnectTimeout * (1U << std::min(outbound.failures, kMaxConnectDoublings)));
   } else {
     OnClosed(id);
   }
--- a/test/failure/process_silent_link_test.cc
+++ b/test/failure/process_silent_link_test.cc
@@ -1,6 +1,7 @@
 // Guards against a link between two processes that has gone silent without being closed and is used
-// again for each later request: versions of the configuration reached daemons seconds late. A relay
-// on loopback stops forwarding on its connections and serves new ones.
+// again for each later request, and against one that is never open since its handshake takes longer
+// than an attempt may: versions of the configuration reached daemons seconds late. A relay on
+// loopback stops forwarding on its connections and serves new ones, or forwards late.
 #include <CppUTest/TestHarness.h>
 
 #include <memory>
@@ -45,6 +46,8 @@
   const Address& address() const { return listener_.address(); }
   size_t connections() const { return listener_.size(); }
   void SilenceOpenConnections() { silenced_ = listener_.size(); }
+  /// New bytes are forwarded this much later; at first at once.
+  void SetDelay(Duration delay) { delay_ = delay; }
 
  private:
   void Forward() {
@@ -55,23 +58,33 @@
       }
       RawConnection& caller = *listener_.connections[i];
       if (i >= silenced_) {
-        upstreams_[i]->Send(std::exchange(caller.received, ""));
-        caller.Send(std::exchange(upstreams_[i]->received, ""));
+        Pass(caller, *upstreams_[i]);
+        Pass(*upstreams_[i], caller);
       }
     }
   }
 
+  void Pass(RawConnection& from, RawConnection& to) {
+    std::string bytes = std::exchange(from.received, "");
+    if (delay_ == Duration{}) {
+      to.Send(std::move(bytes));
+    } else if (!bytes.empty()) {
+      loop_.RunAfter(delay_, [&to, bytes = std::move(bytes)] { to.Send(bytes); });
+    }
+  }
+
   EventLoop& loop_;
   Address upstream_;
   RawListener listener_;
   std::vector<std::unique_ptr<RawConnection>> upstreams_;  // by the index of their caller
-  size_t silenced_ = 0;                                    // the first connections, up to here
+  Duration delay_{};
+  size_t silenced_ = 0;  // the first connections, up to here
   endivecleat::TimerId timer_;
 };
 
 }  // namespace
 
-TEST_GROUP(ProcessLinkGoneSilent) {
+TEST_BASE(PeersAcrossARelay) {
   EventLoop loop;
   PeerNetwork server{loop, kAnyLocalPort, "token",
                      PeerHandlers{.on_message = nullptr,
@@ -94,6 +107,8 @@
   }
 };
 
+TEST_GROUP_BASE(ProcessLinkGoneSilent, PeersAcrossARelay){};
+
 TEST(ProcessLinkGoneSilent, ARequestAfterOneWithoutAnswerIsAnswered) {
   CHECK_EQUAL(PeerOutcome::kAnswered, Request(kLongTimeout).kind);
   relay.SilenceOpenConnections();
@@ -102,3 +117,18 @@
   CHECK_EQUAL(PeerOutcome::kAnswered, next.kind);
   STRCMP_EQUAL("answer to question", next.payload.c_str());
 }
+
+TEST_GROUP_BASE(ProcessLinkOpenedSlowly, PeersAcrossARelay){};
+
+TEST(ProcessLinkOpenedSlowly, IsOpenAfterAFewAttempts) {
+  constexpr int kMostAttempts = 20;  // some end at once, while the next attempt to open it waits
+  constexpr Duration kBetweenAttempts = std::chrono::milliseconds(200);
+  relay.SetDelay(std::chrono::milliseconds(400));  // 800 ms for the two ways of a handshake
+  PeerOutcome outcome;
+  for (int attempt = 0; attempt < kMostAttempts && outcome.kind != PeerOutcome::kAnswered;
+       ++attempt) {
+    outcome = Request(std::chrono::seconds(4));
+    endivecleat::test::RunFor(loop, kBetweenAttempts);
+  }
+  CHECK_EQUAL(PeerOutcome::kAnswered, outcome.kind);
+}
