Use a silent link until the one that replaces it is open

A second link is now opened beside a silent one, and whichever shows first that it works is used; requests that waited for the other end as not sent. Calls no longer replace links: how long a call takes depends on its target.

--- a/src/config_timing.cc
+++ b/src/config_timing.cc
@@ -18,7 +18,7 @@
 // Asking for the newest version, a link that has to be replaced, and asking again take less than
 // half, so that a pull fits in as well.
 constexpr int kConfirmDivisor = 5;
-constexpr int kLinkCheckDivisor = 8;
+constexpr int kLinkCheckDivisor = 6;
 
 void Limit(Duration& time, Duration longest) { time = std::min(time, longest); }
 
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -75,6 +75,7 @@
   lws* wsi = nullptr;
   bool open = false;
   bool detached = false;  // gets no more messages or requests; closes when its requests have ended
+  bool has_successor = false;  // a second link to the peer is being opened
   // When bytes were last written to it and last arrived on it; before that, when it was opened or,
   // until it is open, when the attempt began.
   TimePoint last_sent_at;
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -251,19 +251,23 @@
 
 PeerLink* PeerNetwork::Impl::FindOrOpenLink(const Address& to) {
   OutboundLink& outbound = outbound_links_[to];
+  if (outbound.successor_id != 0) {
+    return links_.at(outbound.successor_id).get();
+  }
   if (outbound.link_id != 0) {
     return links_.at(outbound.link_id).get();
   }
-  return loop_.now() < outbound.retry_at ? nullptr : OpenLink(to, outbound);
+  return loop_.now() < outbound.retry_at ? nullptr
+                                         : OpenLink(to, outbound.failures, outbound.link_id);
 }
 
-PeerLink* PeerNetwork::Impl::OpenLink(const Address& to, OutboundLink& outbound) {
+PeerLink* PeerNetwork::Impl::OpenLink(const Address& to, unsigned failures, uint64_t& link_id) {
   const uint64_t id = RegisterConnection();
   const auto epoch = static_cast<uint32_t>(random_.Next());
   PeerLink& link =
       *links_.emplace(id, std::make_unique<PeerLink>(id, true, to, epoch)).first->second;
   link.last_sent_at = link.last_received_at = loop_.now();
-  outbound.link_id = id;
+  link_id = id;
   const std::string host = to.text();
   lws_client_connect_info info = {};
   info.context = loop_.context();
@@ -278,7 +282,7 @@
   info.opaque_user_data = ToOpaqueUserData(id);
   if (lws* wsi = lws_client_connect_via_info(&info); wsi != nullptr) {
     connections_.emplace(id, wsi);
-    StartOpenTimer(id, kConnectTimeout * (1U << std::min(outbound.failures, kMaxConnectDoublings)));
+    StartOpenTimer(id, kConnectTimeout * (1U << std::min(failures, kMaxConnectDoublings)));
   } else {
     OnClosed(id);
   }
@@ -293,6 +297,7 @@
   link.last_sent_at = link.last_received_at = loop_.now();
   if (link.outbound) {
     outbound_links_[link.peer].failures = 0;
+    ResolveSuccession(link);
   }
   if (!link.send_queue.empty()) {
     lws_callback_on_writable(wsi);
@@ -319,7 +324,12 @@
   WakeBulkLinks();
   if (link.outbound && !link.detached) {
     OutboundLink& outbound = outbound_links_[link.peer];
-    outbound.link_id = 0;
+    if (outbound.successor_id == id) {
+      links_.at(outbound.link_id)->has_successor = false;
+      outbound.successor_id = 0;
+    } else {
+      outbound.link_id = std::exchange(outbound.successor_id, 0);
+    }
     if (!link.open) {
       ++outbound.failures;
       outbound.retry_at = loop_.now() + BackoffDelay(outbound.failures, random_);
@@ -332,15 +342,38 @@
   CancelReceivedRequests(link);
 }
 
-void PeerNetwork::Impl::DetachLink(PeerLink& link) {
+void PeerNetwork::Impl::OpenSuccessor(PeerLink& link) {
   OutboundLink& outbound = outbound_links_[link.peer];
-  if (outbound.link_id != link.id) {
+  if (outbound.link_id != link.id || link.has_successor) {
     return;
   }
-  outbound.link_id = 0;
-  link.detached = true;
   LogSilentLink(link, loop_.now());
-  CloseIfDetachedAndDone(link);
+  link.has_successor = true;
+  OpenLink(link.peer, outbound.failures, outbound.successor_id);
+}
+
+void PeerNetwork::Impl::ResolveSuccession(PeerLink& working) {
+  OutboundLink& outbound = outbound_links_[working.peer];
+  if (outbound.successor_id == 0) {
+    return;
+  }
+  links_.at(outbound.link_id)->has_successor = false;
+  const uint64_t successor = std::exchange(outbound.successor_id, 0);
+  if (working.id == successor) {
+    DetachLink(std::exchange(outbound.link_id, successor));
+  } else {
+    DetachLink(successor);
+  }
+}
+
+void PeerNetwork::Impl::DetachLink(uint64_t id) {
+  PeerLink& link = *links_.at(id);
+  link.detached = true;
+  if (!link.open) {
+    CloseUnlessOpen(id);  // its requests end as not sent
+  } else {
+    CloseIfDetachedAndDone(link);
+  }
 }
 
 void PeerNetwork::Impl::CloseIfDetachedAndDone(PeerLink& link) {
@@ -455,6 +488,9 @@
   std::array<uint64_t, kPeerChannelCount> counts = {};
   const uint64_t mismatches_before = link.reassembler.epoch_mismatches();
   link.last_received_at = loop_.now();
+  if (link.has_successor) {
+    ResolveSuccession(link);
+  }
   bool valid = false;
   loop_.RunCapturingException([&] {
     valid = link.reassembler.Feed(
@@ -575,7 +611,7 @@
   const auto found = links_.find(request->second.link_id);
   if (found != links_.end() && found->second->open &&
       found->second->last_received_at < request->second.sent_at) {
-    DetachLink(*found->second);
+    OpenSuccessor(*found->second);
   }
   return true;
 }
@@ -587,7 +623,10 @@
   }
   // If the link is gone, the request's outcome is already posted to the loop.
   if (links_.contains(found->second.link_id)) {
-    ReplaceLinkIfSilent(id);
+    if (found->second.channel != PeerChannel::kCall) {
+      // How long a call takes depends on its target and tells nothing about the link.
+      ReplaceLinkIfSilent(id);
+    }
     const bool unsent = RemoveFromLink(found->second);
     Finish(id, {unsent ? PeerOutcome::kNotSent : PeerOutcome::kTimedOut, {}});
   }
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -114,8 +114,8 @@
   void Cancel(PeerRequestId request);
 
   /// To be called when a request has waited longer than an answer takes. If nothing has arrived on
-  /// its link since it was written, later messages and requests to that address use a new link; the
-  /// old one stays open for its outstanding requests. Returns false if the request has an outcome.
+  /// its link since it was written, opens a second link to that address, which replaces the first
+  /// unless that shows meanwhile that it works. Returns false if the request has an outcome.
   bool ReplaceLinkIfSilent(PeerRequestId request);
 
   /// Returns false if the kernel rejects the datagram.
--- a/src/peer_network_impl.h
+++ b/src/peer_network_impl.h
@@ -119,7 +119,10 @@
 
   /// The outbound link to one address, and its backoff.
   struct OutboundLink {
-    uint64_t link_id = 0;   // 0: no link
+    uint64_t link_id = 0;  // 0: no link
+    // Opened beside a link on which nothing arrives; 0: none. Whichever of the two shows first that
+    // it works is used from then on. Until then new messages and requests wait for this one.
+    uint64_t successor_id = 0;
     unsigned failures = 0;  // consecutive failures to open the link
     TimePoint retry_at;     // earliest time of the next attempt
   };
@@ -128,7 +131,7 @@
   void OpenVhost();
 
   PeerLink* FindOrOpenLink(const Address& to);
-  PeerLink* OpenLink(const Address& to, OutboundLink& outbound);
+  PeerLink* OpenLink(const Address& to, unsigned failures, uint64_t& link_id);
   void AdoptAccepted(int descriptor);
   void StartOpenTimer(uint64_t id, Duration timeout);
   void CloseUnlessOpen(uint64_t id);
@@ -137,8 +140,10 @@
   void OnOpen(PeerLink& link, lws* wsi);
   void OnClosed(uint64_t id);
   void CloseLink(uint64_t id);
-  /// Lets the next message to the peer open a new link.
-  void DetachLink(PeerLink& link);
+  void OpenSuccessor(PeerLink& link);
+  void ResolveSuccession(PeerLink& working);
+  /// Closes the link once its requests have ended; it gets no more messages or requests.
+  void DetachLink(uint64_t id);
   void CloseIfDetachedAndDone(PeerLink& link);
   void CancelReceivedRequests(PeerLink& link);
   int OnHandshake(uint64_t id, lws* wsi);
