--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -11,6 +11,7 @@
 #include "config_timing.h"
 #include "errors.h"
 #include "heap.h"
+#include "json_document.h"
 #include "json_reader.h"
 #include "log.h"
 #include "operator_service.h"
@@ -333,6 +334,9 @@
 
 Announcement ReadAnnouncement(const std::string& body) {
   nlohmann::json document;
+  if (IsNestedTooDeeply(body)) {
+    throw UserError(ResultCode::kBadRequest, "the announcement is nested too deeply");
+  }
   try {
     document = nlohmann::json::parse(body);
   } catch (const nlohmann::json::exception&) {
--- a/src/json_document.cc
+++ b/src/json_document.cc
@@ -128,6 +128,27 @@
   return path + "/" + std::to_string(index);
 }
 
+bool IsNestedTooDeeply(std::string_view text) {
+  size_t depth = 0;
+  bool in_string = false;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      i += c == '\\' ? 1 : 0;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxDepth) {
+        return true;
+      }
+    } else if ((c == ']' || c == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return false;
+}
+
 Json ReadJsonDocument(std::string_view text, std::vector<Problem>& problems) {
   DocumentValidator validator(problems);
   Json::sax_parse(text, &validator);
--- a/src/json_document.h
+++ b/src/json_document.h
@@ -21,6 +21,11 @@
 std::string JsonPathAppend(const std::string& path, std::string_view key);
 std::string JsonPathAppend(const std::string& path, size_t index);
 
+/// Whether the text opens more than 16 arrays and objects inside one another. nlohmann::json and
+/// jsoncpp parse, copy and write nested values recursively, so text from the network is checked
+/// before it is parsed.
+bool IsNestedTooDeeply(std::string_view text);
+
 /// Parses a document and appends every duplicate key to `problems`; the last value of such a key
 /// wins. Throws UserError with kDocumentSyntax if the text is not JSON in UTF-8 or is nested deeper
 /// than 16 levels.
--- a/src/operator_service.cc
+++ b/src/operator_service.cc
@@ -10,6 +10,7 @@
 #include "configuration.h"
 #include "delta.h"
 #include "errors.h"
+#include "json_document.h"
 #include "log.h"
 #include "wall_clock.h"
 
@@ -124,6 +125,9 @@
 }
 
 bool OperatorService::StartAsyncStep(const std::string& body, const ResponseSink& sink) {
+  if (IsNestedTooDeeply(body)) {
+    return false;  // RpcServer refuses it
+  }
   const nlohmann::json request = nlohmann::json::parse(body);
   const std::string method = request.at("method").get<std::string>();
   const nlohmann::json parameters = request.value("params", nlohmann::json::object());
--- a/src/rpc_server.cc
+++ b/src/rpc_server.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "errors.h"
+#include "json_document.h"
 
 namespace endivecleat {
 namespace {
@@ -70,8 +71,17 @@
   }
 
   std::string Handle(const std::string& request) {
+    constexpr char kParseError[] =
+        R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"Parse error"}})";
+    if (IsNestedTooDeeply(request)) {
+      return kParseError;
+    }
     std::string response;
-    protocol_->HandleRequest(request, response);
+    try {
+      protocol_->HandleRequest(request, response);
+    } catch (const std::exception&) {  // of jsoncpp or nlohmann::json, for text they cannot read
+      return kParseError;
+    }
     return response;
   }
 
--- a/test/error/rpc_test.cc
+++ b/test/error/rpc_test.cc
@@ -81,3 +81,16 @@
     CHECK(Server().Handle(text).find("error") != std::string::npos);
   }
 }
+
+// An exception that leaves the server ends the process.
+TEST(RpcServerGivenMalformedText, AnswersDeepNestingAndNumbersOutOfRangeWithAnError) {
+  constexpr size_t kDepth = 100'000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string prefix = R"({"jsonrpc":"2.0","id":1,"method":"double","params":{"number":)";
+  for (const std::string& text :
+       {deep, std::string(kDepth, '['), std::string(kDepth, '{'), prefix + deep + "}}",
+        prefix + "1e999}}", prefix + "99999999999999999999999}}", prefix + "-1e308}}",
+        prefix + "1,\"x\":" + deep + "}}"}) {
+    CHECK(Server().Handle(text).find("error") != std::string::npos);
+  }
+}
--- a/test/platform/operator_document_test.cc
+++ b/test/platform/operator_document_test.cc
@@ -177,3 +177,32 @@
     CHECK(refused);
   }
 }
+
+TEST_GROUP(OperatorDocumentWithOddEntries){};
+
+// An exception or a stack overflow ends the control instance.
+TEST(OperatorDocumentWithOddEntries, IsTranslatedOrRefusedWhateverItHolds) {
+  constexpr size_t kDepth = 1'000'000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const auto is_refused = [](const std::string& text) {
+    try {
+      ParseAndCheck({DecodeOperatorDocument(text).product_document});
+      return false;
+    } catch (const UserError&) {
+      return true;
+    }
+  };
+  CHECK(is_refused(deep));
+  for (const char* path : {"/version", "/resources", "/resources/0/spec", "/resources/0/metadata",
+                           "/resources/0/spec/priority", "/resources/1/spec/newField"}) {
+    Json changed = Body();
+    changed[Json::json_pointer(path)] = "@";
+    for (const std::string& value : {deep, std::string("1e999"), std::string("1e30")}) {
+      std::string text = changed.dump();
+      text.replace(text.find("\"@\""), 3, value);
+      const bool refused = is_refused(text);
+      const bool is_free = std::string(path) == "/resources/1/spec/newField" && value == "1e30";
+      CHECK_EQUAL_TEXT(!is_free, refused, (std::string(path) + " " + value.substr(0, 8)).c_str());
+    }
+  }
+}
--- a/test/platform/target_report_test.cc
+++ b/test/platform/target_report_test.cc
@@ -67,6 +67,33 @@
   }
 }
 
+// A report of another writer must neither end the process nor outdate the reports that follow.
+TEST(TargetReportDecoding, RejectsDeepNestingNumbersTooLargeAndPortsOutOfRange) {
+  constexpr size_t kDepth = 1'000'000;
+  CHECK(IsRejected(std::string(kDepth, '[') + std::string(kDepth, ']')));
+  CHECK(IsRejected(std::string(kDepth, '{')));
+  const std::string whole = Body().dump();
+  const std::string nested =
+      R"({"more":)" + std::string(kDepth, '[') + std::string(kDepth, ']') + "," + whole.substr(1);
+  CHECK(IsRejected(nested));
+  for (const char* field : {"slots", "coldLeftMs", "seq", "born"}) {
+    for (const char* number : {"1e999", "-1e999", "1e30", "99999999999999999999999",
+                               "18446744073709551615", "9007199254740993"}) {
+      Json changed = Body();
+      changed[field] = "@";
+      std::string text = changed.dump();
+      text.replace(text.find("\"@\""), 3, number);
+      CHECK_TEXT(IsRejected(text), (std::string(field) + " " + number).c_str());
+    }
+  }
+  for (const char* address : {"10.128.0.9:65536", "10.128.0.9:0", "10.128.0.9:-1",
+                              "10.128.0.9:", "10.128.0.9:99999999999999999999", "10.128.0.9:80x"}) {
+    Json changed = Body();
+    changed["address"] = address;
+    CHECK_TEXT(IsRejected(changed.dump()), address);
+  }
+}
+
 TEST(TargetReportDecoding, RejectsMalformedReports) {
   for (const char* body : {"", "[]", "7", "{", "\xff\xfe", "null"}) {
     CHECK_TEXT(IsRejected(body), body);
