Answer or refuse what a draining daemon takes before its drain ends

In a planned stop, a request that came late in the grace could be sent on and be cut without an answer at the end of it, also one that may not be repeated. Cause: a drain bounds how long it waits for requests in flight, but requests that arrive during it keep their full deadline. From the start of a drain, a deadline is never later than 300 ms before its end, so that a target stops and answers by itself, and a request with less time left than its route's objective is refused as not run. Weighed: to refuse whatever could outlast the drain by its deadline, which would refuse invoices with a deadline of 5 s from the first half second on. ProcessDrain RequestsThatOutlastItsTimeoutAreRefusedOrAnsweredBeforeItsEnd fails without the bound (the connection ends without an answer).

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -258,6 +258,9 @@
   if (request.body.size() > policy.body_limit.value()) {
     return ResultCode::kBodyTooLarge;
   }
+  if (EndsBeforeAnswer(route)) {
+    return ResultCode::kDraining;
+  }
   const std::string digest = RequestDigest(request.method, RequestTarget(request), request.body);
   CallRequest& call = exchange.call_request;
   call.digest = digest;
@@ -278,8 +281,9 @@
     }
   }
   exchange.fingerprint = FingerprintOf(digest);
-  call.deadline = context_.call_registry.AddOutgoing(exchange.number, exchange.span.context().trace,
-                                                     ComputeDeadline(exchange));
+  call.deadline = context_.call_registry.AddOutgoing(
+      exchange.number, exchange.span.context().trace,
+      std::min(ComputeDeadline(exchange), end_.value_or(TimePoint::max())));
   exchange.state = &FindOrCreateState(*exchange.service);
   exchange.call = std::make_unique<Call>(call, exchange.state->budget);
   return std::nullopt;
@@ -317,6 +321,12 @@
          (route_timeout > Duration{} ? std::min(route_timeout, caller_timeout) : caller_timeout);
 }
 
+// Whether a request could be cut by the end of the process before it has had the time in which most
+// are answered.
+bool CallerTask::EndsBeforeAnswer(const RoutePolicy& policy) const {
+  return end_ && context_.loop.now() + policy.objective >= *end_;
+}
+
 // This daemon's share of the retry burst that all daemons share.
 RetryHundredths CallerTask::RetryBudgetSize() const {
   const double burst = context_.settings.shared_retry_burst;
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -38,6 +38,9 @@
   void ConfigurationChanged();
   /// Must be called every 100 ms: expires held requests and refreshes the candidates.
   void Tick();
+  /// Requests that arrive from now on are answered by then: their deadline is not later, and those
+  /// with less time left than their route's objective are refused.
+  void EndBy(TimePoint end) { end_ = end; }
   size_t in_flight() const { return exchanges_.size() + held_.size(); }
 
  private:
@@ -67,6 +70,7 @@
   std::optional<ResultCode> Prepare(Exchange& exchange);
   std::optional<ResultCode> PrepareAtMostOnce(Exchange& exchange);
   TimePoint ComputeDeadline(Exchange& exchange) const;
+  bool EndsBeforeAnswer(const RoutePolicy& policy) const;
   RetryHundredths RetryBudgetSize() const;
   size_t CountDaemons() const;
   ServiceState& FindOrCreateState(const CompiledService& service);
@@ -91,6 +95,7 @@
 
   DaemonContext& context_;
   TargetTask& target_;
+  std::optional<TimePoint> end_;  // set once this process drains
   StartupQueue startup_queue_;
   std::map<RequestNumber, std::shared_ptr<Exchange>> held_;  // the requests in startup_queue_
   SplitChooser split_chooser_;
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -28,6 +28,8 @@
 // all requests that are then running. If the target stopped accepting immediately, it would be
 // unavailable for twice as long in a rolling restart of all daemons.
 constexpr int kServingPercentOfNotice = 60;
+// Before the end of a drain, the last answers are sent.
+constexpr Duration kLastAnswerTime = std::chrono::milliseconds(300);
 
 std::string MakeRunId(const CommonSettings& settings, uint64_t seed) {
   constexpr char kDigits[] = "0123456789abcdef";
@@ -110,6 +112,7 @@
     UpdateSelf();
   });
   const TimePoint now = loop_.now();
+  callers_.EndBy(now + settings_.common.drain_timeout - kLastAnswerTime);
   FinishDrain(now + settings_.common.drain_notice, now + settings_.common.drain_timeout);
 }
 
--- a/test/failure/process_drain_test.cc
+++ b/test/failure/process_drain_test.cc
@@ -7,7 +7,10 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 #include <vector>
@@ -92,4 +95,47 @@
   CHECK(cluster.WaitForEnd("daemon-1"));
 }
 
+// Guards against requests that a draining daemon accepts and sends on, although they may outlast
+// its drain timeout, and then cuts without an answer.
+TEST(ProcessDrain, RequestsThatOutlastItsTimeoutAreRefusedOrAnsweredBeforeItsEnd) {
+  constexpr int kConnections = 6;
+  constexpr std::chrono::milliseconds kBeforeRequests(1500);  // of a drain of 2.5 s
+  const std::filesystem::path settings_file = cluster.folder() / "daemon-1.json";
+  nlohmann::json settings = nlohmann::json::parse(std::ifstream(settings_file));
+  settings["drain_timeout"] = "2500ms";
+  std::ofstream(settings_file) << settings.dump(2);
+  cluster.Kill("daemon-1");
+  cluster.Launch("daemon-1");
+  std::vector<std::unique_ptr<OpenConnection>> connections;
+  for (int count = 0; count < kConnections; ++count) {
+    HttpResponse ready;
+    for (int attempt = 0; attempt < 100 && ready.status != 200; ++attempt) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      auto connection = std::make_unique<OpenConnection>(cluster.CallerPort(1));
+      if (connection->Send(GetRequest("/bins"))) {
+        ready = connection->Receive();
+      }
+      if (ready.status == 200) {
+        connections.push_back(std::move(connection));
+      }
+    }
+    CHECK_EQUAL(200, ready.status);
+  }
+  cluster.SendSignal("daemon-1", SIGTERM);
+  std::this_thread::sleep_for(kBeforeRequests);
+  for (int target = 1; target <= ProcessCluster::kDaemons; ++target) {
+    cluster.SendSignal(ProcessCluster::Target(target), SIGSTOP);
+  }
+  for (const auto& connection : connections) {
+    CHECK(connection->Send(GetRequest("/bins")));
+  }
+  for (const auto& connection : connections) {
+    CHECK(connection->Receive().status >= 500);
+  }
+  for (int target = 1; target <= ProcessCluster::kDaemons; ++target) {
+    cluster.SendSignal(ProcessCluster::Target(target), SIGCONT);
+  }
+  CHECK(cluster.WaitForEnd("daemon-1"));
+}
+
 }  // namespace endivecleat::test
