Keep a control instance running while its disk is full

Cause: every failed write was taken for a disk whose content is unknown. A write that finds no room (ENOSPC, EDQUOT, EFBIG) now leaves the log as it was: a partial record is cut off, at the latest before the next write, and a new log file that has no room is removed. The replica keeps what it could not write, sends and applies nothing until that is written, and tries once in each tick. To the others it is silent, so that a leader loses its office. A torn tail that can't be cut off at a start on a full disk no longer ends the process. Other failures of a write or sync end it as before. A process that finds a full disk before its log exists still ends.

--- a/src/log_store.h
+++ b/src/log_store.h
@@ -4,6 +4,8 @@
 #ifndef ENDIVECLEAT_LOG_STORE_H_
 #define ENDIVECLEAT_LOG_STORE_H_
 
+#include <sys/types.h>
+
 #include <filesystem>
 #include <string>
 #include <vector>
@@ -41,13 +43,15 @@
   StoredLog Load();
 
   /// Writes and syncs the persistent part of a Ready; a Ready with a snapshot replaces the file.
-  /// Throws InternalError when a write or sync fails. The process must stop then, since it is
-  /// unknown what reached the disk.
-  void Persist(const Ready& ready);
+  /// Returns false, with nothing of it stored, when there is no room; the same Ready has to be
+  /// passed again before any later one. Throws InternalError when a write or sync fails for another
+  /// reason. The process must stop then, since it is unknown what reached the disk.
+  bool Persist(const Ready& ready);
 
  private:
-  void Append(const std::string& record);
-  void Replace(const StoredLog& stored);
+  bool Append(const std::string& record);
+  bool Replace(const StoredLog& stored);
+  bool RemoveTornTail();
   void OpenFile();
 
   std::filesystem::path folder_;
@@ -55,7 +59,10 @@
   HardState hard_state_;  // last persisted value
   LogIndex commit_;       // last persisted value
   int lock_ = -1;
-  int file_ = -1;  // opened for appending by Load
+  int file_ = -1;               // opened for appending by Load
+  off_t length_ = 0;            // of the complete records in the file, in bytes
+  bool has_torn_tail_ = false;  // the file is longer than that
+  bool is_full_ = false;        // the last write found no room
   bool failed_ = false;
 };
 
--- a/src/process_runner.h
+++ b/src/process_runner.h
@@ -93,6 +93,8 @@
 requires RunnableProcess<Process, Settings>
 int RunProcess(const std::string& path, Settings (*load)(const std::string&)) {
   ConfigureMalloc();
+  // A file that reaches its size limit is handled where it is written, like a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
   const Settings settings = load(path);
   ConfigureLog(settings.common.instance, settings.common.log);
   EventLoop loop;
--- a/src/replica_task.h
+++ b/src/replica_task.h
@@ -55,7 +55,10 @@
 
   void SetMembers(std::vector<InstanceId> members) { log_.SetMembers(std::move(members)); }
 
-  void Tick(TimePoint now) { log_.Tick(now); }
+  void Tick(TimePoint now) {
+    log_.Tick(now);
+    may_retry_ = true;
+  }
   TimePoint next_timer() const { return log_.next_timer(); }
 
   /// Proposes a command. Returns false, without calling back, when this instance is not the leader.
@@ -79,9 +82,13 @@
   /// Persists, sends and applies everything that the log has ready. Returns true when the state
   /// machine changed.
   bool Flush() {
-    bool applied = false;
-    for (Ready ready = log_.TakeReady(); HasWork(ready); ready = log_.TakeReady()) {
-      applied = ProcessReady(ready) || applied;
+    bool applied = RetryUnwritten();
+    while (!unwritten_) {
+      Ready ready = log_.TakeReady();
+      if (!HasWork(ready)) {
+        break;
+      }
+      applied = ProcessReady(std::move(ready)) || applied;
     }
     if (log_.role() != ReplicaRole::kLeader) {
       AbandonProposals();
@@ -111,8 +118,21 @@
            !ready.messages.empty() || !ready.committed.empty() || !ready.reads.empty();
   }
 
-  bool ProcessReady(const Ready& ready) {
-    store_.Persist(ready);
+  // Without room on the disk, nothing is sent, applied or taken from the log any more: to the
+  // others this replica is silent, and a leader loses its office.
+  bool RetryUnwritten() {
+    if (!unwritten_ || !may_retry_) {
+      return false;
+    }
+    may_retry_ = false;
+    return ProcessReady(*std::exchange(unwritten_, std::nullopt));
+  }
+
+  bool ProcessReady(Ready ready) {
+    if (!store_.Persist(ready)) {
+      unwritten_ = std::move(ready);
+      return false;
+    }
     for (const OutgoingMessage& outgoing : ready.messages) {
       send_(outgoing.to, outgoing.message);
     }
@@ -189,6 +209,8 @@
   State state_;
   ReplicatedLog log_;  // initialized by Open, which uses store_ and state_
   LogIndex applied_;
+  std::optional<Ready> unwritten_;          // taken from the log; the disk had no room for it
+  bool may_retry_ = false;                  // set once for each tick
   std::map<LogIndex, Proposal> proposals_;  // empty unless this instance is the leader
   uint64_t next_token_ = 1;
   std::map<uint64_t, ReadCallback> reads_;
--- a/test/correctness/log_store_test.cc
+++ b/test/correctness/log_store_test.cc
@@ -2,6 +2,10 @@
 #include "log_store.h"
 
 #include <CppUTest/TestHarness.h>
+#include <sys/resource.h>
+
+#include <csignal>
+#include <fstream>
 
 #include "replicated_log.h"
 #include "temporary_folder.h"
@@ -89,3 +93,62 @@
   CHECK((stored.entries == std::vector{Entry(3, 5), Entry(4, 5)}));
   CHECK(stored.hard_state.term == Term(5));
 }
+
+// The limit of the size of files stands in for a full disk: a write stores the bytes up to it, or
+// none.
+TEST_GROUP(LogStoreOnAFullDisk) {
+  TemporaryFolder folder;
+  std::unique_ptr<LogStore> store;
+
+  void setup() override {
+    std::signal(SIGXFSZ, SIG_IGN);
+    InitializeLog(folder.path(), kVoters);
+    store = std::make_unique<LogStore>(folder.path());
+    store->Load();
+    CHECK(store->Persist({.entries = {Entry(2, 1)}}));
+  }
+  void teardown() override {
+    store.reset();
+    SetLimit(RLIM_INFINITY);
+    std::signal(SIGXFSZ, SIG_DFL);
+  }
+  static void SetLimit(rlim_t bytes) {
+    const rlimit limit = {.rlim_cur = bytes, .rlim_max = RLIM_INFINITY};
+    CHECK_EQUAL(0, setrlimit(RLIMIT_FSIZE, &limit));
+  }
+  rlim_t FileSize() const { return std::filesystem::file_size(folder.path() / "log"); }
+  /// What a process finds that starts now.
+  StoredLog Restart() {
+    store.reset();
+    store = std::make_unique<LogStore>(folder.path());
+    return store->Load();
+  }
+};
+
+TEST(LogStoreOnAFullDisk, KeepsWhatItHasAndStoresTheSameOnceThereIsRoom) {
+  const Ready ready = {.hard_state = HardState{Term(2), InstanceId("b")}, .entries = {Entry(3, 2)}};
+  for (const rlim_t room : {0, 1, 9, 20}) {
+    SetLimit(FileSize() + room);
+    CHECK_FALSE(store->Persist(ready));
+    CHECK_FALSE(store->Persist(ready));
+  }
+  CHECK((Restart().entries == std::vector{Entry(2, 1)}));
+  CHECK_FALSE(store->Persist(ready));
+  SetLimit(RLIM_INFINITY);
+  CHECK(store->Persist(ready));
+  CHECK(store->Persist({.entries = {Entry(4, 2)}}));
+  const StoredLog stored = Restart();
+  CHECK((stored.entries == std::vector{Entry(2, 1), Entry(3, 2), Entry(4, 2)}));
+  CHECK((stored.hard_state == HardState{Term(2), InstanceId("b")}));
+}
+
+TEST(LogStoreOnAFullDisk, KeepsTheOldLogWhenASnapshotFindsNoRoom) {
+  const Ready snapshot = {.snapshot = LogSnapshot{LogIndex(2), Term(1), {}, std::string(500, 's')}};
+  SetLimit(100);
+  CHECK_FALSE(store->Persist(snapshot));
+  CHECK((Restart().entries == std::vector{Entry(2, 1)}));
+  CHECK_FALSE(store->Persist(snapshot));
+  SetLimit(RLIM_INFINITY);
+  CHECK(store->Persist(snapshot));
+  CHECK(Restart().snapshot.state == std::string(500, 's'));
+}
--- a/test/failure/process_agreement_test.cc
+++ b/test/failure/process_agreement_test.cc
@@ -278,4 +278,49 @@
   }
 }
 
+// Guards against a control instance that ends, or takes no more part in the agreement, after its
+// disk was full for some seconds.
+TEST_GROUP(ProcessFullDisks) {
+  ProcessCluster cluster;
+
+  void setup() override {
+    int leader = 0;
+    CHECK(cluster.StartControls());
+    CHECK(cluster.WaitForLeader(&leader));
+  }
+};
+
+TEST(ProcessFullDisks, OneAfterAnotherLeaveAllProcessesAndChangesPossible) {
+  uint64_t version = 0;
+  const auto submit = [&] {
+    const std::string operation = "change-" + std::to_string(version);
+    const RpcAnswer answer = cluster.SubmitUntilKnown(
+        operation, version, ProcessCluster::Document(static_cast<int>(version)));
+    CHECK(answer.answered);
+    CHECK_EQUAL(0, answer.code);
+    ++version;
+  };
+  submit();
+  for (int round = 0; round < 2; ++round) {
+    for (int number = 1; number <= ProcessCluster::kControls; ++number) {
+      const std::string name = ProcessCluster::Control(number);
+      cluster.FillDisk(name);
+      submit();
+      std::this_thread::sleep_for(std::chrono::seconds(1));
+      submit();
+      cluster.EmptyDisk(name);
+      CHECK(cluster.IsRunning(name));
+      submit();
+    }
+  }
+  // Each of them is needed again once another is gone.
+  for (int number = 1; number <= ProcessCluster::kControls; ++number) {
+    const std::string name = ProcessCluster::Control(number);
+    cluster.Kill(name);
+    submit();
+    cluster.Launch(name);
+    submit();
+  }
+}
+
 }  // namespace endivecleat::test
--- a/test/process_cluster.cc
+++ b/test/process_cluster.cc
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -244,6 +245,18 @@
   }
 }
 
+void ProcessCluster::FillDisk(const std::string& name) {
+  const rlimit full = {.rlim_cur = 1, .rlim_max = RLIM_INFINITY};
+  ENDIVECLEAT_CHECK(::prlimit(processes_.at(name).pid, RLIMIT_FSIZE, &full, nullptr) == 0,
+                    "cannot limit the size of files");
+}
+
+void ProcessCluster::EmptyDisk(const std::string& name) {
+  const rlimit unlimited = {.rlim_cur = RLIM_INFINITY, .rlim_max = RLIM_INFINITY};
+  ENDIVECLEAT_CHECK(::prlimit(processes_.at(name).pid, RLIMIT_FSIZE, &unlimited, nullptr) == 0,
+                    "cannot end the limit of the size of files");
+}
+
 void ProcessCluster::Kill(const std::string& name) {
   Process& process = processes_.at(name);
   if (process.pid != 0) {
--- a/test/process_cluster.h
+++ b/test/process_cluster.h
@@ -78,6 +78,10 @@
   /// Starts a process, given its name from one of the functions above; no effect if it runs.
   void Launch(const std::string& name);
   void SendSignal(const std::string& name, int signal);
+  /// Limits the size of each file that the process writes, like a disk that is full, or ends the
+  /// limit.
+  void FillDisk(const std::string& name);
+  void EmptyDisk(const std::string& name);
   /// Sends SIGKILL and waits for the process to exit.
   void Kill(const std::string& name);
   /// Waits for a process to exit. Returns false after 60 s.
