--- a/src/config_exchange.cc
+++ b/src/config_exchange.cc
@@ -81,6 +81,9 @@
   const PeerRequestId request = node_.network().Request(
       *address, PeerChannel::kConfigDistribution, writer.Take(), times_.answer,
       [this, to](const PeerOutcome& outcome) { OnOutcome(to, outcome); });
+  if (message.message.kind == Kind::kHello && message.message.version == ConfigVersion()) {
+    return;  // while there is no version yet, a source leaves such a Hello unanswered
+  }
   loop_.RunAfter(times_.link_check,
                  [this, request, to, bytes, alive = std::weak_ptr<bool>(alive_)] {
                    if (!alive.expired()) {
