--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -172,6 +172,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<InstanceId> instances;
+  instances.reserve(ranked.size());
   for (auto& [rank, instance] : ranked) {
     instances.push_back(std::move(instance));
   }
--- a/test/error/rpc_test.cc
+++ b/test/error/rpc_test.cc
@@ -86,11 +86,14 @@
 TEST(RpcServerGivenMalformedText, AnswersDeepNestingAndNumbersOutOfRangeWithAnError) {
   constexpr size_t kDepth = 100'000;
   const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
-  const std::string prefix = R"({"jsonrpc":"2.0","id":1,"method":"double","params":{"number":)";
+  const auto with_number = [](const std::string& value) {
+    std::string text = R"({"jsonrpc":"2.0","id":1,"method":"double","params":{"number":)";
+    return text.append(value).append("}}");
+  };
   for (const std::string& text :
-       {deep, std::string(kDepth, '['), std::string(kDepth, '{'), prefix + deep + "}}",
-        prefix + "1e999}}", prefix + "99999999999999999999999}}", prefix + "-1e308}}",
-        prefix + "1,\"x\":" + deep + "}}"}) {
+       {deep, std::string(kDepth, '['), std::string(kDepth, '{'), with_number(deep),
+        with_number("1e999"), with_number("99999999999999999999999"), with_number("-1e308"),
+        with_number(std::string("1,\"x\":").append(deep))}) {
     CHECK(Server().Handle(text).find("error") != std::string::npos);
   }
 }
