Test which control instance a daemon asks, and which start is in the future

The choice of the control instance that confirms a version, after silence, a busy answer or a message that was not delivered, had only the mesh's tests; StartsInTheFuture had none. No code of the product changes.

--- a/test/correctness/config_replica_test.cc
+++ b/test/correctness/config_replica_test.cc
@@ -10,11 +10,15 @@
 using endivecleat::ConfigEvent;
 using endivecleat::ConfigEvents;
 using endivecleat::ConfigMessage;
+using endivecleat::ConfigReplica;
 using endivecleat::ConfigSource;
 using endivecleat::ConfigSourceSettings;
 using endivecleat::ConfigText;
+using endivecleat::ConfigTextPtr;
 using endivecleat::ConfigVersion;
+using endivecleat::Duration;
 using endivecleat::InstanceId;
+using endivecleat::PeerMessage;
 using endivecleat::TimePoint;
 using endivecleat::TransferCodec;
 using endivecleat::TransferKind;
@@ -257,3 +261,81 @@
   LONGS_EQUAL(1, events.size());
   CHECK(events[0].kind == ConfigEvent::Kind::kTransferExpired && events[0].peer == Peer(1));
 }
+
+// Guards against a daemon that stays on an old version since the control instance that it asks is
+// gone, cut off from the others, or out of reach.
+TEST_GROUP(ConfigReplicaWithTwoControlInstances) {
+  const InstanceId near{"near"};
+  const InstanceId far{"far"};
+  TimePoint now = kStart;
+  ConfigReplica replica{InstanceId("self"),
+                        {.local_controls = {near, far}, .start_jitter = Duration{}},
+                        PrefixCodec(),
+                        [](ConfigVersion, const std::string&) { return true; },
+                        1,
+                        kStart};
+
+  static ConfigMessage Notice(uint64_t version) {
+    return {Kind::kNotice, ConfigVersion(version), MakeText(version)->digest};
+  }
+  static ConfigMessage Transfer(uint64_t version) {
+    const ConfigTextPtr text = MakeText(version);
+    return {.kind = Kind::kTransfer,
+            .version = text->version,
+            .digest = text->digest,
+            .transfer = TransferKind::kSnapshot,
+            .bytes = text->text};
+  }
+  void setup() override { replica.Receive(now, near, Transfer(1)); }
+
+  /// Ticks until the replica asks a control instance, and returns which; empty after five seconds.
+  InstanceId Asked() {
+    for (int tick = 0; tick < 50; ++tick) {
+      now += std::chrono::milliseconds(100);
+      for (const PeerMessage& sent : replica.Tick(now, {})) {
+        if (sent.message.kind == Kind::kHello) {
+          return sent.to;
+        }
+      }
+    }
+    return {};
+  }
+};
+
+TEST(ConfigReplicaWithTwoControlInstances, AsksTheNearestAgainAndAgainWhileItAnswers) {
+  for (int question = 0; question < 30; ++question) {
+    CHECK(Asked() == near);
+    CHECK(replica.Receive(now, near, Notice(1)).empty());
+  }
+}
+
+TEST(ConfigReplicaWithTwoControlInstances, AsksTheNextAfterASilentOne) {
+  CHECK(Asked() == near);
+  CHECK(Asked() == far);
+}
+
+TEST(ConfigReplicaWithTwoControlInstances, AsksTheNextAfterOneThatCannotTell) {
+  CHECK(Asked() == near);
+  replica.Receive(now, near, {.kind = Kind::kBusy});
+  const TimePoint answered = now;
+  CHECK(Asked() == far);
+  CHECK(now - answered <= std::chrono::milliseconds(100));
+}
+
+TEST(ConfigReplicaWithTwoControlInstances, AsksTheNextAfterOneOutOfReach) {
+  CHECK(Asked() == near);
+  replica.NotDelivered(now, near);
+  const TimePoint told = now;
+  CHECK(Asked() == far);
+  CHECK(now - told <= std::chrono::milliseconds(100));
+}
+
+TEST(ConfigReplicaWithTwoControlInstances, PullsAtOnceFromAnotherAfterAPullThatWasNotDelivered) {
+  replica.Receive(now, far, Notice(2));
+  const auto second = replica.Receive(now, near, Notice(2));
+  CHECK(second.empty());  // the pull to the first is under way
+  const auto again = replica.NotDelivered(now, far);
+  LONGS_EQUAL(1, again.size());
+  CHECK(again[0].to == near);
+  CHECK(again[0].message.kind == Kind::kPull);
+}
--- a/test/platform/target_report_test.cc
+++ b/test/platform/target_report_test.cc
@@ -145,3 +145,13 @@
   CHECK_FALSE(reports.Accept(Report("a", 10, 7)));
   CHECK(reports.Accept(Report("a", 13, 1)));
 }
+
+TEST_GROUP(TargetReportOfAStart){};
+
+TEST(TargetReportOfAStart, IsInTheFutureOnlyBeyondADifferenceOfClocks) {
+  const WallTime now(1'700'000'000'000);
+  CHECK_FALSE(StartsInTheFuture(Report("i-1", 1'700'000'005'000, 1), now));
+  CHECK_FALSE(StartsInTheFuture(Report("i-1", 1'699'000'000'000, 1), now));
+  CHECK(StartsInTheFuture(Report("i-1", 1'700'003'600'000, 1), now));
+  CHECK(StartsInTheFuture(Report("i-1", (uint64_t{1} << 53U) - 1, 1), now));
+}
