Ask control instances once in an interval while none can tell

A daemon in a data centre that is cut off from the leader went from one control instance to the next with each tick, ten questions a second, found reading the change once more. After two in a row it now waits for the interval between two questions. AsksAboutOnceInAnIntervalWhileNoneCanTell fails without the bound.

--- a/src/config_replica.cc
+++ b/src/config_replica.cc
@@ -15,6 +15,9 @@
 
 // Polls of all daemons that start together spread over this part of their interval.
 constexpr uint64_t kConfirmJitterDivisor = 4;
+// While no control instance can tell, as in a data centre that is cut off, so many are asked one
+// after the other, and then one in each interval.
+constexpr size_t kMaxContactsAtOnce = 2;
 // After this time a nearer control instance is tried again.
 constexpr Duration kContactLifetime = std::chrono::seconds(10);
 constexpr Duration kRelayCheckInterval = std::chrono::milliseconds(500);
@@ -64,6 +67,7 @@
       unanswered_hellos_.erase(from);
       if (from == contact_) {
         contact_asked_at_.reset();
+        contacts_failed_ = 0;
       }
       remote_poll_answered_ = remote_poll_answered_ || IsRemote(from);
       if (pull_ && pull_->from == from && message.version <= own_version()) {
@@ -301,7 +305,8 @@
       found == controls.end() || found + 1 == controls.end() ? controls.front() : *(found + 1);
   contact_since_ = now;
   contact_asked_at_.reset();
-  next_confirm_ = now;
+  ++contacts_failed_;
+  next_confirm_ = contacts_failed_ <= kMaxContactsAtOnce ? now : now + settings_.confirm_interval;
 }
 
 // A version that only gossip tells of may be held by any member, however far and busy. The contact
--- a/src/config_replica.h
+++ b/src/config_replica.h
@@ -161,6 +161,7 @@
   InstanceId contact_;  // the local control instance that is asked for its version
   TimePoint contact_since_;
   std::optional<TimePoint> contact_asked_at_;  // set while its answer is awaited
+  size_t contacts_failed_ = 0;                 // in a row, without an answer
   TimePoint next_confirm_;
   ConfigVersion newest_offered_;    // of which a kVersion... event was recorded
   TimePoint last_control_contact_;  // last message of a control instance, or the start
--- a/test/correctness/config_replica_test.cc
+++ b/test/correctness/config_replica_test.cc
@@ -339,3 +339,16 @@
   CHECK(again[0].to == near);
   CHECK(again[0].message.kind == Kind::kPull);
 }
+
+// Guards against a daemon in a data centre that is cut off and asks without pause.
+TEST(ConfigReplicaWithTwoControlInstances, AsksAboutOnceInAnIntervalWhileNoneCanTell) {
+  const TimePoint start = now;
+  int questions = 0;
+  while (now - start < std::chrono::seconds(30)) {
+    const InstanceId asked = Asked();
+    CHECK(asked == near || asked == far);
+    ++questions;
+    replica.Receive(now, asked, {.kind = Kind::kBusy});
+  }
+  CHECK(questions <= 50);
+}
