--- /dev/null
+++ b/review/cases/crashing_request.cc
@@ -0,0 +1,138 @@
+// A request crashes each server of one service that begins to run it, and comes again every three
+// seconds, at another machine each time. Requests for another host, which have the same path and
+// body, are served by another service all the while. Without trouble, nobody sends the first.
+#include <atomic>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "../harness/deployment.h"
+
+namespace {
+
+using review::ClientRequest;
+using review::Deployment;
+using review::Message;
+using review::Milliseconds;
+using review::Record;
+
+constexpr char kCrashingHost[] = "pedidos.example";
+constexpr char kOtherHost[] = "cuadrillas.example";
+constexpr char kTarget[] = "/v1/sync";
+constexpr char kBody[] = "{}";
+constexpr int kPortalMachines = 5;
+constexpr int kCrewMachines = 5;
+constexpr int kAttempts = 10;
+constexpr Milliseconds kBetweenAttempts{3000};
+constexpr Milliseconds kServerDownTime{2000};
+constexpr Milliseconds kOtherPause{200};
+constexpr int64_t kContactWindowMs = 4000;
+
+Message Request(const std::string& host, const std::string& id) {
+  Message request = ClientRequest("POST", kTarget, id, 3000);
+  request.headers[0].second = host;
+  request.body = kBody;
+  return request;
+}
+
+std::string Describe(const std::optional<Message>& answer) {
+  return answer ? std::to_string(answer->status) + " " + answer->body : "nothing";
+}
+
+std::string Side(int index) { return "side-" + std::to_string(index); }
+
+}  // namespace
+
+int main(int count, char** arguments) {
+  if (count < 4) {
+    std::cerr << "usage: crashing_request ROOT RECORD TROUBLE [alone]\n";
+    return 2;
+  }
+  const bool trouble = std::string(arguments[3]) != "0";
+  const bool alone = count > 4;  // without the requests for the other host
+  Record record(arguments[2]);
+  std::vector<review::Machine> machines = {{"core-a", "cant-a", "cantabrico", ""},
+                                           {"core-b", "cant-b", "cantabrico", ""},
+                                           {"core-c", "ebro-a", "ebro", ""}};
+  for (int index = 0; index < kPortalMachines + kCrewMachines; ++index) {
+    machines.push_back({Side(index), "cant-a", "cantabrico",
+                        index < kPortalMachines ? "portal-ayto" : "ruta-cuadrilla"});
+  }
+  Deployment deployment(record, arguments[1], machines);
+  deployment.SetCrashesOn(kCrashingHost);
+  const std::string resources = review::RouteResource("r-orders", "/v1/", "non_idempotent",
+                                                      "portal-ayto", 2500, kCrashingHost) +
+                                "," +
+                                review::RouteResource("r-crews", "/v1/", "non_idempotent",
+                                                      "ruta-cuadrilla", 2500, kOtherHost) +
+                                "," + review::ServiceResource("portal-ayto") + "," +
+                                review::ServiceResource("ruta-cuadrilla") + "," +
+                                review::LimitsResource();
+  if (!deployment.Start(resources)) {
+    record.Write("the deployment did not start");
+    return 2;
+  }
+  std::this_thread::sleep_for(Milliseconds(5000));  // all machines are in touch
+  std::atomic<bool> stop{false};
+  std::atomic<int> others_served{0};
+  std::atomic<int> others_failed{0};
+  std::vector<std::thread> clients;
+  for (int client = 0; client < kPortalMachines && !alone; ++client) {
+    const review::Endpoint to = deployment.Outbound(Side(client));
+    clients.emplace_back([&, to, client] {
+      for (int number = 0; !stop; ++number) {
+        const std::string id = "other-" + std::to_string(client) + "-" + std::to_string(number);
+        const auto answer = review::Exchange(to, Request(kOtherHost, id), Milliseconds(3500));
+        ++(answer && answer->status == 200 ? others_served : others_failed);
+        if (!answer || answer->status != 200) {
+          record.Write(
+              std::string("client of ").append(id).append(" gets ").append(Describe(answer)));
+        }
+        std::this_thread::sleep_for(kOtherPause);
+      }
+    });
+  }
+  std::this_thread::sleep_for(Milliseconds(1000));
+
+  std::vector<int64_t> crashes;
+  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    const auto next = review::Clock::now() + kBetweenAttempts;
+    if (trouble) {
+      // All machines of this service have the same Caller.
+      const std::string machine = Side(kPortalMachines + attempt % kCrewMachines);
+      std::string id = "crashing-";
+      id += std::to_string(attempt);
+      record.Write(std::string("client sends ").append(id).append(" at ").append(machine));
+      const auto answer = review::Exchange(deployment.Outbound(machine), Request(kCrashingHost, id),
+                                           Milliseconds(3500));
+      record.Write(std::string("client of ").append(id).append(" gets ").append(Describe(answer)));
+    }
+    std::this_thread::sleep_for(kServerDownTime);
+    for (int index = 0; index < kPortalMachines; ++index) {
+      review::Server& server = deployment.server(Side(index));
+      if (server.ended()) {
+        for (const review::Run& run : server.runs()) {
+          crashes.push_back(run.at_ms);
+        }
+        deployment.StartServer(Side(index), "i-" + Side(index) + "-" + std::to_string(attempt));
+      }
+    }
+    std::this_thread::sleep_until(next);
+  }
+  stop = true;
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  int late = 0;
+  for (size_t index = 3; index < crashes.size(); ++index) {
+    late += crashes[index] > crashes[2] + kContactWindowMs ? 1 : 0;
+  }
+  record.Write("the request crashed " + std::to_string(crashes.size()) + " servers, " +
+               std::to_string(late) + " of them later than " + std::to_string(kContactWindowMs) +
+               " ms after the third; other requests: " + std::to_string(others_served) +
+               " served, " + std::to_string(others_failed) + " not");
+  record.Write(late > 3 ? "BUDGET is broken" : "BUDGET holds");
+  return late > 3 ? 1 : 0;
+}
