--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,6 +5,6 @@
 [ -x ../build/crashing_request ] || { echo "run review/build.sh first" >&2; exit 2; }
 timeout 115 ../build/crashing_request "$PWD/../.." record.txt "${TROUBLE:-1}"
 status=$?
-grep -E 'clients:|confirmations:|the request crashed|did not start| (holds|is broken)$' record.txt
+grep -E 'clients:|confirmations:|the request crashed|counted:|did not start| (holds|is broken)$' record.txt
 [ "$status" -le 1 ] && exit "$status"
 exit 2
