--- a/review/cases/crashing_request.cc
+++ b/review/cases/crashing_request.cc
@@ -1,6 +1,7 @@
 // A request crashes each server of one service that begins to run it, and comes again every three
 // seconds, at another machine each time. Requests for another host, which have the same path and
-// body, are served by another service all the while. Without trouble, nobody sends the first.
+// body, are served by another service all the while, and invoices by the first. Without trouble,
+// nobody sends the request that crashes its servers.
 #include <atomic>
 #include <iostream>
 #include <optional>
@@ -20,6 +21,7 @@
 
 constexpr char kCrashingHost[] = "pedidos.example";
 constexpr char kOtherHost[] = "cuadrillas.example";
+constexpr char kInvoiceHost[] = "facturas.example";
 constexpr char kTarget[] = "/v1/sync";
 constexpr char kBody[] = "{}";
 constexpr int kPortalMachines = 5;
@@ -28,6 +30,7 @@
 constexpr Milliseconds kBetweenAttempts{3000};
 constexpr Milliseconds kServerDownTime{2000};
 constexpr Milliseconds kOtherPause{200};
+constexpr Milliseconds kInvoicePause{60};
 constexpr int64_t kContactWindowMs = 4000;
 
 Message Request(const std::string& host, const std::string& id) {
@@ -62,14 +65,15 @@
   }
   Deployment deployment(record, arguments[1], machines);
   deployment.SetCrashesOn(kCrashingHost);
-  const std::string resources = review::RouteResource("r-orders", "/v1/", "non_idempotent",
-                                                      "portal-ayto", 2500, kCrashingHost) +
-                                "," +
-                                review::RouteResource("r-crews", "/v1/", "non_idempotent",
-                                                      "ruta-cuadrilla", 2500, kOtherHost) +
-                                "," + review::ServiceResource("portal-ayto") + "," +
-                                review::ServiceResource("ruta-cuadrilla") + "," +
-                                review::LimitsResource();
+  const std::string orders = review::RouteResource("r-orders", "/v1/", "non_idempotent",
+                                                   "portal-ayto", 2500, kCrashingHost);
+  const std::string crews = review::RouteResource("r-crews", "/v1/", "non_idempotent",
+                                                  "ruta-cuadrilla", 2500, kOtherHost);
+  const std::string invoices = review::RouteResource("r-invoices", "/factura/", "non_idempotent",
+                                                     "portal-ayto", 2500, kInvoiceHost);
+  const std::string resources =
+      orders + "," + crews + "," + invoices + "," + review::ServiceResource("portal-ayto") + "," +
+      review::ServiceResource("ruta-cuadrilla") + "," + review::LimitsResource();
   if (!deployment.Start(resources)) {
     record.Write("the deployment did not start");
     return 2;
@@ -78,7 +82,29 @@
   std::atomic<bool> stop{false};
   std::atomic<int> others_served{0};
   std::atomic<int> others_failed{0};
+  std::atomic<int> invoices_served{0};
+  std::atomic<int> invoices_lost{0};  // answered 502 or 504, or not at all
   std::vector<std::thread> clients;
+  for (int client = 0; client < kPortalMachines; ++client) {
+    const review::Endpoint to = deployment.Outbound(Side(client));
+    clients.emplace_back([&, to, client] {
+      for (int number = 0; !stop; ++number) {
+        const std::string id = "invoice-" + std::to_string(client) + "-" + std::to_string(number);
+        Message request = ClientRequest("POST", "/factura/" + id + "/work-210", id, 5000);
+        request.headers[0].second = kInvoiceHost;
+        request.body = "line";
+        const auto answer = review::Exchange(to, request, Milliseconds(5500));
+        const int status = answer ? answer->status : 0;
+        invoices_served += status == 200 ? 1 : 0;
+        if (status == 0 || status == 502 || status == 504) {
+          ++invoices_lost;
+          record.Write(
+              std::string("client of ").append(id).append(" gets ").append(Describe(answer)));
+        }
+        std::this_thread::sleep_for(kInvoicePause);
+      }
+    });
+  }
   for (int client = 0; client < kPortalMachines && !alone; ++client) {
     const review::Endpoint to = deployment.Outbound(Side(client));
     clients.emplace_back([&, to, client] {
@@ -114,7 +140,9 @@
       review::Server& server = deployment.server(Side(index));
       if (server.ended()) {
         for (const review::Run& run : server.runs()) {
-          crashes.push_back(run.at_ms);
+          if (run.target == kTarget) {
+            crashes.push_back(run.at_ms);
+          }
         }
         deployment.StartServer(Side(index), "i-" + Side(index) + "-" + std::to_string(attempt));
       }
@@ -132,7 +160,9 @@
   record.Write("the request crashed " + std::to_string(crashes.size()) + " servers, " +
                std::to_string(late) + " of them later than " + std::to_string(kContactWindowMs) +
                " ms after the third; other requests: " + std::to_string(others_served) +
-               " served, " + std::to_string(others_failed) + " not");
+               " served, " + std::to_string(others_failed) +
+               " not; invoices: " + std::to_string(invoices_served) + " served, " +
+               std::to_string(invoices_lost) + " lost");
   record.Write(late > 3 ? "BUDGET is broken" : "BUDGET holds");
   return late > 3 ? 1 : 0;
 }
--- a/review/cases/innocent_request.cc
+++ b/review/cases/innocent_request.cc
@@ -23,11 +23,11 @@
 constexpr int kMachines = 16;
 constexpr int kCrashing = 2;  // share 0.15 of the servers of the service
 constexpr Milliseconds kPollInterval{3000};
-constexpr Milliseconds kCrashAfterPoll{80};
+constexpr Milliseconds kCrashAfterPoll{40};
 constexpr Milliseconds kServerDownTime{4000};
 constexpr Milliseconds kCalmTime{5000};  // longer than contactWindowMs
 constexpr Milliseconds kCountedTime{12'000};
-constexpr char kPolledTarget[] = "/avisos/todos/work-160";
+constexpr char kPolledTarget[] = "/avisos/todos/work-80";
 
 std::string Side(int index) { return "side-" + std::to_string(index); }
 
