--- a/review/cases/innocent_request.cc
+++ b/review/cases/innocent_request.cc
@@ -1,6 +1,7 @@
 // Handsets poll one path of a route that was added later, all at the same moment every three
 // seconds. With trouble, two servers crash at one such moment, and new ones start in their place.
 // Other clients read from a route of the first configuration all the while.
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <optional>
@@ -21,9 +22,9 @@
 
 constexpr int kPortalMachines = 14;
 constexpr int kMachines = 16;
-constexpr int kCrashing = 2;  // share 0.15 of the servers of the service
 constexpr Milliseconds kPollInterval{3000};
-constexpr Milliseconds kCrashAfterPoll{40};
+constexpr Milliseconds kLatestCrash{60};  // after the moment of a poll, which takes 80 ms
+constexpr int kMaxPollsBeforeCrash = 8;
 constexpr Milliseconds kServerDownTime{4000};
 constexpr Milliseconds kCalmTime{5000};  // longer than contactWindowMs
 constexpr Milliseconds kCountedTime{12'000};
@@ -82,6 +83,8 @@
     return 2;
   }
   std::this_thread::sleep_for(kCalmTime);
+  // Share 0.15 of the servers of the service.
+  const std::vector<std::string> crashing = {Side(0), Side(1)};
   std::atomic<bool> stop{false};
   Counts polls;
   Counts reads;
@@ -109,13 +112,28 @@
       }
     });
   }
-  std::this_thread::sleep_until(start + 2 * kPollInterval + kCrashAfterPoll);
-  for (int index = 0; trouble && index < kCrashing; ++index) {
-    deployment.server(Side(index)).End();
+  // The two crash at the first moment at which both run a read of the polled path. Reads of the
+  // other path take 5 ms, so that few of them run then.
+  bool crashed = false;
+  for (int poll = 2; trouble && !crashed && poll < kMaxPollsBeforeCrash; ++poll) {
+    std::this_thread::sleep_until(start + poll * kPollInterval + Milliseconds(20));
+    while (!crashed && Clock::now() < start + poll * kPollInterval + kLatestCrash) {
+      crashed = std::all_of(crashing.begin(), crashing.end(), [&](const std::string& name) {
+        return deployment.server(name).running() > 0;
+      });
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+  }
+  for (const std::string& name : crashing) {
+    if (crashed) {
+      deployment.server(name).End();
+    }
   }
   std::this_thread::sleep_for(kServerDownTime);
-  for (int index = 0; trouble && index < kCrashing; ++index) {
-    deployment.StartServer(Side(index), "i-" + Side(index) + "-again");
+  for (const std::string& name : crashing) {
+    if (crashed) {
+      deployment.StartServer(name, "i-" + name + "-again");
+    }
   }
   std::this_thread::sleep_for(kCalmTime);
   record.Write("the counted time begins");
@@ -133,6 +151,10 @@
   record.Write("counted: of the route added later " + std::to_string(polls.served) + " of " +
                std::to_string(polls.asked) + " served, of the first " +
                std::to_string(reads.served) + " of " + std::to_string(reads.asked));
+  if (trouble && !crashed) {
+    record.Write("no moment came at which both servers ran the request");
+    return 2;
+  }
   record.Write(broken ? "CONFIG is broken" : "CONFIG holds");
   return broken ? 1 : 0;
 }
--- a/review/cases/left_server.cc
+++ b/review/cases/left_server.cc
@@ -1,6 +1,7 @@
 // A server leaves with DELETE alone and serves on for a while. With trouble, the daemon beside it
-// is killed right after it has acknowledged this, and is started again. In both runs one heartbeat
-// from before the DELETE arrives late.
+// is killed right after it has acknowledged this, and is started again; with TROUBLE=restart it
+// does so while it drains after a SIGTERM. In all runs one heartbeat from before the DELETE arrives
+// late.
 #include <atomic>
 #include <csignal>
 #include <iostream>
@@ -24,6 +25,8 @@
 constexpr int64_t kDrainMs = 2500;
 constexpr int64_t kContactWindowMs = 4000;
 constexpr Milliseconds kRestartDelay{300};
+constexpr Milliseconds kDeleteAfterSigterm{2200};
+constexpr Milliseconds kGrace{6000};
 constexpr Milliseconds kHeartbeatLateness{1500};
 constexpr int64_t kServesAfterDeleteMs = 7000;
 
@@ -59,7 +62,8 @@
     std::cerr << "usage: left_server ROOT RECORD TROUBLE\n";
     return 2;
   }
-  const bool trouble = std::string(arguments[3]) != "0";
+  const bool planned = std::string(arguments[3]) == "restart";
+  const bool killed = !planned && std::string(arguments[3]) != "0";
   Record record(arguments[2]);
   std::vector<review::Machine> machines = {{"core-a", "cant-a", "cantabrico", ""},
                                            {"core-b", "cant-b", "cantabrico", ""},
@@ -90,14 +94,20 @@
 
   review::Server& server = deployment.server("side-0");
   const std::string late_heartbeat = server.NextHeartbeat("ready");
+  if (planned) {
+    deployment.Signal("side-0", SIGTERM);
+    std::this_thread::sleep_for(kDeleteAfterSigterm);
+  }
   server.BeginToLeave();
   std::this_thread::sleep_for(Milliseconds(100));
   const bool acknowledged = server.SendDelete();
   const int64_t acknowledged_at = record.ElapsedMs();
   int64_t restarted_at = 0;
-  if (trouble) {
+  if (killed) {
     deployment.Signal("side-0", SIGKILL);
-    deployment.WaitForEnd("side-0", Milliseconds(1000));
+  }
+  if (killed || planned) {
+    deployment.WaitForEnd("side-0", kGrace);
     std::this_thread::sleep_for(kRestartDelay);
     deployment.StartProcess("side-0");
     restarted_at = record.ElapsedMs();
--- a/review/harness/server.cc
+++ b/review/harness/server.cc
@@ -55,6 +55,11 @@
   return runs_;
 }
 
+int Server::running() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return running_;
+}
+
 std::string Server::NextHeartbeat(const std::string& state) {
   return R"({"service":")" + options_.service + R"(","address":")" + options_.address.text() +
          R"(","zone":")" + options_.zone + R"(","version":"v1","slots":)" +
--- a/review/harness/server.h
+++ b/review/harness/server.h
@@ -56,6 +56,8 @@
   /// Ends all connections as the end of the process does.
   void End();
   bool ended() const { return ended_; }
+  /// Number of requests that run now.
+  int running() const;
 
  private:
   void Accept();
