Know a crashing request by its whole identity

Cause: the crash guard's fingerprint left out service, host and origin, so a success of the other route's requests ended the stop. Ruled out: late crash reports; without the other requests the second crash stops it.

Change: FingerprintOf takes the service and the request as its target gets it. The caller's daemon sets the origin before it computes the fingerprint.

SuccessOfAnEqualRequestOfAnotherRouteEndsNoStop fails in a trial whose fingerprint leaves out service, host and origin.

--- a/src/call_types.h
+++ b/src/call_types.h
@@ -19,8 +19,8 @@
 /// Identifies an attempt; unique over all daemons and their restarts.
 using AttemptId = StrongString<struct AttemptIdTag>;
 
-/// Hash of method, path and body. Requests with the same fingerprint are treated as the same
-/// request.
+/// Hash of the whole identity of a request; see FingerprintOf in crash_guard.h. Requests with the
+/// same fingerprint are treated as the same request.
 using Fingerprint = StrongString<struct FingerprintTag>;
 
 /// How often a request of a route may run. A route is never both idempotent and at-most-once.
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -245,6 +245,10 @@
   if (!exchange.configuration) {
     return ResultCode::kNoConfiguration;
   }
+  const CallHeaders& names = context_.settings.headers;
+  if (!names.origin_service.empty()) {
+    exchange.request.headers.Set(names.origin_service, context_.settings.service.value());
+  }
   const HttpRequest& request = exchange.request;
   exchange.route = exchange.configuration->FindRoute(
       request.method, HostWithoutPort(request.headers), request.path);
@@ -261,9 +265,8 @@
   if (EndsBeforeAnswer(route)) {
     return ResultCode::kDraining;
   }
-  const std::string digest = RequestDigest(request.method, RequestTarget(request), request.body);
   CallRequest& call = exchange.call_request;
-  call.digest = digest;
+  call.digest = RequestDigest(request.method, RequestTarget(request), request.body);
   call.kind = KindOf(*exchange.route);
   call.call_id = context_.run_id + "-" + std::to_string(exchange.number.value());
   call.max_attempts = policy.max_attempts;
@@ -280,7 +283,7 @@
       return error;
     }
   }
-  exchange.fingerprint = FingerprintOf(digest);
+  exchange.fingerprint = FingerprintOf(exchange.service->name, names, request);
   call.deadline = context_.call_registry.AddOutgoing(
       exchange.number, exchange.span.context().trace,
       std::min(ComputeDeadline(exchange), end_.value_or(TimePoint::max())));
@@ -449,9 +452,6 @@
     message.request.headers.Set(std::string(kTraceparentHeader),
                                 FormatTraceparent(exchange.span.context()));
   }
-  if (!names.origin_service.empty()) {
-    message.request.headers.Set(names.origin_service, context_.settings.service.value());
-  }
   return message;
 }
 
--- a/src/crash_guard.cc
+++ b/src/crash_guard.cc
@@ -10,12 +10,14 @@
 #include <cstdio>
 #include <string>
 
+#include "route_table.h"
+
 namespace endivecleat {
 namespace {
 
 constexpr uint64_t kBlockPeriodMs = 10ULL * 60 * 1000;
 constexpr size_t kCrashThreshold = 2;
-constexpr size_t kFingerprintDigits = 16;
+constexpr size_t kDigits = 16;  // of a 64-bit number
 
 bool Expired(WallTime now, WallTime crash) { return crash.value() + kBlockPeriodMs <= now.value(); }
 
@@ -27,7 +29,7 @@
 }
 
 std::string HexDigits(uint64_t number) {
-  std::array<char, kFingerprintDigits + 1> hex{};
+  std::array<char, kDigits + 1> hex{};
   std::snprintf(hex.data(), hex.size(), "%016llx",
                 static_cast<unsigned long long>(number));  // NOLINT(google-runtime-int)
   return hex.data();
@@ -44,8 +46,19 @@
   return HexDigits(hash.high64) + HexDigits(hash.low64);
 }
 
-Fingerprint FingerprintOf(std::string_view digest) {
-  return Fingerprint(std::string(digest.substr(0, kFingerprintDigits)));
+// A 64-bit hash, since gossip carries fingerprints as numbers.
+Fingerprint FingerprintOf(const ServiceName& service, const CallHeaders& names,
+                          const HttpRequest& request) {
+  std::string text;
+  AppendField(text, service.value());
+  AppendField(text, request.method);
+  AppendField(text, NormalizedHost(request.headers.ValueOr("host", "")));
+  AppendField(text, request.path);
+  AppendField(text, request.query);
+  AppendField(
+      text, names.origin_service.empty() ? "" : request.headers.ValueOr(names.origin_service, ""));
+  AppendField(text, request.body);
+  return FingerprintOfNumber(XXH3_64bits(text.data(), text.size()));
 }
 
 uint64_t FingerprintNumber(const Fingerprint& fingerprint) {
--- a/src/crash_guard.h
+++ b/src/crash_guard.h
@@ -10,7 +10,9 @@
 #include <string_view>
 #include <vector>
 
+#include "call_headers.h"
 #include "call_types.h"
+#include "http_message.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -18,8 +20,11 @@
 /// XXH3-128 of a request as 32 hexadecimal digits. The path includes the query.
 std::string RequestDigest(std::string_view method, std::string_view path, std::string_view body);
 
-/// The first half of a request's digest, since gossip carries fingerprints as 64-bit numbers.
-Fingerprint FingerprintOf(std::string_view digest);
+/// The fingerprint of a request to `service`, from all that decides what the target does with it:
+/// service, method, host, path, query, origin service and body. The field named by
+/// `names.origin_service` must be the one that the target gets, not the one that the caller sent.
+Fingerprint FingerprintOf(const ServiceName& service, const CallHeaders& names,
+                          const HttpRequest& request);
 uint64_t FingerprintNumber(const Fingerprint& fingerprint);
 Fingerprint FingerprintOfNumber(uint64_t number);
 
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -176,17 +176,15 @@
     return;
   }
   const RequestNumber number = context_.NextRequestNumber();
-  const HttpRequest& http = message.request;
-  const std::string target = http.query.empty() ? http.path : http.path + "?" + http.query;
   TargetCallRequest request;
   request.kind = message.kind;
   request.key = message.key;
   request.attempt = AttemptId(context_.run_id + "-t" + std::to_string(number.value()));
   request.digest = message.digest;
-  request.fingerprint = FingerprintOf(RequestDigest(http.method, target, http.body));
+  request.fingerprint = FingerprintOf(message.service, context_.settings.headers, message.request);
   request.deadline = context_.loop.now() + message.time_left;
   const std::optional<TraceContext> parent =
-      ParseTraceparent(http.headers.ValueOr(kTraceparentHeader, ""));
+      ParseTraceparent(message.request.headers.ValueOr(kTraceparentHeader, ""));
   auto exchange = std::make_shared<Exchange>(request, context_.tracer.StartSpan("serve", parent));
   exchange->number = number;
   exchange->message = message;
--- a/test/failure/crash_guard_test.cc
+++ b/test/failure/crash_guard_test.cc
@@ -31,6 +31,29 @@
 const Duration kMaxReportDelay = milliseconds(1000);  // longest time until a report arrives
 const Duration kRestartTime = milliseconds(500);
 
+HttpRequest Request(const std::string& method, const std::string& path, const std::string& body) {
+  HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.headers = {{"Host", "orders.example"}, {"Caller", "portal"}};
+  request.body = body;
+  return request;
+}
+
+CallHeaders NamesWithOrigin() {
+  CallHeaders names;
+  names.origin_service = "Caller";
+  return names;
+}
+
+Fingerprint FingerprintFor(const std::string& service, const HttpRequest& request) {
+  return FingerprintOf(ServiceName(service), NamesWithOrigin(), request);
+}
+
+Fingerprint FingerprintOfRead(const std::string& path) {
+  return FingerprintFor("bins", Request("GET", path, ""));
+}
+
 struct History {
   size_t targets_lost = 0;
   uint64_t healthy_answered = 0;
@@ -67,8 +90,7 @@
 
   bool Blocks(const std::string& name) const {
     for (const Daemon& daemon : daemons_) {
-      if (daemon.guard.Check(Wall(), FingerprintOf(RequestDigest("GET", name, ""))) ==
-          CrashVerdict::kStop) {
+      if (daemon.guard.Check(Wall(), FingerprintOfRead(name)) == CrashVerdict::kStop) {
         return true;
       }
     }
@@ -107,7 +129,7 @@
   }
 
   void Start(const std::string& name, uint64_t caller) {
-    const Fingerprint fingerprint = FingerprintOf(RequestDigest("GET", name, ""));
+    const Fingerprint fingerprint = FingerprintOfRead(name);
     requests_.push_back(std::make_unique<Request>(
         Request{name, fingerprint,
                 std::make_unique<Call>(CallRequest{.call_id = std::to_string(++next_),
@@ -317,11 +339,42 @@
   LONGS_EQUAL(1, guard.crashes(WallTime(1005), kRequest));
 }
 
-TEST(CrashGuardCounting, DigestDistinguishesMethodPathAndBody) {
-  CHECK(FingerprintOf(RequestDigest("GET", "/a", "b")) ==
-        FingerprintOf(RequestDigest("GET", "/a", "b")));
-  CHECK(FingerprintOf(RequestDigest("GET", "/a", "b")) !=
-        FingerprintOf(RequestDigest("GET", "/ab", "")));
-  CHECK(FingerprintOf(RequestDigest("GET", "/a", "b")) !=
-        FingerprintOf(RequestDigest("POST", "/a", "b")));
+TEST(CrashGuardCounting, FingerprintDistinguishesMethodPathAndBody) {
+  const HttpRequest request = Request("GET", "/a", "b");
+  CHECK(FingerprintFor("bins", request) == FingerprintFor("bins", Request("GET", "/a", "b")));
+  CHECK(FingerprintFor("bins", request) != FingerprintFor("bins", Request("GET", "/ab", "")));
+  CHECK(FingerprintFor("bins", request) != FingerprintFor("bins", Request("POST", "/a", "b")));
+}
+
+// Successes of another route's requests, equal in method, path and body, ended the stop of a
+// request that crashes its targets.
+TEST(CrashGuardCounting, SuccessOfAnEqualRequestOfAnotherRouteEndsNoStop) {
+  const HttpRequest crashing = Request("POST", "/v1/sync", "{}");
+  CrashGuard guard(kOne);
+  for (const uint64_t death : {1, 2}) {
+    guard.RecordEnding(WallTime(1000), FingerprintFor("orders", crashing), CallEnding::kTargetDied,
+                       death);
+  }
+  HttpRequest other_host = crashing;
+  other_host.headers.Set("Host", "crews.example");
+  HttpRequest other_origin = crashing;
+  other_origin.headers.Set("Caller", "crews");
+  HttpRequest other_query = crashing;
+  other_query.query = "x=1";
+  for (const Fingerprint& other :
+       {FingerprintFor("crews", crashing), FingerprintFor("orders", other_host),
+        FingerprintFor("orders", other_origin), FingerprintFor("orders", other_query)}) {
+    CHECK(guard.Check(WallTime(1001), other) == CrashVerdict::kRun);
+    guard.RecordEnding(WallTime(1001), other, CallEnding::kAnswered, 2);
+    CHECK(guard.Check(WallTime(1002), FingerprintFor("orders", crashing)) == CrashVerdict::kStop);
+  }
+}
+
+TEST(CrashGuardCounting, FingerprintFindsTheSameRequestAgain) {
+  const HttpRequest request = Request("POST", "/v1/sync", "{}");
+  HttpRequest again = request;
+  again.headers.Set("Host", "Orders.Example:8080");
+  again.headers.Add("Request-Id", "another attempt");
+  again.headers.Add("Timeout-Ms", "100");
+  CHECK(FingerprintFor("orders", request) == FingerprintFor("orders", again));
 }
