--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -309,6 +309,31 @@
   CHECK(balancer.Choose(kStart, {}, terms)->instance == Instance(3));
 }
 
+TEST(BalancerFreeSlot, LeavesTheRegionOnceItsTargetsAreMostlyFull) {
+  balancer.SetCandidates(kStart, {Make(1), Make(2), Make(3, Locality::kOtherRegion)}, {"*"});
+  const auto refuse = [&](int number, AttemptResult result) {
+    balancer.Sent(Instance(number));
+    balancer.Finished(kStart, Instance(number), result, TargetLoad{0, 9});
+  };
+  for (int attempt = 0; attempt < 10; ++attempt) {
+    refuse(1, attempt < 4 ? AttemptResult::kBusy : AttemptResult::kAnswered);
+  }
+  CHECK(balancer.Choose(kStart, {}, terms)->instance != Instance(3));
+  for (int attempt = 0; attempt < 20; ++attempt) {
+    refuse(1, AttemptResult::kBusy);
+  }
+  CHECK(balancer.Choose(kStart, {}, terms)->instance == Instance(3));
+  const ChoiceTerms large{.free_slot_only = true, .large_response = true};
+  CHECK(balancer.Choose(kStart, {}, large)->instance != Instance(3));
+  // The other region is as full.
+  for (int attempt = 0; attempt < 20; ++attempt) {
+    refuse(3, AttemptResult::kBusy);
+  }
+  CHECK(balancer.Choose(kStart, {}, terms)->instance != Instance(3));
+  // What was seen long ago doesn't count.
+  CHECK(balancer.Choose(kStart + seconds(4), {}, terms)->instance != Instance(3));
+}
+
 // Guards against choosing by the service times of other, longer requests.
 TEST(BalancerUnequalLoad, KeepsServiceTimesOfDifferentObjectivesApart) {
   balancer.SetCandidates(kStart, {Make(1), Make(2, Locality::kOwnRegion)}, {"*"});
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -15,6 +15,7 @@
 #include "admission.h"
 #include "balancer.h"
 #include "call.h"
+#include "candidate_subset.h"
 #include "seeded_random.h"
 
 using namespace endivecleat;  // NOLINT(google-build-using-namespace)
@@ -26,7 +27,10 @@
 const TimePoint kStart = TimePoint{} + seconds(100);
 constexpr Duration kStep = milliseconds(1);
 constexpr Duration kOneWay = milliseconds(1);
+constexpr Duration kOneWayBetweenRegions = milliseconds(31);
+constexpr size_t kDataCentresOfRegion = 4;
 constexpr Duration kReportInterval = seconds(2);
+constexpr Duration kLearningTime = seconds(2);  // the averages are unknown; nothing is counted
 constexpr size_t kSlots = 9;
 constexpr Duration kObjective = milliseconds(600);
 constexpr int64_t kMeanServiceMs = 250;
@@ -48,12 +52,19 @@
   /// wait.
   PlacementSimulation(size_t targets, int percent, uint64_t offers, bool wait_at_first)
       : offers_(offers), wait_at_first_(wait_at_first), random_(3) {
-    for (size_t number = 0; number < targets; ++number) {
-      targets_.push_back(std::make_unique<Target>());
-      targets_.back()->admission.Open(kStart);
-      daemons_.push_back(std::make_unique<Daemon>(number + 1));
-    }
-    per_step_ = static_cast<double>(targets * kSlots) / kMeanServiceMs * percent / 100;
+    AddRegion(targets, percent);
+  }
+
+  /// Two regions of four data centres each, with arrivals at different shares of their capacity.
+  struct Region {
+    size_t targets;
+    int percent;
+  };
+  PlacementSimulation(const Region& one, const Region& other, uint64_t offers)
+      : offers_(offers), wait_at_first_(false), random_(3) {
+    two_regions_ = true;
+    AddRegion(one.targets, one.percent);
+    AddRegion(other.targets, other.percent);
   }
 
   Outcome Run(Duration length) {
@@ -65,20 +76,33 @@
       for (size_t number = 0; number < targets_.size(); ++number) {
         Decide(number, targets_[number]->admission.Tick(now_));
       }
-      for (due_ += per_step_ * Wave(); due_ >= 1; due_ -= 1) {
-        Arrive();
+      for (Arrivals& region : regions_) {
+        for (region.due += region.per_step * Wave(); region.due >= 1; region.due -= 1) {
+          Arrive(region.first_daemon + random_.Below(region.daemons));
+        }
       }
     }
     return outcome_;
   }
 
+  /// Attempts that left their region.
+  int sent_to_other_region() const { return sent_to_other_region_; }
+
  private:
+  struct Arrivals {
+    size_t first_daemon;
+    size_t daemons;
+    double per_step;
+    double due = 0;
+  };
   struct Daemon {
     explicit Daemon(uint64_t seed) : balancer(seed), budget(Percent(10)) {}
     Balancer balancer;
     RetryBudget budget;
   };
   struct Target {
+    size_t region = 0;
+    size_t data_centre = 0;
     Admission admission{ServicePolicy{
         .slots = SlotCount(kSlots), .queue_length = QueueLength(40), .warm_up = Duration{}}};
   };
@@ -92,6 +116,35 @@
   };
   using RequestId = uint64_t;
 
+  void AddRegion(size_t targets, int percent) {
+    const size_t first = targets_.size();
+    const size_t region = regions_.size();
+    for (size_t number = 0; number < targets; ++number) {
+      targets_.push_back(std::make_unique<Target>());
+      targets_.back()->region = region;
+      targets_.back()->data_centre = two_regions_ ? number % kDataCentresOfRegion : 0;
+      targets_.back()->admission.Open(kStart);
+      daemons_.push_back(std::make_unique<Daemon>(first + number + 1));
+    }
+    regions_.push_back(
+        {first, targets, static_cast<double>(targets * kSlots) / kMeanServiceMs * percent / 100});
+  }
+
+  // The daemon with a number is beside the target with the same number.
+  Locality LocalityOf(size_t daemon, size_t target) const {
+    if (targets_[daemon]->region != targets_[target]->region) {
+      return Locality::kOtherRegion;
+    }
+    return targets_[daemon]->data_centre == targets_[target]->data_centre ? Locality::kOwnDataCentre
+                                                                          : Locality::kOwnRegion;
+  }
+
+  Duration OneWay(const Request& request) const {
+    return LocalityOf(request.daemon, request.target) == Locality::kOtherRegion
+               ? kOneWayBetweenRegions
+               : kOneWay;
+  }
+
   // Arrivals swing by 15% within some seconds.
   double Wave() const {
     return 1 + 0.15 * std::sin(std::chrono::duration<double>(now_ - kStart).count());
@@ -101,24 +154,42 @@
 
   // What gossip tells: it was measured at the report before.
   void ReportLoad() {
-    std::vector<Candidate> candidates;
+    for (size_t daemon = 0; daemon < daemons_.size(); ++daemon) {
+      std::vector<LocatedCandidate> candidates;
+      for (size_t number = 0; number < targets_.size(); ++number) {
+        const Target& target = *targets_[number];
+        candidates.push_back(
+            {DataCentreId(std::to_string(target.region) + "-" + std::to_string(target.data_centre)),
+             {{Instance(number), {}},
+              TargetId(),
+              LocalityOf(daemon, number),
+              {reported_[number], kSlots}}});
+      }
+      daemons_[daemon]->balancer.SetCandidates(now_, Usable(daemon, candidates), {"*"});
+    }
     for (size_t number = 0; number < targets_.size(); ++number) {
-      candidates.push_back({{Instance(number), {}},
-                            TargetId(),
-                            Locality::kOwnDataCentre,
-                            {reported_[number], kSlots}});
       reported_[number] =
           static_cast<uint64_t>(std::lround(targets_[number]->admission.mean_load(now_)));
     }
-    for (const auto& daemon : daemons_) {
-      daemon->balancer.SetCandidates(now_, candidates, {"*"});
+  }
+
+  // A daemon knows only some targets of a deployment with two regions.
+  std::vector<Candidate> Usable(size_t daemon, const std::vector<LocatedCandidate>& all) const {
+    if (two_regions_) {
+      return LimitCandidates(Instance(daemon), all);
+    }
+    std::vector<Candidate> candidates;
+    candidates.reserve(all.size());
+    for (const LocatedCandidate& located : all) {
+      candidates.push_back(located.candidate);
     }
+    return candidates;
   }
 
-  void Arrive() {
+  void Arrive(size_t daemon) {
     const RequestId id = ++last_request_;
     Request& request = requests_[id];
-    request.daemon = random_.Below(daemons_.size());
+    request.daemon = daemon;
     request.arrived = now_;
     CallRequest terms;
     terms.call_id = std::to_string(id);
@@ -164,7 +235,9 @@
     }
     numbers_[admission.number] = id;
     const size_t target = request.target;
-    events_.emplace(now_ + kOneWay, [this, target, admission] {
+    const bool counted = now_ >= kStart + kLearningTime;
+    sent_to_other_region_ += counted && OneWay(request) == kOneWayBetweenRegions ? 1 : 0;
+    events_.emplace(now_ + OneWay(request), [this, target, admission] {
       Decide(target, targets_[target]->admission.Submit(now_, admission));
     });
   }
@@ -173,7 +246,7 @@
     for (const AdmissionDecision& decision : decisions) {
       const RequestId id = numbers_.extract(decision.number).mapped();
       if (decision.refusal_code) {
-        events_.emplace(now_ + kOneWay, [this, id, code = *decision.refusal_code] {
+        events_.emplace(now_ + OneWay(requests_.at(id)), [this, id, code = *decision.refusal_code] {
           Reply(id, AttemptResult::kBusy);
           Execute(id, requests_.at(id).call->Refused(now_, requests_.at(id).attempt, {code}));
         });
@@ -182,7 +255,7 @@
       const Duration service = milliseconds(kMeanServiceMs / 2 + random_.Below(kMeanServiceMs));
       events_.emplace(now_ + service, [this, target, id, number = decision.number] {
         Decide(target, targets_[target]->admission.Finish(now_, number));
-        events_.emplace(now_ + kOneWay, [this, id] {
+        events_.emplace(now_ + OneWay(requests_.at(id)), [this, id] {
           Reply(id, AttemptResult::kAnswered);
           Execute(id,
                   requests_.at(id).call->Answered(now_, requests_.at(id).attempt, {.status = 200}));
@@ -202,8 +275,8 @@
   }
 
   void Finish(RequestId id, const FinishCall& finish) {
-    if (now_ < kStart + seconds(2)) {
-      return;  // while the averages are unknown
+    if (now_ < kStart + kLearningTime) {
+      return;
     }
     const bool in_time = now_ - requests_.at(id).arrived <= kObjective;
     outcome_.refused += finish.answer ? 0 : 1;
@@ -220,6 +293,7 @@
 
   uint64_t offers_;
   bool wait_at_first_;
+  bool two_regions_ = false;
   SeededRandom random_;
   std::vector<std::unique_ptr<Target>> targets_;
   std::vector<std::unique_ptr<Daemon>> daemons_;  // one beside each target
@@ -228,8 +302,8 @@
   std::map<RequestNumber, RequestId> numbers_;
   std::multimap<TimePoint, std::function<void()>> events_;
   TimePoint now_ = kStart;
-  double per_step_ = 0;  // arrivals
-  double due_ = 0;
+  std::vector<Arrivals> regions_;
+  int sent_to_other_region_ = 0;
   RequestId last_request_ = 0;
   uint64_t last_number_ = 0;
   Outcome outcome_;
@@ -258,3 +332,26 @@
   CHECK(outcome.in_time > waiting.in_time);
   CHECK(10 * outcome.late < waiting.late);
 }
+
+// Guards against requests refused in a region whose targets are full while those of the other
+// region have free slots.
+TEST(PlacementNearCapacity, LeavesARegionThatIsFullForOneThatIsNot) {
+  PlacementSimulation simulation({107, 110}, {115, 70}, 3);
+  const auto outcome = simulation.Run(seconds(8));
+  CHECK(outcome.served_in_time() > 0.98);
+}
+
+TEST(PlacementNearCapacity, StaysInARegionThatCanServe) {
+  PlacementSimulation simulation({107, 85}, {115, 60}, 3);
+  const auto outcome = simulation.Run(seconds(6));
+  CHECK(outcome.served_in_time() > 0.99);
+  CHECK(100 * simulation.sent_to_other_region() < outcome.in_time);
+}
+
+// Nothing is gained by the billed link while both regions are equally full.
+TEST(PlacementNearCapacity, MostlyStaysInTheRegionWhileAllAreFull) {
+  PlacementSimulation simulation({107, 110}, {115, 110}, 3);
+  const auto outcome = simulation.Run(seconds(6));
+  CHECK(outcome.served_in_time() > 0.88);
+  CHECK(10 * simulation.sent_to_other_region() < outcome.in_time);
+}
