Average the share of full targets over seconds

Cause: a mean of 64 attempts covers 0.6 s there, so that requests followed each momentary difference between regions that are equally full.

The mean now covers 3 s, after eight attempts.

--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include "errors.h"
 #include "target_pattern.h"
@@ -57,10 +58,10 @@
 // Cost at an error rate of 1: the answer is lost, or it is late and takes a second run. The cost
 // grows with the square of the rate, since a single error is weak evidence.
 constexpr double kErrorCost = 0.9;
-// The share of attempts that find a region's targets full: the mean of at most this many, used for
-// this long after the last of them.
-constexpr int kMaxFullSamples = 64;
-constexpr Duration kFullShareLifetime = std::chrono::seconds(4);
+// The share of attempts that find a region's targets full is averaged over this time, since a
+// region is often full for a moment, and used for so long after the last attempt.
+constexpr Duration kFullShareTime = std::chrono::seconds(3);
+constexpr Duration kFullShareLifetime = std::chrono::seconds(10);
 // From this share on, of at least so many attempts, requests may be offered to another region.
 constexpr double kMinFullShareToLeaveRegion = 0.65;
 constexpr int kMinFullSamplesToLeaveRegion = 8;
@@ -262,8 +263,12 @@
   if (now - region.updated_at >= kFullShareLifetime) {
     region = {};
   }
-  region.samples = std::min(region.samples + 1, kMaxFullSamples);
-  region.full_share += ((full ? 1.0 : 0.0) - region.full_share) / region.samples;
+  const double elapsed = std::chrono::duration<double>(now - region.updated_at) / kFullShareTime;
+  region.samples = std::min(region.samples + 1, kMinFullSamplesToLeaveRegion);
+  const double first_samples =
+      region.samples < kMinFullSamplesToLeaveRegion ? 1.0 / region.samples : 0.0;
+  const double weight = std::max(1 - std::exp(-elapsed), first_samples);
+  region.full_share += ((full ? 1.0 : 0.0) - region.full_share) * weight;
   region.updated_at = now;
 }
 
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -124,7 +124,7 @@
   /// How many attempts of a region were refused because a target's slots and queue were full.
   struct RegionLoad {
     double full_share = 0;  // moving average
-    int samples = 0;        // at most kMaxFullSamples
+    int samples = 0;        // at most kMinFullSamplesToLeaveRegion
     TimePoint updated_at{};
   };
 
