--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 
 #include "errors.h"
 #include "target_pattern.h"
@@ -58,13 +57,6 @@
 // Cost at an error rate of 1: the answer is lost, or it is late and takes a second run. The cost
 // grows with the square of the rate, since a single error is weak evidence.
 constexpr double kErrorCost = 0.9;
-// The share of attempts that find a region's targets full is averaged over this time, since a
-// region is often full for a moment, and used for so long after the last attempt.
-constexpr Duration kFullShareTime = std::chrono::seconds(3);
-constexpr Duration kFullShareLifetime = std::chrono::seconds(10);
-// From this share on, of at least so many attempts, requests may be offered to another region.
-constexpr double kMinFullShareToLeaveRegion = 0.65;
-constexpr int kMinFullSamplesToLeaveRegion = 8;
 // Random jitter, so that daemons with the same reports don't all choose the same target. Smaller
 // than the cost of leaving the data centre, and larger than the cost of a single error.
 constexpr double kJitterCost = 0.03;
@@ -84,13 +76,6 @@
   return large_response ? kOtherRegionCostOfLargeResponses : kOtherRegionCost;
 }
 
-// A request is lost if its three offers and the first one after its caller came back all find a
-// full target.
-double RefusalCost(double full_share) {
-  const double two_offers = full_share * full_share;
-  return two_offers * two_offers;
-}
-
 // Probability that an answer expected after `expected` misses its objective.
 double LateShare(double expected, double objective) {
   const double ratio = expected / objective;
@@ -143,7 +128,7 @@
   std::vector<const Target*> usable;
   bool region_has_targets = false;
   for (const Locality locality : kLocalities) {
-    if (locality == Locality::kOtherRegion && region_has_targets && !MayLeaveRegion(now)) {
+    if (locality == Locality::kOtherRegion && region_has_targets) {
       break;
     }
     region_has_targets = region_has_targets || !Usable(now, locality, {}).empty();
@@ -186,7 +171,6 @@
   return DistanceCost(target.candidate.locality, terms.large_response) -
          (target.candidate.own_instance ? own_instance_gain : 0) +
          kErrorCost * target.error_rate * target.error_rate +
-         RefusalCost(FullShare(now, LoadOf(target.candidate.locality))) +
          kLateCost * LateShare(expected, static_cast<double>(effective_objective.count()));
 }
 
@@ -247,31 +231,6 @@
   return Duration(static_cast<Duration::rep>(wait));
 }
 
-// Reports of load are too old to tell whether the targets of a region are full: their daemons'
-// refusals tell it.
-double Balancer::FullShare(TimePoint now, const RegionLoad& region) {
-  return now - region.updated_at < kFullShareLifetime ? region.full_share : 0;
-}
-
-bool Balancer::MayLeaveRegion(TimePoint now) const {
-  return own_region_.samples >= kMinFullSamplesToLeaveRegion &&
-         FullShare(now, own_region_) >= kMinFullShareToLeaveRegion;
-}
-
-void Balancer::CountOffer(TimePoint now, Locality locality, bool full) {
-  RegionLoad& region = locality == Locality::kOtherRegion ? other_region_ : own_region_;
-  if (now - region.updated_at >= kFullShareLifetime) {
-    region = {};
-  }
-  const double elapsed = std::chrono::duration<double>(now - region.updated_at) / kFullShareTime;
-  region.samples = std::min(region.samples + 1, kMinFullSamplesToLeaveRegion);
-  const double first_samples =
-      region.samples < kMinFullSamplesToLeaveRegion ? 1.0 / region.samples : 0.0;
-  const double weight = std::max(1 - std::exp(-elapsed), first_samples);
-  region.full_share += ((full ? 1.0 : 0.0) - region.full_share) * weight;
-  region.updated_at = now;
-}
-
 void Balancer::Sent(const InstanceId& instance) { ++targets_[instance].in_flight; }
 
 void Balancer::Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
@@ -293,9 +252,6 @@
     AddServiceTime(now, target, objective, *service_time);
   }
   const bool error = result == AttemptResult::kErrorStatus;
-  if (error || result == AttemptResult::kAnswered || result == AttemptResult::kBusy) {
-    CountOffer(now, target.candidate.locality, result == AttemptResult::kBusy);
-  }
   if (error || result == AttemptResult::kAnswered) {
     target.error_rate += kErrorWeight * ((error ? 1.0 : 0.0) - target.error_rate);
   }
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -56,7 +56,7 @@
   // The route's whole objective; 0 if it has none. Service times are averaged by it.
   Duration objective{};
   // The target's daemon takes the request only if a slot is free: targets known to be full are left
-  // out, and those of another region too while the own region has any with a slot to offer.
+  // out, and those of another region too while the own region has any.
   bool free_slot_only = false;
   // The response is large: its bytes weigh more than the wait for a nearer target.
   bool large_response = false;
@@ -121,12 +121,6 @@
     std::map<Duration, ServiceEstimate> service_times;  // by objective
   };
   using Targets = std::map<InstanceId, Target>;
-  /// How many attempts of a region were refused because a target's slots and queue were full.
-  struct RegionLoad {
-    double full_share = 0;  // moving average
-    int samples = 0;        // at most kMinFullSamplesToLeaveRegion
-    TimePoint updated_at{};
-  };
 
   std::vector<const Target*> Usable(TimePoint now, Locality locality,
                                     const std::vector<InstanceId>& tried) const;
@@ -138,12 +132,6 @@
                     const ChoiceTerms& terms);
   double Cost(TimePoint now, const Target& target, const ChoiceTerms& terms) const;
   double ServiceTime(TimePoint now, const Target& target, Duration objective) const;
-  static double FullShare(TimePoint now, const RegionLoad& region);
-  const RegionLoad& LoadOf(Locality locality) const {
-    return locality == Locality::kOtherRegion ? other_region_ : own_region_;
-  }
-  bool MayLeaveRegion(TimePoint now) const;
-  void CountOffer(TimePoint now, Locality locality, bool full);
   void AddServiceTime(TimePoint now, Target& target, Duration objective, Duration service_time);
   static double Busy(const Target& target);
   static bool IsKnownFull(TimePoint now, const Target& target);
@@ -156,8 +144,6 @@
 
   SeededRandom random_;
   Targets targets_;
-  RegionLoad own_region_;
-  RegionLoad other_region_;  // all other regions together
   ServiceTimes service_times_{std::chrono::milliseconds(100), kServiceTimeDivisor};  // all targets
 };
 
