Reproduce the gossip of a member whose link is full (fails)

A member whose packets are 1 s late sends 1016846 bytes of gossip in 10 s, 4466 while they are in time. The bound is what a daemon may spend on control by the target scale.

--- a/test/failure/membership_test.cc
+++ b/test/failure/membership_test.cc
@@ -215,6 +215,51 @@
   }
 }
 
+// A member whose network link is full, so that its own packets are late while it hears all others.
+TEST_GROUP(MembershipWithAFullLink) {
+  static constexpr size_t kMembers = 100;
+  static constexpr size_t kDelayed = 50;
+  static constexpr uint64_t kSeconds = 10;
+  // What a daemon may spend on control (docs/design.md, target scale).
+  static constexpr uint64_t kControlBytesPerSecond = 5000;
+};
+
+// Guards against a member that takes all others for failed since its own packets are late, and
+// keeps its link full with the pings that it then sends.
+TEST(MembershipWithAFullLink, SendsNoMoreThanADaemonMaySpendOnControl) {
+  for (const uint64_t seed : Seeds(2)) {
+    MembershipCluster cluster(kMembers, 2, seed, NetworkFaults{});
+    cluster.Run(kFormationTime);
+    cluster.network().DelayMessagesFrom(MembershipCluster::Id(kDelayed), std::chrono::seconds(1));
+    const uint64_t before = cluster.node(kDelayed).traffic.sent;
+    cluster.Run(std::chrono::seconds(kSeconds));
+    const uint64_t sent = cluster.node(kDelayed).traffic.sent - before;
+    if (sent > kSeconds * kControlBytesPerSecond) {
+      FailWithSeed(seed, "the member sent " + std::to_string(sent) + " bytes in 10 s");
+    }
+    cluster.network().DelayMessagesFrom(MembershipCluster::Id(kDelayed), Duration{});
+    cluster.Run(kFormationTime);
+    CHECK(cluster.AllListsComplete());
+  }
+}
+
+TEST_GROUP(MembershipAfterLossOfHalf){};
+
+// Guards against limits on pings that delay the removal of many members that fail together.
+TEST(MembershipAfterLossOfHalf, RemovesAllOfThemInTime) {
+  for (const uint64_t seed : Seeds(2)) {
+    MembershipCluster cluster(80, 2, seed, NetworkFaults{});
+    cluster.Run(kFormationTime);
+    for (size_t index = 40; index < cluster.size(); ++index) {
+      cluster.Crash(index);
+    }
+    cluster.Run(kRemovedWithin);
+    if (!cluster.AllListsComplete()) {
+      FailWithSeed(seed, "a crashed member is still listed");
+    }
+  }
+}
+
 TEST_GROUP(MembershipPartitioned){};
 
 TEST(MembershipPartitioned, MergesAfterHealingWhileItsSeedsAreDown) {
--- a/test/fake_network.h
+++ b/test/fake_network.h
@@ -5,6 +5,7 @@
 #define ENDIVECLEAT_TEST_FAKE_NETWORK_H_
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
@@ -73,6 +74,8 @@
     return !cuts_.contains({from, to});
   }
   void SetFaults(NetworkFaults faults) { faults_ = faults; }
+  /// Adds a delay to the messages that an instance sends from now on, as a full network link does.
+  void DelayMessagesFrom(const InstanceId& from, Duration delay) { added_delays_[from] = delay; }
 
   /// Drops the messages in transit to an instance, as when it crashes.
   void DropMessagesTo(const InstanceId& to) {
@@ -83,8 +86,10 @@
   void Enqueue(TimePoint now, const InstanceId& from, const InstanceId& to,
                const Message& message) {
     const auto spread = static_cast<uint64_t>((faults_.max_delay - faults_.min_delay).count());
-    const Duration delay =
-        faults_.min_delay + Duration(static_cast<int64_t>(random_.Below(spread + 1)));
+    const auto added = added_delays_.find(from);
+    const Duration delay = faults_.min_delay +
+                           Duration(static_cast<int64_t>(random_.Below(spread + 1))) +
+                           (added == added_delays_.end() ? Duration{} : added->second);
     pending_.push_back({now + delay, next_sequence_++, from, to, message});
   }
 
@@ -92,6 +97,7 @@
   NetworkFaults faults_;
   std::vector<Delivery> pending_;
   std::set<std::pair<InstanceId, InstanceId>> cuts_;
+  std::map<InstanceId, Duration> added_delays_;  // by sender
   uint64_t next_sequence_ = 0;
 };
 
