Bound the pings of a member whose own packets are late

Cause: such a daemon gets no ack in time, takes every member for failed, and pings each four times a second with full datagrams, with two indirect pings a probe and a ring range that grows to all members. The pings keep the link full: an overload that sustains itself, with a failure detector that takes its own lateness for the failure of others. The members that it blames are left out as targets until they have refuted it.

Now a member that hears of others, but got no ack in time for its last eight probes, blames none of them and sends no extra pings. Pings to suspects and ring probes are limited for each tick, so that a partly full link isn't filled either. A member that hears nothing (cut off, or the last one alive) still removes the others.

--- a/src/failure_detector.cc
+++ b/src/failure_detector.cc
@@ -10,6 +10,9 @@
 
 // One in this many random pings that would cross regions does.
 constexpr uint64_t kCrossRegionDivisor = 4;
+// Consecutive probes without an ack in time that show a cause on this side. With half of all
+// members lost at once, one such run in 256 comes about by chance.
+constexpr size_t kLateProbesOfOwnCause = 8;
 
 }  // namespace
 
@@ -23,6 +26,8 @@
   latest_probe_at_.clear();
   suspects_.clear();
   unresponsive_.clear();
+  late_probes_ = 0;
+  heard_at_.reset();
   const auto period = static_cast<uint64_t>(settings_.period.count());
   next_random_ping_ = now + Duration(static_cast<int64_t>(random_.Below(period)));
 }
@@ -58,10 +63,20 @@
   if (found == probes_.end()) {
     return;
   }
+  if (!found->second.indirect) {
+    RecordProbe(true);
+  }
   unresponsive_.erase(found->second.member);
   probes_.erase(found);
 }
 
+void FailureDetector::RecordProbe(bool in_time) { late_probes_ = in_time ? 0 : late_probes_ + 1; }
+
+// A member that is cut off, or the last one alive, hears nothing.
+bool FailureDetector::own_packets_late(TimePoint now) const {
+  return late_probes_ >= kLateProbesOfOwnCause && heard_at_ && now - *heard_at_ < settings_.period;
+}
+
 void FailureDetector::StartProbe(TimePoint now, MemberKey member, Actions* actions) {
   const auto nonce = static_cast<uint32_t>(random_.Next());
   probes_[nonce] = Probe{.member = member, .sent_at = now};
@@ -73,14 +88,22 @@
   for (auto it = probes_.begin(); it != probes_.end();) {
     Probe& probe = it->second;
     if (now - probe.sent_at >= settings_.ping_timeout + settings_.indirect_timeout) {
-      actions->failed.push_back(probe.member);
-      suspects_.try_emplace(probe.member, SuspectPings{now, now + settings_.suspect_ping_duration});
+      if (!own_packets_late(now)) {
+        actions->failed.push_back(probe.member);
+        suspects_.try_emplace(probe.member,
+                              SuspectPings{now, now + settings_.suspect_ping_duration});
+      }
       it = probes_.erase(it);
       continue;
     }
     if (!probe.indirect && now - probe.sent_at >= settings_.ping_timeout) {
       probe.indirect = true;
+      RecordProbe(false);
       unresponsive_.insert(probe.member);
+      if (own_packets_late(now)) {
+        ++it;
+        continue;
+      }
       for (size_t i = 0; i < settings_.indirect_pings && ring_.size() > 1; ++i) {
         const MemberKey relay = ring_[random_.Below(ring_.size())].key;
         if (relay != probe.member) {
@@ -94,12 +117,20 @@
 
 void FailureDetector::PingSuspects(TimePoint now, Actions* actions) {
   std::erase_if(suspects_, [now](const auto& item) { return now >= item.second.ends_at; });
-  for (auto& [member, pings] : suspects_) {
-    if (now >= pings.next_ping) {
-      pings.next_ping = now + settings_.suspect_ping_interval;
-      // This ping starts no probe: only a refutation ends the suspicion, not an ack.
-      actions->pings.push_back({member, static_cast<uint32_t>(random_.Next())});
+  if (own_packets_late(now)) {
+    return;
+  }
+  for (size_t sent = 0; sent < settings_.suspect_pings_per_tick; ++sent) {
+    const auto next = std::min_element(suspects_.begin(), suspects_.end(),
+                                       [](const auto& one, const auto& other) {
+                                         return one.second.next_ping < other.second.next_ping;
+                                       });
+    if (next == suspects_.end() || now < next->second.next_ping) {
+      return;
     }
+    next->second.next_ping = now + settings_.suspect_ping_interval;
+    // This ping starts no probe: only a refutation ends the suspicion, not an ack.
+    actions->pings.push_back({next->first, static_cast<uint32_t>(random_.Next())});
   }
 }
 
@@ -132,13 +163,16 @@
   // Each unresponsive successor extends the range by two members, so that the probes skip quickly
   // over adjacent members that failed together.
   size_t range = std::min(settings_.ring_pings, ring_.size());
-  for (size_t i = 0; i < range; ++i) {
+  const bool extend = !own_packets_late(now);
+  size_t started = 0;
+  for (size_t i = 0; i < range && started < settings_.ring_probes_per_tick; ++i) {
     const MemberKey member = ring_[(first + i) % ring_.size()].key;
     const auto latest = latest_probe_at_.find(member);
     if (latest == latest_probe_at_.end() || now - latest->second >= settings_.period) {
       StartProbe(now, member, actions);
+      ++started;
     }
-    if (unresponsive_.contains(member)) {
+    if (extend && unresponsive_.contains(member)) {
       range = std::min(range + 2, ring_.size());
     }
   }
--- a/src/failure_detector.h
+++ b/src/failure_detector.h
@@ -2,11 +2,16 @@
 // period it pings one random member and its next two successors on a ring that all members order
 // in the same way. Random pings alone leave one member in eight without a probe for two periods,
 // which keeps a dead target listed for too long.
+//
+// A member whose own packets are late, such as one with a full network link, gets no ack in time
+// from anyone. It hears of others all the while, and then blames none of them: otherwise its pings
+// to all of them would keep its link full.
 #ifndef ENDIVECLEAT_FAILURE_DETECTOR_H_
 #define ENDIVECLEAT_FAILURE_DETECTOR_H_
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -27,6 +32,9 @@
   /// spreads the suspicion and its refutation too slowly.
   Duration suspect_ping_interval = std::chrono::milliseconds(250);
   Duration suspect_ping_duration = std::chrono::seconds(2);
+  /// Limits on each call of Tick, which the pings of many failed members share.
+  size_t suspect_pings_per_tick = 1;
+  size_t ring_probes_per_tick = 2;
 };
 
 constexpr int kRegionShift = 32;
@@ -67,6 +75,8 @@
   Actions Tick(TimePoint now);
   /// Completes the probe that a received ack belongs to; ignores unknown nonces.
   void Acknowledge(uint32_t nonce);
+  /// A datagram of another member has arrived.
+  void Heard(TimePoint now) { heard_at_ = now; }
   /// Cancels all pending probes without reporting them as failed.
   void Reset(TimePoint now);
 
@@ -81,6 +91,9 @@
     TimePoint ends_at;
   };
 
+  /// Whether the latest probes went unanswered in time for a cause on this side.
+  bool own_packets_late(TimePoint now) const;
+  void RecordProbe(bool in_time);
   void StartProbe(TimePoint now, MemberKey member, Actions* actions);
   void AdvanceProbes(TimePoint now, Actions* actions);
   void PingSuspects(TimePoint now, Actions* actions);
@@ -97,6 +110,8 @@
   std::map<MemberKey, SuspectPings> suspects_;      // members whose probe failed recently
   std::set<MemberKey> unresponsive_;                // did not answer the latest direct ping
   TimePoint next_random_ping_;
+  size_t late_probes_ = 0;             // consecutive probes without an ack in time
+  std::optional<TimePoint> heard_at_;  // the latest datagram of any other member
 };
 
 }  // namespace endivecleat
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -103,6 +103,7 @@
     }
     return out;
   }
+  detector_.Heard(now_);
   Merge(*content);
   switch (header.kind) {
     case DatagramKind::kPing:
