--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -66,6 +66,7 @@
       crash_reports_(settings_.common.instance),
       target_(context_),
       callers_(context_, target_),
+      load_log_(loop.now()),
       replica_(
           settings_.common.instance, MakeReplicaSettings(),
           MakeMeasuredCodec(MakeTransferCodec(), metrics_),
@@ -247,6 +248,7 @@
   crash_reports_.Publish(now, context_.crash_guard, node_.membership());
   context_.crash_guard.Tick(WallNow());
   callers_.Tick();
+  load_log_.Tick(now, node_, target_);
 }
 
 void DaemonProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -13,6 +13,7 @@
 #include "daemon_context.h"
 #include "http_server.h"
 #include "ledger_client.h"
+#include "load_log.h"
 #include "mesh_node.h"
 #include "metrics.h"
 #include "settings.h"
@@ -73,6 +74,7 @@
   CrashReportExchange crash_reports_;
   TargetTask target_;
   CallerTask callers_;
+  LoadLog load_log_;
   StoredCompiler compiler_;
   ConfigReplica replica_;
   ConfigExchange config_exchange_;
--- a/src/failure_detector.h
+++ b/src/failure_detector.h
@@ -77,6 +77,8 @@
   void Acknowledge(uint32_t nonce);
   /// A datagram of another member has arrived.
   void Heard(TimePoint now) { heard_at_ = now; }
+  /// Whether the latest probes went unanswered in time for a cause on this side.
+  bool own_packets_late(TimePoint now) const;
   /// Cancels all pending probes without reporting them as failed.
   void Reset(TimePoint now);
 
@@ -91,8 +93,6 @@
     TimePoint ends_at;
   };
 
-  /// Whether the latest probes went unanswered in time for a cause on this side.
-  bool own_packets_late(TimePoint now) const;
   void RecordProbe(bool in_time);
   void StartProbe(TimePoint now, MemberKey member, Actions* actions);
   void AdvanceProbes(TimePoint now, Actions* actions);
--- a/src/membership.h
+++ b/src/membership.h
@@ -81,6 +81,8 @@
   const std::vector<MemberRecord>& members() const { return table_.records(); }
   const MemberRecord& self() const { return table_.self(); }
   bool IsSuspect(const MemberRecord& member) const;
+  /// Whether this member hears of others, but gets none of its own packets acknowledged in time.
+  bool own_packets_late() const { return detector_.own_packets_late(now_); }
   /// The configuration versions of the other members.
   std::vector<PeerVersion> peer_versions() const;
 
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -203,6 +203,18 @@
   }
 }
 
+MeshNode::TrafficTotals MeshNode::traffic_totals() const {
+  TrafficTotals totals;
+  for (const auto& [address, traffic] : network_.traffic()) {
+    for (size_t channel = 0; channel < kPeerChannelCount; ++channel) {
+      const bool is_call = channel == static_cast<size_t>(PeerChannel::kCall);
+      Add(is_call ? totals.calls : totals.other, traffic.channels[channel]);
+    }
+    Add(totals.gossip, traffic.datagrams);
+  }
+  return totals;
+}
+
 void MeshNode::Tick() {
   SendDatagrams(membership_.Tick(loop_.now()));
   timer_ = loop_.RunAfter(kTickInterval, [this] { Tick(); });
--- a/src/mesh_node.h
+++ b/src/mesh_node.h
@@ -48,6 +48,13 @@
   /// Sets the byte gauges of the links by channel and by whether they cross regions. Only the
   /// region of control instances is known, so that calls across regions count as not crossing.
   void ReportTraffic(Metrics& metrics) const;
+  /// Bytes exchanged with all peers since the start.
+  struct TrafficTotals {
+    ByteCounters calls;
+    ByteCounters gossip;
+    ByteCounters other;
+  };
+  TrafficTotals traffic_totals() const;
 
   /// The control instances among the members, including this one, in no particular order.
   std::vector<InstanceId> control_instances() const;
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -62,8 +62,10 @@
   TraceSpan span;
   TimePoint deadline;
   WallTime started;
-  Reply reply;                // empty after the reply was sent
-  bool slot_is_free = false;  // the call has ended, and its slot is to be released
+  TimePoint arrived;
+  std::optional<TimePoint> called;  // the target is running it since then
+  Reply reply;                      // empty after the reply was sent
+  bool slot_is_free = false;        // the call has ended, and its slot is to be released
   std::optional<CallId> target_call;
   std::optional<TimerId> timer;
 };
@@ -191,6 +193,7 @@
   exchange->request = request;
   exchange->deadline = request.deadline;
   exchange->started = WallNow();
+  exchange->arrived = context_.loop.now();
   exchange->reply = std::move(reply);
   exchanges_[number] = exchange;
   *started = exchange;
@@ -278,6 +281,7 @@
   } else if (std::holds_alternative<CancelTarget>(effect)) {
     if (exchange->target_call) {
       client_->Cancel(*exchange->target_call);
+      CountSlotUse(*exchange, false);
     }
   } else if (const auto* end = std::get_if<RecordCallEnding>(&effect)) {
     context_.crash_guard.RecordEnding(WallNow(), end->fingerprint, end->ending, deaths_);
@@ -320,6 +324,7 @@
     request.headers.Set(names.target, target_.announcement().target.value());
   }
   target_.CallStarted(now);
+  exchange->called = now;
   exchange->target_call =
       client_->Send(std::move(request), std::max(effect.limit - now, Duration(1)),
                     [this, exchange](const HttpOutcome& outcome) { OnOutcome(exchange, outcome); });
@@ -328,6 +333,7 @@
 void TargetTask::OnOutcome(const ExchangePtr& exchange, const HttpOutcome& outcome) {
   const TimePoint now = context_.loop.now();
   exchange->target_call.reset();
+  CountSlotUse(*exchange, outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500);
   switch (outcome.kind) {
     case HttpOutcome::kAnswered:
       OnAnswer(exchange, outcome.response);
@@ -347,6 +353,18 @@
   }
 }
 
+void TargetTask::CountSlotUse(Exchange& exchange, bool succeeded) {
+  if (!exchange.called) {
+    return;
+  }
+  const TimePoint now = context_.loop.now();
+  const std::optional<Duration>& objective_left = exchange.message.objective_left;
+  const bool late = objective_left && now - exchange.arrived > *objective_left;
+  Duration& use = !succeeded ? slot_use_.failed : late ? slot_use_.late : slot_use_.in_objective;
+  use += now - *exchange.called;
+  exchange.called.reset();
+}
+
 void TargetTask::OnAnswer(const ExchangePtr& exchange, const HttpResponse& response) {
   const TimePoint now = context_.loop.now();
   switch (ClassifyAnswer(context_.settings.headers, response)) {
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -21,6 +21,13 @@
 
 namespace endivecleat {
 
+/// Time for which requests held slots of the target since the start, by how they ended.
+struct SlotUse {
+  Duration in_objective{};
+  Duration late{};
+  Duration failed{};  // a status of 500 or more, no answer, or cancelled
+};
+
 class TargetTask {
  public:
   /// `slot` holds the target's slot until it is released; null if the request holds none.
@@ -57,6 +64,8 @@
 
   const AnnouncedTarget& target() const { return target_; }
   size_t running() const { return admission_.running(); }
+  size_t slots() const { return admission_.slots(context_.loop.now()); }
+  const SlotUse& slot_use() const { return slot_use_; }
   /// Attempts that are not finished, including those whose answer is still being recorded.
   size_t in_flight() const { return exchanges_.size(); }
   /// Sets the fields of this member's gossip record that depend on the target.
@@ -84,6 +93,7 @@
   void RemoveFinished(const ExchangePtr& exchange);
   void OnAnswer(const ExchangePtr& exchange, const HttpResponse& response);
   void LogAttempt(const Exchange& exchange, const std::string& event, int status) const;
+  void CountSlotUse(Exchange& exchange, bool succeeded);
   void AwaitDeathProbe(const ExchangePtr& exchange);
   void StartDeathProbe(bool last);
   void FinishBroken(bool died);
@@ -106,6 +116,7 @@
   uint64_t deaths_ = 0;                              // of the target, as seen by this daemon
   CancelOutgoing cancel_outgoing_;
   std::function<void()> state_changed_;
+  SlotUse slot_use_;
   TimerId timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with the task
 };
