Offer requests to another region when the own one has no free slot

The share of offers for a free slot that find none, its third power, is now the risk of a refusal, which is part of the cost of the own region's targets. That of another region is inferred from the loads that both regions report, raised by two standard deviations of their ratio: few offers go there, and with few targets the loads are noise.

--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include "errors.h"
 #include "target_pattern.h"
@@ -61,6 +62,16 @@
 // than the cost of leaving the data centre, and larger than the cost of a single error.
 constexpr double kJitterCost = 0.03;
 constexpr uint64_t kJitterSteps = 1000;
+// Cost of a request that finds no free slot at all: it is refused, or answered late after its
+// caller has come back. With several offers, the risk is a power of the share of offers that find
+// none.
+constexpr double kRefusedCost = 1;
+constexpr int kRefusalPower = 3;
+// The newest offer has a weight of 1/32 in a region's share of offers that find no free slot.
+constexpr double kOfferWeight = 1.0 / 32;
+// Standard deviations that count as the error of a ratio of reported loads.
+constexpr double kLoadErrorDeviations = 2;
+constexpr Duration kOffersLifetime = std::chrono::seconds(5);
 constexpr std::array kLocalities = {Locality::kOwnDataCentre, Locality::kOwnRegion,
                                     Locality::kOtherRegion};
 
@@ -76,6 +87,10 @@
   return large_response ? kOtherRegionCostOfLargeResponses : kOtherRegionCost;
 }
 
+bool IsInOtherRegion(const Candidate& candidate) {
+  return candidate.locality == Locality::kOtherRegion;
+}
+
 // Probability that an answer expected after `expected` misses its objective.
 double LateShare(double expected, double objective) {
   const double ratio = expected / objective;
@@ -128,7 +143,7 @@
   std::vector<const Target*> usable;
   bool region_has_targets = false;
   for (const Locality locality : kLocalities) {
-    if (locality == Locality::kOtherRegion && region_has_targets) {
+    if (locality == Locality::kOtherRegion && region_has_targets && !MayLeaveRegion()) {
       break;
     }
     region_has_targets = region_has_targets || !Usable(now, locality, {}).empty();
@@ -171,7 +186,51 @@
   return DistanceCost(target.candidate.locality, terms.large_response) -
          (target.candidate.own_instance ? own_instance_gain : 0) +
          kErrorCost * target.error_rate * target.error_rate +
-         kLateCost * LateShare(expected, static_cast<double>(effective_objective.count()));
+         kLateCost * LateShare(expected, static_cast<double>(effective_objective.count())) +
+         (terms.free_slot_only ? RefusalRisk(now, IsInOtherRegion(target.candidate)) : 0);
+}
+
+bool Balancer::MayLeaveRegion() const {
+  return kRefusedCost * std::pow(own_region_.full_share, kRefusalPower) >
+         kOtherRegionCost - kOwnRegionCost;
+}
+
+// Few offers go to another region, so its share is also inferred from the loads that both regions
+// report: they are seconds old, but equally so. The ratio is raised by its error: the loads are
+// counts of a few requests where there are few targets.
+double Balancer::RefusalRisk(TimePoint now, bool other_region) const {
+  double share = own_region_.full_share;
+  if (other_region) {
+    const ReportedLoad own = LoadOfRegion(false);
+    const ReportedLoad other = LoadOfRegion(true);
+    const bool reported = own.share() > 0 && other.slots > 0;
+    const double error =
+        reported ? kLoadErrorDeviations * std::sqrt(1 / own.slots + 1 / other.slots) : 0;
+    const double ratio = reported ? std::min(other.share() / own.share() + error, 1.0) : 1.0;
+    const bool known = now - other_region_.updated_at < kOffersLifetime;
+    share = std::max(share * ratio * ratio, known ? other_region_.full_share : 0);
+  }
+  return kRefusedCost * std::pow(share, kRefusalPower);
+}
+
+Balancer::ReportedLoad Balancer::LoadOfRegion(bool other_region) const {
+  ReportedLoad load;
+  for (const auto& [instance, target] : targets_) {
+    if (target.present && IsInOtherRegion(target.candidate) == other_region) {
+      load.slots += static_cast<double>(target.candidate.load.slots);
+      load.busy += static_cast<double>(target.candidate.load.busy);
+    }
+  }
+  return load;
+}
+
+void Balancer::CountOffer(TimePoint now, const Target& target, bool full) {
+  RegionOffers& offers = IsInOtherRegion(target.candidate) ? other_region_ : own_region_;
+  if (now - offers.updated_at >= kOffersLifetime) {
+    offers.full_share = 0;
+  }
+  offers.full_share += kOfferWeight * ((full ? 1.0 : 0.0) - offers.full_share);
+  offers.updated_at = now;
 }
 
 // In microseconds. Answers of the target count by their number against the average of all targets.
@@ -235,7 +294,7 @@
 
 void Balancer::Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
                         std::optional<TargetLoad> load, std::optional<Duration> service_time,
-                        Duration objective) {
+                        Duration objective, bool free_slot_only) {
   const auto found = targets_.find(instance);
   ENDIVECLEAT_CHECK(found != targets_.end() && found->second.in_flight > 0,
                     "no attempt to " + instance.value() + " is in flight");
@@ -251,6 +310,10 @@
   if (service_time) {
     AddServiceTime(now, target, objective, *service_time);
   }
+  const bool cancelled = result == AttemptResult::kCancelled;
+  if (free_slot_only && !cancelled) {
+    CountOffer(now, target, result == AttemptResult::kBusy);
+  }
   const bool error = result == AttemptResult::kErrorStatus;
   if (error || result == AttemptResult::kAnswered) {
     target.error_rate += kErrorWeight * ((error ? 1.0 : 0.0) - target.error_rate);
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -56,7 +56,7 @@
   // The route's whole objective; 0 if it has none. Service times are averaged by it.
   Duration objective{};
   // The target's daemon takes the request only if a slot is free: targets known to be full are left
-  // out, and those of another region too while the own region has any.
+  // out, and those of another region too unless most offers in the own region find no free slot.
   bool free_slot_only = false;
   // The response is large: its bytes weigh more than the wait for a nearer target.
   bool large_response = false;
@@ -89,11 +89,12 @@
   /// Counts an attempt to the instance as in flight.
   void Sent(const InstanceId& instance);
   /// Must be called exactly once after each Sent. `load` is the load that the answer or refusal
-  /// carried; `service_time` is the time from sending to the answer; `objective` is the whole
-  /// objective of the request's route.
+  /// carried; `service_time` is the time from sending to the answer;
+  /// `objective` is the whole objective of the request's route;
+  /// `free_slot_only` is that of the choice.
   void Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
                 std::optional<TargetLoad> load, std::optional<Duration> service_time = std::nullopt,
-                Duration objective = Duration{});
+                Duration objective = Duration{}, bool free_slot_only = false);
   /// The shortest expected wait for a slot over all candidates, by the newest reports; 0 if there
   /// are no candidates.
   Duration ExpectedWait() const;
@@ -121,6 +122,17 @@
     std::map<Duration, ServiceEstimate> service_times;  // by objective
   };
   using Targets = std::map<InstanceId, Target>;
+  /// Sums over the targets of one region.
+  struct ReportedLoad {
+    double busy = 0;  // requests that run or wait
+    double slots = 0;
+    double share() const { return slots > 0 ? busy / slots : 0; }
+  };
+  /// What offers for a free slot met in one region.
+  struct RegionOffers {
+    double full_share = 0;  // moving average of the share that found no free slot
+    TimePoint updated_at{};
+  };
 
   std::vector<const Target*> Usable(TimePoint now, Locality locality,
                                     const std::vector<InstanceId>& tried) const;
@@ -131,6 +143,10 @@
   Endpoint Cheapest(TimePoint now, const std::vector<const Target*>& usable,
                     const ChoiceTerms& terms);
   double Cost(TimePoint now, const Target& target, const ChoiceTerms& terms) const;
+  bool MayLeaveRegion() const;
+  double RefusalRisk(TimePoint now, bool other_region) const;
+  ReportedLoad LoadOfRegion(bool other_region) const;
+  void CountOffer(TimePoint now, const Target& target, bool full);
   double ServiceTime(TimePoint now, const Target& target, Duration objective) const;
   void AddServiceTime(TimePoint now, Target& target, Duration objective, Duration service_time);
   static double Busy(const Target& target);
@@ -144,6 +160,8 @@
 
   SeededRandom random_;
   Targets targets_;
+  RegionOffers own_region_;
+  RegionOffers other_region_;
   ServiceTimes service_times_{std::chrono::milliseconds(100), kServiceTimeDivisor};  // all targets
 };
 
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -495,7 +495,7 @@
     const bool answered = result == AttemptResult::kAnswered;
     exchange->state->balancer.Finished(now, sent.instance, result, reply.load,
                                        answered ? std::optional(now - sent.at) : std::nullopt,
-                                       exchange->route->policy.objective);
+                                       exchange->route->policy.objective, !effect.may_wait);
   }
   Execute(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
                                       : exchange->call->Refused(now, effect.attempt,
--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -309,6 +309,31 @@
   CHECK(balancer.Choose(kStart, {}, terms)->instance == Instance(3));
 }
 
+// Guards against requests refused in a full region beside another one with free slots, and against
+// offers on the billed link while the other region is as full.
+TEST(BalancerFreeSlot, LeavesTheRegionWhenItsOffersFindNoSlotAndTheOtherReportsLessLoad) {
+  constexpr int kTargetsOfRegion = 20;
+  const TimePoint later = kStart + seconds(2);
+  const auto crosses = [&](uint64_t busy_elsewhere) {
+    std::vector<Candidate> candidates;
+    for (int number = 0; number < kTargetsOfRegion; ++number) {
+      candidates.push_back(Make(number, Locality::kOwnDataCentre, 9));
+      candidates.push_back(Make(100 + number, Locality::kOtherRegion, busy_elsewhere));
+    }
+    balancer.SetCandidates(later, candidates, {"*"});
+    return balancer.Choose(later, {}, terms)->instance.value().size() ==
+           Instance(100).value().size();
+  };
+  CHECK_FALSE(crosses(4));
+  for (int offer = 0; offer < 100; ++offer) {
+    balancer.Sent(Instance(1));
+    balancer.Finished(kStart + milliseconds(1500), Instance(1), AttemptResult::kBusy, std::nullopt,
+                      std::nullopt, Duration{}, true);
+  }
+  CHECK(crosses(4));
+  CHECK_FALSE(crosses(9));
+}
+
 // Guards against choosing by the service times of other, longer requests.
 TEST(BalancerUnequalLoad, KeepsServiceTimesOfDifferentObjectivesApart) {
   balancer.SetCandidates(kStart, {Make(1), Make(2, Locality::kOwnRegion)}, {"*"});
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -113,6 +113,7 @@
     size_t target = 0;  // of the current attempt
     TimePoint sent_at;
     AttemptId attempt;
+    bool free_slot_only = false;
   };
   using RequestId = uint64_t;
 
@@ -222,6 +223,7 @@
     Request& request = requests_.at(id);
     request.target = std::stoul(send.endpoint.instance.value());
     request.attempt = send.attempt;
+    request.free_slot_only = !send.may_wait && !wait_at_first_;
     request.sent_at = now_;
     daemons_[request.daemon]->balancer.Sent(send.endpoint.instance);
     AdmissionRequest admission;
@@ -271,7 +273,8 @@
     daemons_[request.daemon]->balancer.Finished(
         now_, Instance(request.target), result,
         TargetLoad{admission.running() + admission.queued(), kSlots},
-        answered ? std::optional(now_ - request.sent_at) : std::nullopt, kObjective);
+        answered ? std::optional(now_ - request.sent_at) : std::nullopt, kObjective,
+        request.free_slot_only);
   }
 
   void Finish(RequestId id, const FinishCall& finish) {
