Learn from attempts that are cancelled without an answer

The time until a cancellation is now a lower bound of the service time, if it exceeds what the target is expected to take.

LeavesATargetWhoseAttemptsEndCancelledWithoutAnAnswer; before this, the call has no such argument.

--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -307,10 +307,12 @@
   if (result != AttemptResult::kCancelled) {
     target.unreachable = result == AttemptResult::kUnreachable;
   }
-  if (service_time) {
+  // A cancelled attempt would have taken longer still.
+  const bool cancelled = result == AttemptResult::kCancelled;
+  if (service_time && (!cancelled || static_cast<double>(service_time->count()) >
+                                         ServiceTime(now, target, objective))) {
     AddServiceTime(now, target, objective, *service_time);
   }
-  const bool cancelled = result == AttemptResult::kCancelled;
   if (free_slot_only && !cancelled) {
     CountOffer(now, target, result == AttemptResult::kBusy);
   }
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -89,8 +89,8 @@
   /// Counts an attempt to the instance as in flight.
   void Sent(const InstanceId& instance);
   /// Must be called exactly once after each Sent. `load` is the load that the answer or refusal
-  /// carried; `service_time` is the time from sending to the answer;
-  /// `objective` is the whole objective of the request's route;
+  /// carried; `service_time` is the time from sending to the answer, or until the attempt was
+  /// cancelled without one; `objective` is the whole objective of the request's route;
   /// `free_slot_only` is that of the choice.
   void Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
                 std::optional<TargetLoad> load, std::optional<Duration> service_time = std::nullopt,
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -525,8 +525,9 @@
   }
   if (!sent.finished) {
     sent.finished = true;
-    exchange.state->balancer.Finished(context_.loop.now(), sent.instance, AttemptResult::kCancelled,
-                                      std::nullopt);
+    const TimePoint now = context_.loop.now();
+    exchange.state->balancer.Finished(now, sent.instance, AttemptResult::kCancelled, std::nullopt,
+                                      now - sent.at, exchange.route->policy.objective);
   }
 }
 
--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -272,6 +272,29 @@
   CHECK(Choices(balancer, kStart + seconds(6)).contains(Instance(1)));
 }
 
+// Guards against a target that seems idle since its answers don't arrive: a full link, or a process
+// that answers nothing.
+TEST(BalancerUnequalLoad, LeavesATargetWhoseAttemptsEndCancelledWithoutAnAnswer) {
+  balancer.SetCandidates(kStart, {Make(1), Make(2, Locality::kOwnRegion)}, {"*"});
+  const ChoiceTerms terms{.objective_left = milliseconds(250), .objective = milliseconds(250)};
+  for (const int number : {1, 2}) {
+    balancer.Sent(Instance(number));
+    balancer.Finished(kStart, Instance(number), AttemptResult::kAnswered, std::nullopt,
+                      milliseconds(60), milliseconds(250));
+  }
+  CHECK(balancer.Choose(kStart, {}, terms)->instance == Instance(1));
+  balancer.Sent(Instance(1));
+  balancer.Finished(kStart, Instance(1), AttemptResult::kCancelled, std::nullopt, milliseconds(10),
+                    milliseconds(250));
+  CHECK(balancer.Choose(kStart, {}, terms)->instance == Instance(1));
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    balancer.Sent(Instance(1));
+    balancer.Finished(kStart, Instance(1), AttemptResult::kCancelled, std::nullopt,
+                      milliseconds(700), milliseconds(250));
+  }
+  CHECK(balancer.Choose(kStart, {}, terms)->instance == Instance(2));
+}
+
 TEST(BalancerUnequalLoad, GivesANewTargetItsShare) {
   balancer.SetCandidates(kStart, {Make(1), Make(2)}, {"*"});
   Answer(1, 100);
