Leave a region only for a lower risk of refusal

Once offers might leave the region, the wait that old reports of load show decided where they went, though both regions were as full. Now the difference of the risks alone has to exceed the bill.

--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -143,7 +143,7 @@
   std::vector<const Target*> usable;
   bool region_has_targets = false;
   for (const Locality locality : kLocalities) {
-    if (locality == Locality::kOtherRegion && region_has_targets && !MayLeaveRegion()) {
+    if (locality == Locality::kOtherRegion && region_has_targets && !MayLeaveRegion(now)) {
       break;
     }
     region_has_targets = region_has_targets || !Usable(now, locality, {}).empty();
@@ -190,9 +190,10 @@
          (terms.free_slot_only ? RefusalRisk(now, IsInOtherRegion(target.candidate)) : 0);
 }
 
-bool Balancer::MayLeaveRegion() const {
-  return kRefusedCost * std::pow(own_region_.full_share, kRefusalPower) >
-         kOtherRegionCost - kOwnRegionCost;
+// Another region is worth its bill only for a lower risk of a refusal, not for a wait that reports
+// of load show: they are too old for that.
+bool Balancer::MayLeaveRegion(TimePoint now) const {
+  return RefusalRisk(now, false) - RefusalRisk(now, true) > kOtherRegionCost - kOwnRegionCost;
 }
 
 // Few offers go to another region, so its share is also inferred from the loads that both regions
