Keep large responses in a full region

Found in reading the change: where most offers in a region find no slot, offers of large responses left it too, if all its targets were known to be full. Now it is the bill of the request's kind; no risk of refusal exceeds it for large responses.

KeepsLargeResponsesInAFullRegion fails on the code before.

--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -143,7 +143,7 @@
   std::vector<const Target*> usable;
   bool region_has_targets = false;
   for (const Locality locality : kLocalities) {
-    if (locality == Locality::kOtherRegion && region_has_targets && !MayLeaveRegion(now)) {
+    if (locality == Locality::kOtherRegion && region_has_targets && !MayLeaveRegion(now, terms)) {
       break;
     }
     region_has_targets = region_has_targets || !Usable(now, locality, {}).empty();
@@ -192,8 +192,10 @@
 
 // Another region is worth its bill only for a lower risk of a refusal, not for a wait that reports
 // of load show: they are too old for that.
-bool Balancer::MayLeaveRegion(TimePoint now) const {
-  return RefusalRisk(now, false) - RefusalRisk(now, true) > kOtherRegionCost - kOwnRegionCost;
+bool Balancer::MayLeaveRegion(TimePoint now, const ChoiceTerms& terms) const {
+  const double bill = DistanceCost(Locality::kOtherRegion, terms.large_response) -
+                      DistanceCost(Locality::kOwnRegion, terms.large_response);
+  return RefusalRisk(now, false) - RefusalRisk(now, true) > bill;
 }
 
 // Few offers go to another region, so its share is also inferred from the loads that both regions
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -143,7 +143,7 @@
   Endpoint Cheapest(TimePoint now, const std::vector<const Target*>& usable,
                     const ChoiceTerms& terms);
   double Cost(TimePoint now, const Target& target, const ChoiceTerms& terms) const;
-  bool MayLeaveRegion(TimePoint now) const;
+  bool MayLeaveRegion(TimePoint now, const ChoiceTerms& terms) const;
   double RefusalRisk(TimePoint now, bool other_region) const;
   ReportedLoad LoadOfRegion(bool other_region) const;
   void CountOffer(TimePoint now, const Target& target, bool full);
--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -357,6 +357,25 @@
   CHECK_FALSE(crosses(9));
 }
 
+// Guards against large responses that cross the billed link since the own region is full: a late
+// answer costs less.
+TEST(BalancerFreeSlot, KeepsLargeResponsesInAFullRegion) {
+  std::vector<Candidate> candidates;
+  for (int number = 0; number < 20; ++number) {
+    candidates.push_back(Make(number, Locality::kOwnDataCentre, 9));
+    candidates.push_back(Make(100 + number, Locality::kOtherRegion, 0));
+  }
+  balancer.SetCandidates(kStart, candidates, {"*"});
+  for (int offer = 0; offer < 400; ++offer) {
+    balancer.Sent(Instance(offer % 20));
+    balancer.Finished(kStart, Instance(offer % 20), AttemptResult::kBusy, TargetLoad{9, 9},
+                      std::nullopt, Duration{}, true);
+  }
+  CHECK(balancer.Choose(kStart, {}, terms).has_value());
+  CHECK_FALSE(
+      balancer.Choose(kStart, {}, {.free_slot_only = true, .large_response = true}).has_value());
+}
+
 // Guards against choosing by the service times of other, longer requests.
 TEST(BalancerUnequalLoad, KeepsServiceTimesOfDifferentObjectivesApart) {
   balancer.SetCandidates(kStart, {Make(1), Make(2, Locality::kOwnRegion)}, {"*"});
