--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -316,10 +316,11 @@
                                          ServiceTime(now, target, objective))) {
     AddServiceTime(now, target, objective, *service_time);
   }
-  if (free_slot_only && !cancelled) {
-    CountOffer(now, target, result == AttemptResult::kBusy);
-  }
   const bool error = result == AttemptResult::kErrorStatus;
+  const bool full = result == AttemptResult::kBusy;
+  if (free_slot_only && (full || error || result == AttemptResult::kAnswered)) {
+    CountOffer(now, target, full);
+  }
   if (error || result == AttemptResult::kAnswered) {
     target.error_rate += kErrorWeight * ((error ? 1.0 : 0.0) - target.error_rate);
   }
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "admission.h"
+#include "attempt_tracker.h"
 #include "candidate_subset.h"
 #include "errors.h"
 #include "log.h"
@@ -96,13 +97,6 @@
 }  // namespace
 
 struct CallerTask::Exchange {
-  struct Sent {
-    InstanceId instance;
-    std::optional<PeerRequestId> request;  // empty for the daemon's own target
-    TimePoint at;
-    bool finished = false;  // the result was reported to the balancer
-  };
-
   Exchange(HttpRequest incoming, ResponseSink response_sink, TraceSpan call_span)
       : request(std::move(incoming)), sink(std::move(response_sink)), span(std::move(call_span)) {}
 
@@ -118,7 +112,8 @@
   CallRequest call_request;
   Fingerprint fingerprint;
   std::unique_ptr<Call> call;
-  std::map<AttemptId, Sent> sent;
+  std::optional<AttemptTracker> attempts;            // set with `call`
+  std::map<AttemptId, PeerRequestId> peer_requests;  // of attempts to other instances
   TimePoint started;
   std::optional<TimerId> timer;
 };
@@ -288,6 +283,7 @@
       exchange.number, exchange.span.context().trace,
       std::min(ComputeDeadline(exchange), end_.value_or(TimePoint::max())));
   exchange.state = &FindOrCreateState(*exchange.service);
+  exchange.attempts.emplace(exchange.state->balancer, route.objective);
   exchange.call = std::make_unique<Call>(call, exchange.state->budget);
   return std::nullopt;
 }
@@ -457,10 +453,8 @@
 
 void CallerTask::Send(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect) {
   const AttemptMessage message = MakeAttempt(*exchange, effect);
-  exchange->state->balancer.Sent(effect.endpoint.instance);
-  Exchange::Sent& sent = exchange->sent[effect.attempt];
-  sent.instance = effect.endpoint.instance;
-  sent.at = context_.loop.now();
+  exchange->attempts->Sent(context_.loop.now(), effect.attempt, effect.endpoint.instance,
+                           !effect.may_wait);
   if (effect.endpoint.instance == context_.settings.common.instance) {
     target_.HandleLocal(message, [this, exchange, effect](const AttemptReply& reply,
                                                           const std::shared_ptr<void>& /*slot*/) {
@@ -469,7 +463,7 @@
     return;
   }
   const Duration timeout = std::max(message.time_left, Duration(0)) + kNetworkGrace;
-  sent.request = context_.node.network().Request(
+  exchange->peer_requests[effect.attempt] = context_.node.network().Request(
       effect.endpoint.address, PeerChannel::kCall, EncodeAttempt(message), timeout,
       [this, exchange, effect](const PeerOutcome& outcome) {
         if (outcome.kind != PeerOutcome::kAnswered) {
@@ -487,16 +481,8 @@
 void CallerTask::OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                          const AttemptReply& reply) {
   const TimePoint now = context_.loop.now();
-  Exchange::Sent& sent = exchange->sent[effect.attempt];
   const auto* answer = std::get_if<TargetAnswer>(&reply.outcome);
-  if (!sent.finished) {
-    sent.finished = true;
-    const AttemptResult result = ResultOf(reply);
-    const bool answered = result == AttemptResult::kAnswered;
-    exchange->state->balancer.Finished(now, sent.instance, result, reply.load,
-                                       answered ? std::optional(now - sent.at) : std::nullopt,
-                                       exchange->route->policy.objective, !effect.may_wait);
-  }
+  exchange->attempts->Ended(now, effect.attempt, ResultOf(reply), reply.load);
   Execute(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
                                       : exchange->call->Refused(now, effect.attempt,
                                                                 std::get<Refusal>(reply.outcome)));
@@ -505,30 +491,21 @@
 void CallerTask::OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                                bool was_sent) {
   const TimePoint now = context_.loop.now();
-  Exchange::Sent& sent = exchange->sent[effect.attempt];
-  if (!sent.finished) {
-    sent.finished = true;
-    const AttemptResult result = was_sent ? AttemptResult::kFailed : AttemptResult::kUnreachable;
-    exchange->state->balancer.Finished(now, sent.instance, result, std::nullopt);
-  }
+  exchange->attempts->Ended(now, effect.attempt,
+                            was_sent ? AttemptResult::kFailed : AttemptResult::kUnreachable);
   Execute(exchange, was_sent ? exchange->call->LinkBroken(now, effect.attempt)
                              : exchange->call->Refused(now, effect.attempt,
                                                        {ResultCode::kTargetUnreachable, false}));
 }
 
 void CallerTask::CancelSent(Exchange& exchange, const CancelAttempt& effect) {
-  Exchange::Sent& sent = exchange.sent[effect.attempt];
-  if (sent.request) {
-    context_.node.network().Cancel(*sent.request);
+  const auto request = exchange.peer_requests.find(effect.attempt);
+  if (request != exchange.peer_requests.end()) {
+    context_.node.network().Cancel(request->second);
   } else {
     target_.CancelLocal(effect.attempt);
   }
-  if (!sent.finished) {
-    sent.finished = true;
-    const TimePoint now = context_.loop.now();
-    exchange.state->balancer.Finished(now, sent.instance, AttemptResult::kCancelled, std::nullopt,
-                                      now - sent.at, exchange.route->policy.objective);
-  }
+  exchange.attempts->Ended(context_.loop.now(), effect.attempt, AttemptResult::kCancelled);
 }
 
 void CallerTask::WriteRefusal(const std::shared_ptr<Exchange>& exchange,
@@ -614,8 +591,8 @@
     fields.emplace_back("retry_tokens", exchange.state->budget.tokens());
     fields.emplace_back("candidates", static_cast<uint64_t>(exchange.state->balancer.size()));
   }
-  if (!exchange.sent.empty()) {
-    fields.emplace_back("last_daemon", exchange.sent.rbegin()->second.instance.value());
+  if (exchange.attempts && exchange.attempts->latest_instance()) {
+    fields.emplace_back("last_daemon", exchange.attempts->latest_instance()->value());
   }
   Log(failed ? LogLevel::kWarning : LogLevel::kInfo, failed ? "call_failed" : "call", fields);
 }
--- a/src/endivecleat_core.h
+++ b/src/endivecleat_core.h
@@ -5,6 +5,7 @@
 #define ENDIVECLEAT_ENDIVECLEAT_CORE_H_
 
 #include "admission.h"
+#include "attempt_tracker.h"
 #include "balancer.h"
 #include "call.h"
 #include "config_replica.h"
