Test that the log tells the use of link and slots

UseOfLinkAndSlotsIsMissingInTheLog waits for each kind of figure in a real daemon's log; the code before writes no such event, so that its first check waits in vain.

--- a/test/failure/process_target_test.cc
+++ b/test/failure/process_target_test.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <set>
 #include <thread>
 
@@ -125,6 +126,20 @@
   return reached ? lowest : 0;
 }
 
+// The sum of a field over the lines of an event in a daemon's log.
+int64_t SumInLog(const ProcessCluster& cluster, int daemon, const std::string& event,
+                 const std::string& field) {
+  std::ifstream log(cluster.folder() / (ProcessCluster::Daemon(daemon) + ".log"));
+  int64_t sum = 0;
+  for (std::string line; std::getline(log, line);) {
+    const nlohmann::json entry = nlohmann::json::parse(line, nullptr, false);
+    if (entry.is_object() && entry.value("event", "") == event) {
+      sum += entry.value(field, int64_t{0});
+    }
+  }
+  return sum;
+}
+
 }  // namespace
 
 TEST_GROUP(ProcessTargets) {
@@ -162,6 +177,24 @@
   }
 }
 
+// Guards against logs that tell neither what filled a network link nor what slots were used for.
+TEST(ProcessTargets, UseOfLinkAndSlotsIsMissingInTheLog) {
+  const auto logged = [&](const std::string& field) {
+    return WaitFor([&] { return SumInLog(cluster, 1, "daemon_load", field) > 0; });
+  };
+  Readers readers(cluster);
+  CHECK(WaitForMoreAnswers(readers, 50));
+  CHECK(logged("slots"));
+  CHECK(logged("slot_ms_in_objective"));
+  CHECK(logged("gossip_bytes_sent"));
+  CHECK(logged("gossip_bytes_received"));
+  cluster.SendSignal("target-1", SIGTERM);  // its daemon's callers are served by other instances
+  CHECK(logged("call_bytes_sent"));
+  CHECK(logged("call_bytes_received"));
+  readers.Stop();
+  CHECK_EQUAL(0, SumInLog(cluster, 1, "daemon_load", "slot_ms_failed"));
+}
+
 // Guards against a graceful shutdown of a daemon that interrupts requests in flight, be they from
 // its own callers or from other daemons to its target.
 TEST(ProcessTargets, DaemonStoppedWithSlowRequestsInFlightInterruptsNone) {
