Compare two random targets of a locality in place of all

Callers saw reads fail for seconds after a trouble had ended. All daemons hold the same reports of load, which are seconds old, and took the one target that is best by them; until the next report it got more than its network link carries. Requests waited on the link, where nothing can refuse them, while other targets were idle. With two random candidates of each locality the choices of the daemons differ, and the load still decides between the two.

--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -72,6 +72,10 @@
 // Standard deviations that count as the error of a ratio of reported loads.
 constexpr double kLoadErrorDeviations = 2;
 constexpr Duration kOffersLifetime = std::chrono::seconds(5);
+// Candidates of a locality that are compared for one choice. All daemons hold the same reports,
+// which are seconds old: if each took the best of all, they would all choose the same target until
+// the next report.
+constexpr size_t kSampleSize = 2;
 constexpr std::array kLocalities = {Locality::kOwnDataCentre, Locality::kOwnRegion,
                                     Locality::kOtherRegion};
 
@@ -156,11 +160,30 @@
   return usable.empty() ? std::nullopt : std::optional(Cheapest(now, usable, terms));
 }
 
+// A few random ones of each locality, and the own instance's target.
+std::vector<const Balancer::Target*> Balancer::Sample(const std::vector<const Target*>& usable) {
+  std::vector<const Target*> sample;
+  for (const Locality locality : kLocalities) {
+    std::vector<const Target*> others;
+    for (const Target* target : usable) {
+      if (target->candidate.locality == locality) {
+        (target->candidate.own_instance ? sample : others).push_back(target);
+      }
+    }
+    for (size_t drawn = 0; drawn < kSampleSize && !others.empty(); ++drawn) {
+      const auto choice = others.begin() + static_cast<ptrdiff_t>(random_.Below(others.size()));
+      sample.push_back(*choice);
+      others.erase(choice);
+    }
+  }
+  return sample;
+}
+
 Endpoint Balancer::Cheapest(TimePoint now, const std::vector<const Target*>& usable,
                             const ChoiceTerms& terms) {
   const Target* best = nullptr;
   double best_cost = 0;
-  for (const Target* target : usable) {
+  for (const Target* target : Sample(usable)) {
     const double jitter =
         kJitterCost * static_cast<double>(random_.Below(kJitterSteps)) / double{kJitterSteps};
     const double cost = Cost(now, *target, terms) + jitter;
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -140,6 +140,7 @@
   std::vector<const Target*> Ejected(TimePoint now, Locality locality) const;
   std::optional<Endpoint> ChooseFreeSlot(TimePoint now, const std::vector<InstanceId>& tried,
                                          const ChoiceTerms& terms);
+  std::vector<const Target*> Sample(const std::vector<const Target*>& usable);
   Endpoint Cheapest(TimePoint now, const std::vector<const Target*>& usable,
                     const ChoiceTerms& terms);
   double Cost(TimePoint now, const Target& target, const ChoiceTerms& terms) const;
