Take the time that a request waited on its way off its time left

Attempts carry the time that is left when they are sent, and the target's daemon counted it from their arrival; on a full link they wait for a second and more, so requests ran for callers that had given up, in slots that others needed.

Attempts now carry the boot clock of their sender. The target's daemon takes the fastest recent message of a process for one that did not wait, and what others take longer off their time left and their objective. The boot clock, since the steady one stands still while a machine is suspended. A daemon of the version before forwards the new header field to its target and counts as before.

--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -18,7 +18,10 @@
 // Internal header field: the objective and the longest wait in microseconds, separated by a space;
 // the latter is left out if there is no limit.
 constexpr char kOfferHeader[] = "endivecleat-offer";
+// Internal header field: the sender's boot clock in microseconds.
+constexpr char kSentHeader[] = "endivecleat-sent";
 constexpr Duration kMaxOfferDuration = std::chrono::hours(24);
+constexpr Duration kMaxUptime = std::chrono::years(100);
 
 template <class Headers, class NameOf, class ValueOf>
 void WriteHeaders(ByteWriter& writer, const Headers& headers, NameOf name_of, ValueOf value_of) {
@@ -38,8 +41,12 @@
   }
 }
 
-void WriteRequest(ByteWriter& writer, HttpRequest request, const std::string& offer) {
+void WriteRequest(ByteWriter& writer, HttpRequest request, const std::string& offer,
+                  const std::optional<TimePoint>& sent_at) {
   request.headers.Set(kOfferHeader, offer);
+  if (sent_at) {
+    request.headers.Set(kSentHeader, std::to_string(sent_at->time_since_epoch().count()));
+  }
   writer.WriteString(request.method);
   writer.WriteString(request.path);
   writer.WriteString(request.query);
@@ -104,16 +111,27 @@
   return text;
 }
 
-Duration ParseOfferDuration(std::string_view text) {
+Duration ParseMicroseconds(std::string_view text, Duration longest) {
   Duration::rep count = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
   if (error != std::errc() || end != text.data() + text.size() || count < 0 ||
-      Duration(count) > kMaxOfferDuration) {
-    throw UserError(ResultCode::kMessageMalformed, "invalid offer in an attempt");
+      Duration(count) > longest) {
+    throw UserError(ResultCode::kMessageMalformed, "invalid time in an attempt");
   }
   return Duration(count);
 }
 
+Duration ParseOfferDuration(std::string_view text) {
+  return ParseMicroseconds(text, kMaxOfferDuration);
+}
+
+void TakeSentAt(AttemptMessage& message) {
+  if (const std::string text = message.request.headers.ValueOr(kSentHeader, ""); !text.empty()) {
+    message.sent_at = TimePoint{} + ParseMicroseconds(text, kMaxUptime);
+    message.request.headers.Remove(kSentHeader);
+  }
+}
+
 /// Moves the internal header field into the message.
 void TakeOffer(AttemptMessage& message) {
   const std::string text = message.request.headers.ValueOr(kOfferHeader, "");
@@ -143,7 +161,7 @@
   writer.WriteVarint(message.priority.value());
   writer.WriteVarint(
       message.objective_left ? static_cast<uint64_t>(message.objective_left->count()) + 1 : 0);
-  WriteRequest(writer, message.request, FormatOffer(message));
+  WriteRequest(writer, message.request, FormatOffer(message), message.sent_at);
   return writer.Take();
 }
 
@@ -167,9 +185,17 @@
   message.request = ReadRequest(reader);
   reader.ExpectEnd();
   TakeOffer(message);
+  TakeSentAt(message);
   return message;
 }
 
+void DeductTransit(AttemptMessage& message, Duration waited) {
+  message.time_left = std::max(message.time_left - waited, Duration{});
+  if (message.objective_left) {
+    message.objective_left = std::max(*message.objective_left - waited, Duration{});
+  }
+}
+
 std::string EncodeAttemptReply(const AttemptReply& reply) {
   ByteWriter writer;
   writer.WriteVarint(kReplyFormatVersion);
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -1,6 +1,7 @@
 // Messages of a call between the caller's daemon (CallerTask) and the daemon beside the target
-// (TargetTask), and their binary encoding. The objective and the longest wait travel in a header
-// field of the request, so that daemons of the version before accept the message during an upgrade.
+// (TargetTask), and their binary encoding. The objective, the longest wait and the time of sending
+// travel in header fields of the request, so that daemons of the version before accept the message
+// during an upgrade.
 #ifndef ENDIVECLEAT_CALL_MESSAGE_H_
 #define ENDIVECLEAT_CALL_MESSAGE_H_
 
@@ -30,9 +31,13 @@
   std::optional<Duration> objective_left;  // time left of the latency objective
   Duration objective{};                    // the route's whole objective; 0 if it has none
   std::optional<Duration> max_wait;        // for a slot of this target; nullopt: no limit
+  std::optional<TimePoint> sent_at;        // by the boot clock of the sender
   HttpRequest request;
 };
 
+/// Takes the time that the message waited on its way off its time left and its objective.
+void DeductTransit(AttemptMessage& message, Duration waited);
+
 /// The target's answer or its daemon's refusal, and the load of the target.
 struct AttemptReply {
   std::variant<TargetAnswer, Refusal> outcome;
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -452,7 +452,7 @@
 }
 
 void CallerTask::Send(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect) {
-  const AttemptMessage message = MakeAttempt(*exchange, effect);
+  AttemptMessage message = MakeAttempt(*exchange, effect);
   exchange->attempts->Sent(context_.loop.now(), effect.attempt, effect.endpoint.instance,
                            !effect.may_wait);
   if (effect.endpoint.instance == context_.settings.common.instance) {
@@ -463,6 +463,7 @@
     return;
   }
   const Duration timeout = std::max(message.time_left, Duration(0)) + kNetworkGrace;
+  message.sent_at = BootClockNow();
   exchange->peer_requests[effect.attempt] = context_.node.network().Request(
       effect.endpoint.address, PeerChannel::kCall, EncodeAttempt(message), timeout,
       [this, exchange, effect](const PeerOutcome& outcome) {
--- a/src/endivecleat_core.h
+++ b/src/endivecleat_core.h
@@ -31,6 +31,7 @@
 #include "target_call.h"
 #include "target_pattern.h"
 #include "target_state.h"
+#include "transit_delay.h"
 #include "units.h"
 
 #endif  // ENDIVECLEAT_ENDIVECLEAT_CORE_H_
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -40,6 +40,11 @@
   return answer;
 }
 
+// The process that an attempt comes from: the part of the id before the number of its call.
+std::string CallingProcess(const AttemptId& attempt) {
+  return attempt.value().substr(0, attempt.value().rfind('-'));
+}
+
 void AddForwardedFor(HttpRequest& request) {
   if (request.peer_ip.empty()) {
     return;
@@ -83,7 +88,11 @@
 }
 
 void TargetTask::HandlePeer(const std::string& payload, const PeerResponder& replier) {
-  const AttemptMessage message = DecodeAttempt(payload);
+  AttemptMessage message = DecodeAttempt(payload);
+  if (message.sent_at) {
+    DeductTransit(message, transit_delay_.Arrived(BootClockNow(), CallingProcess(message.attempt),
+                                                  *message.sent_at));
+  }
   ExchangePtr exchange;
   StartAttempt(
       message,
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -18,6 +18,7 @@
 #include "http_client.h"
 #include "target_call.h"
 #include "target_state.h"
+#include "transit_delay.h"
 
 namespace endivecleat {
 
@@ -105,6 +106,7 @@
   DaemonContext& context_;
   AnnouncedTarget target_;
   Admission admission_;
+  TransitDelay transit_delay_;                        // of attempts from other instances
   TargetState applied_state_ = TargetState::kAbsent;  // state last applied to admission_
   std::unique_ptr<HttpClient> client_;                // null before the first announcement
   std::unique_ptr<HttpClient> probe_client_;
--- a/test/call_chain_simulation.cc
+++ b/test/call_chain_simulation.cc
@@ -62,6 +62,7 @@
 };
 
 struct CallChainSimulation::Target {
+  TransitDelay transit_delay;
   Admission admission{ServicePolicy{
       .slots = SlotCount(kSlots), .queue_length = QueueLength(40), .warm_up = Duration{}}};
 };
@@ -280,16 +281,22 @@
   AdmissionRequest request;
   request.number = exchange.number;
   request.priority = route.priority;
-  request.deadline = exchange.deadline;
   request.objective = route.objective;
-  request.objective_left =
+  AttemptMessage message;
+  message.time_left = exchange.deadline - now_;
+  message.objective_left =
       std::max<Duration>(route.objective - (now_ - exchange.started), Duration{});
+  message.sent_at = now_;
   if (!send.may_wait) {
     request.max_wait = Duration{};
   }
   numbers_[request.number] = {id, send.attempt, exchange.route, exchange.deadline};
   const TimePoint arrival = Transmit(exchange.daemon, exchange.target, route.request_bytes);
-  At(arrival, [this, target = exchange.target, request] {
+  At(arrival, [this, target = exchange.target, sender = Instance(exchange.daemon).value(), request,
+               message]() mutable {
+    DeductTransit(message, targets_[target]->transit_delay.Arrived(now_, sender, *message.sent_at));
+    request.deadline = now_ + message.time_left;
+    request.objective_left = message.objective_left;
     const bool lost = IsCalled(target) && InTrouble() && target + trouble_.lost_targets >= kTargets;
     const bool rejected =
         IsCalled(target) && InTrouble() && random_.Chance(trouble_.rejected_percent);
@@ -359,6 +366,7 @@
 
 void CallChainSimulation::StartRun(size_t target, const Submitted& submitted,
                                    RequestNumber number) {
+  outcome_.started_long_after_deadline += now_ > submitted.deadline + milliseconds(500) ? 1 : 0;
   const RunId run_id = ++last_id_;
   auto run = std::make_unique<RunningRequest>();
   run->target = target;
--- a/test/call_chain_simulation.h
+++ b/test/call_chain_simulation.h
@@ -15,8 +15,10 @@
 #include "admission.h"
 #include "balancer.h"
 #include "call.h"
+#include "call_message.h"
 #include "retry_budget.h"
 #include "seeded_random.h"
+#include "transit_delay.h"
 #include "units.h"
 
 namespace endivecleat::test {
@@ -42,6 +44,7 @@
   Route reads;                          // of the calling service; seven in ten make two calls
   Route updates;                        // of the calling service; make no calls
   Route confirmations;                  // of the called service
+  int started_long_after_deadline = 0;  // attempts that began to run half a second after it
   Duration calling_slot_time{};         // of the calling service's targets
   Duration calling_slot_time_failed{};  // of runs that failed
   double wasted_slot_time() const {
--- a/test/correctness/call_chain_test.cc
+++ b/test/correctness/call_chain_test.cc
@@ -55,3 +55,23 @@
 TEST(CallChainWithNarrowLinks, RecoversOnceTargetsOfTheCalledServiceNoLongerReject) {
   CheckRecovers({.lost_targets = 3, .rejected_percent = 55});
 }
+
+// Guards against requests that wait on full links and then run though their callers have given up.
+TEST(CallChainWithNarrowLinks, StartsNoRequestLongAfterItsDeadline) {
+  constexpr double kLinkBytesPerSecond = 180'000;
+  constexpr Duration kAcquaintanceTime = seconds(15);  // each daemon has called each target
+  constexpr int kFew = 3;
+  for (const uint64_t seed : Seeds(2)) {
+    CallChainSimulation simulation(seed, kLinkBytesPerSecond,
+                                   {.slow_targets = 3,
+                                    .slowness = 3.8,
+                                    .lost_targets = 3,
+                                    .begins = kStart + kAcquaintanceTime,
+                                    .ends = kStart + kAcquaintanceTime + kTroubleTime});
+    const int started = simulation.Run(kAcquaintanceTime + kTroubleTime + kRecoveryTime)
+                            .started_long_after_deadline;
+    if (started > kFew) {
+      FailWithSeed(seed, std::to_string(started) + " requests");
+    }
+  }
+}
