Make offers only as often as they succeed where refusals take long

Callers saw reads fail for seconds after a trouble. While most targets of a service are full, a request is offered three times, and each offer carries the whole request: the links of the targets' daemons fill with offers that are refused, calls wait behind them, and the calling service holds its slots for calls that are not answered. The share of offers that find no free slot was known; what they cost was not. A refusal comes at once, so its time is the time on the links. Where that is long, a request waits at a target in place of asking others, with the probability that an offer is in vain.

The same skip without regard to the time of refusals costs late answers in placement_test.

--- a/src/attempt_tracker.cc
+++ b/src/attempt_tracker.cc
@@ -4,10 +4,11 @@
 namespace endivecleat {
 namespace {
 
-// Whether the time until this end says how long the target takes. A cancelled attempt would have
-// taken longer still; refusals and broken connections end early.
-bool TellsServiceTime(AttemptResult result) {
-  return result == AttemptResult::kAnswered || result == AttemptResult::kCancelled;
+// Whether the time until this end says how long the target takes, or how long messages do. A
+// cancelled attempt would have taken longer still; broken connections end early.
+bool TellsTime(AttemptResult result) {
+  return result == AttemptResult::kAnswered || result == AttemptResult::kCancelled ||
+         result == AttemptResult::kBusy;
 }
 
 }  // namespace
@@ -28,7 +29,7 @@
   const Attempt ended = found->second;
   under_way_.erase(found);
   balancer_->Finished(now, ended.instance, result, load,
-                      TellsServiceTime(result) ? std::optional(now - ended.sent_at) : std::nullopt,
+                      TellsTime(result) ? std::optional(now - ended.sent_at) : std::nullopt,
                       objective_, ended.free_slot_only);
 }
 
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -69,6 +69,11 @@
 constexpr int kRefusalPower = 3;
 // The newest offer has a weight of 1/32 in a region's share of offers that find no free slot.
 constexpr double kOfferWeight = 1.0 / 32;
+// The newest refusal has a weight of 1/8 in the moving average of their times.
+constexpr double kRefusalTimeWeight = 1.0 / 8;
+// Times until the refusal of an offer: inside a region on idle links, and on links that are short.
+constexpr Duration kQuickRefusal = std::chrono::milliseconds(5);
+constexpr Duration kSlowRefusal = std::chrono::milliseconds(25);
 // Standard deviations that count as the error of a ratio of reported loads.
 constexpr double kLoadErrorDeviations = 2;
 constexpr Duration kOffersLifetime = std::chrono::seconds(5);
@@ -144,10 +149,14 @@
 std::optional<Endpoint> Balancer::ChooseFreeSlot(TimePoint now,
                                                  const std::vector<InstanceId>& tried,
                                                  const ChoiceTerms& terms) {
+  const bool may_leave_region = MayLeaveRegion(now, terms);
+  if (!may_leave_region && OffersAreInVain()) {
+    return std::nullopt;
+  }
   std::vector<const Target*> usable;
   bool region_has_targets = false;
   for (const Locality locality : kLocalities) {
-    if (locality == Locality::kOtherRegion && region_has_targets && !MayLeaveRegion(now, terms)) {
+    if (locality == Locality::kOtherRegion && region_has_targets && !may_leave_region) {
       break;
     }
     region_has_targets = region_has_targets || !Usable(now, locality, {}).empty();
@@ -250,12 +259,29 @@
   return load;
 }
 
-void Balancer::CountOffer(TimePoint now, const Target& target, bool full) {
+// An offer that finds no free slot costs the bytes of the request on the network links of both
+// instances. Where refusals take long, links are what is short, and offers are made only as often
+// as they succeed.
+bool Balancer::OffersAreInVain() {
+  const double slow =
+      std::clamp(static_cast<double>((own_region_.refusal_time - kQuickRefusal).count()) /
+                     static_cast<double>((kSlowRefusal - kQuickRefusal).count()),
+                 0.0, 1.0);
+  return slow > 0 && random_.Chance(static_cast<uint64_t>(own_region_.full_share * slow * 100));
+}
+
+void Balancer::CountOffer(TimePoint now, const Target& target, bool full,
+                          std::optional<Duration> taken) {
   RegionOffers& offers = IsInOtherRegion(target.candidate) ? other_region_ : own_region_;
   if (now - offers.updated_at >= kOffersLifetime) {
     offers.full_share = 0;
+    offers.refusal_time = Duration{};
   }
   offers.full_share += kOfferWeight * ((full ? 1.0 : 0.0) - offers.full_share);
+  if (full && taken) {
+    offers.refusal_time +=
+        std::chrono::duration_cast<Duration>((*taken - offers.refusal_time) * kRefusalTimeWeight);
+  }
   offers.updated_at = now;
 }
 
@@ -319,7 +345,7 @@
 void Balancer::Sent(const InstanceId& instance) { ++targets_[instance].in_flight; }
 
 void Balancer::Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
-                        std::optional<TargetLoad> load, std::optional<Duration> service_time,
+                        std::optional<TargetLoad> load, std::optional<Duration> taken,
                         Duration objective, bool free_slot_only) {
   const auto found = targets_.find(instance);
   ENDIVECLEAT_CHECK(found != targets_.end() && found->second.in_flight > 0,
@@ -335,14 +361,15 @@
   }
   // A cancelled attempt would have taken longer still.
   const bool cancelled = result == AttemptResult::kCancelled;
-  if (service_time && (!cancelled || static_cast<double>(service_time->count()) >
-                                         ServiceTime(now, target, objective))) {
-    AddServiceTime(now, target, objective, *service_time);
+  const bool answered = result == AttemptResult::kAnswered;
+  if (taken && (answered || (cancelled && static_cast<double>(taken->count()) >
+                                              ServiceTime(now, target, objective)))) {
+    AddServiceTime(now, target, objective, *taken);
   }
   const bool error = result == AttemptResult::kErrorStatus;
   const bool full = result == AttemptResult::kBusy;
-  if (free_slot_only && (full || error || result == AttemptResult::kAnswered)) {
-    CountOffer(now, target, full);
+  if (free_slot_only && (full || error || answered)) {
+    CountOffer(now, target, full, taken);
   }
   if (error || result == AttemptResult::kAnswered) {
     target.error_rate += kErrorWeight * ((error ? 1.0 : 0.0) - target.error_rate);
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -89,11 +89,11 @@
   /// Counts an attempt to the instance as in flight.
   void Sent(const InstanceId& instance);
   /// Must be called exactly once after each Sent. `load` is the load that the answer or refusal
-  /// carried; `service_time` is the time from sending to the answer, or until the attempt was
-  /// cancelled without one; `objective` is the whole objective of the request's route;
-  /// `free_slot_only` is that of the choice.
+  /// carried; `taken` is the time from sending to the answer or to the refusal of a busy target, or
+  /// until the attempt was cancelled without one; `objective` is the whole objective of the
+  /// request's route; `free_slot_only` is that of the choice.
   void Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
-                std::optional<TargetLoad> load, std::optional<Duration> service_time = std::nullopt,
+                std::optional<TargetLoad> load, std::optional<Duration> taken = std::nullopt,
                 Duration objective = Duration{}, bool free_slot_only = false);
   /// The shortest expected wait for a slot over all candidates, by the newest reports; 0 if there
   /// are no candidates.
@@ -130,7 +130,8 @@
   };
   /// What offers for a free slot met in one region.
   struct RegionOffers {
-    double full_share = 0;  // moving average of the share that found no free slot
+    double full_share = 0;    // moving average of the share that found no free slot
+    Duration refusal_time{};  // moving average of the time until the refusal of those
     TimePoint updated_at{};
   };
 
@@ -147,7 +148,8 @@
   bool MayLeaveRegion(TimePoint now, const ChoiceTerms& terms) const;
   double RefusalRisk(TimePoint now, bool other_region) const;
   ReportedLoad LoadOfRegion(bool other_region) const;
-  void CountOffer(TimePoint now, const Target& target, bool full);
+  bool OffersAreInVain();
+  void CountOffer(TimePoint now, const Target& target, bool full, std::optional<Duration> taken);
   double ServiceTime(TimePoint now, const Target& target, Duration objective) const;
   void AddServiceTime(TimePoint now, Target& target, Duration objective, Duration service_time);
   static double Busy(const Target& target);
--- a/test/correctness/balancer_test.cc
+++ b/test/correctness/balancer_test.cc
@@ -414,3 +414,22 @@
   balancer.SetCandidates(kStart, {own, Make(2), Make(3)}, {"*"});
   CHECK(Choices(balancer, kStart)[Instance(1)] < 100);
 }
+
+// Guards against offers that find no free slot and fill the network links of the targets'
+// instances.
+TEST(BalancerFreeSlot, IsAskedForSeldomWhereRefusalsAreFrequentAndSlow) {
+  constexpr int kOffers = 200;
+  const auto made_after_refusals_that_took = [&](Duration taken) {
+    balancer.SetCandidates(kStart, {Make(1), Make(2), Make(3)}, {"*"});
+    int made = 0;
+    for (int offer = 0; offer < kOffers; ++offer) {
+      balancer.Sent(Instance(1));
+      balancer.Finished(kStart, Instance(1), AttemptResult::kBusy, std::nullopt, taken,
+                        milliseconds(250), true);
+      made += offer >= kOffers / 2 && balancer.Choose(kStart, {}, terms) ? 1 : 0;
+    }
+    return made;
+  };
+  LONGS_EQUAL(kOffers / 2, made_after_refusals_that_took(milliseconds(2)));
+  CHECK(made_after_refusals_that_took(milliseconds(60)) < kOffers / 10);
+}
--- a/test/correctness/call_chain_test.cc
+++ b/test/correctness/call_chain_test.cc
@@ -57,15 +57,14 @@
 }
 
 // Guards against requests that wait on full links and then run though their callers have given up.
-TEST(CallChainWithNarrowLinks, StartsNoRequestLongAfterItsDeadline) {
-  constexpr double kLinkBytesPerSecond = 180'000;
+void CheckStartsFewLongAfterTheirDeadline(double link_bytes_per_second, size_t lost_targets) {
   constexpr Duration kAcquaintanceTime = seconds(15);  // each daemon has called each target
   constexpr int kFew = 3;
   for (const uint64_t seed : Seeds(2)) {
-    CallChainSimulation simulation(seed, kLinkBytesPerSecond,
+    CallChainSimulation simulation(seed, link_bytes_per_second,
                                    {.slow_targets = 3,
                                     .slowness = 3.8,
-                                    .lost_targets = 3,
+                                    .lost_targets = lost_targets,
                                     .begins = kStart + kAcquaintanceTime,
                                     .ends = kStart + kAcquaintanceTime + kTroubleTime});
     const int started = simulation.Run(kAcquaintanceTime + kTroubleTime + kRecoveryTime)
@@ -75,3 +74,11 @@
     }
   }
 }
+
+TEST(CallChainWithNarrowLinks, StartsNoRequestLongAfterItsDeadline) {
+  CheckStartsFewLongAfterTheirDeadline(180'000, 3);
+}
+
+TEST(CallChainWithNarrowLinks, StartsNoRequestLongAfterItsDeadlineWithHalfOfTheTargetsLost) {
+  CheckStartsFewLongAfterTheirDeadline(244'000, 7);
+}
