Read tenants, open routes and uploads; replace API keys by tenant names

Requests with an API key would have reached targets with the key and without the tenant.

Change: the document has tenants with API keys, priority and quota (not yet applied), routes may be open or have large requests, and two tenants that share a key make a document invalid. Tenants that did not change are shared between versions. The slots of a load header with four figures were read from the fourth.

--- a/src/call_headers.h
+++ b/src/call_headers.h
@@ -18,7 +18,8 @@
   std::string origin_service;  // service of the instance where the request originated
   std::string not_run;         // in an answer: the target did not run the request
   std::string answer_mark;     // in every answer made by a target; a success without it is invalid
-  bool diagnostics = true;     // adds traceparent, x-forwarded-for and the result code fields
+  std::string tenant;  // name of the tenant that the request's API key belongs to; set or removed
+  bool diagnostics = true;  // adds traceparent, x-forwarded-for and the result code fields
 };
 
 enum class AnswerKind {
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -11,6 +11,7 @@
 #include "candidate_subset.h"
 #include "errors.h"
 #include "log.h"
+#include "tenant_identity.h"
 #include "wall_clock.h"
 
 namespace endivecleat {
@@ -107,6 +108,7 @@
   TraceSpan span;
   std::shared_ptr<const CompiledConfiguration> configuration;
   const CompiledRoute* route = nullptr;
+  const Tenant* tenant = nullptr;  // null on open routes and without tenants
   const CompiledService* service = nullptr;
   ServiceState* state = nullptr;
   CallRequest call_request;
@@ -250,6 +252,13 @@
   if (exchange.route == nullptr) {
     return ResultCode::kNoRoute;
   }
+  const TenantIdentity identity =
+      IdentifyTenant(exchange.configuration->tenants().get(), exchange.route->open, names.tenant,
+                     exchange.request.headers);
+  if (!identity.accepted) {
+    return ResultCode::kUnknownKey;
+  }
+  exchange.tenant = identity.tenant;
   exchange.service = exchange.configuration->FindService(split_chooser_.Choose(*exchange.route));
   ENDIVECLEAT_CHECK(exchange.service != nullptr, "a compiled route names an unknown service");
   const ServicePolicy& policy = exchange.service->policy;
@@ -421,6 +430,14 @@
   return terms;
 }
 
+Priority CallerTask::PriorityOf(const Exchange& exchange) {
+  const Priority of_route = exchange.route->policy.priority;
+  if (exchange.call_request.kind == CallKind::kAtMostOnce) {
+    return Priority(0);
+  }
+  return exchange.tenant == nullptr ? of_route : exchange.tenant->priority.value_or(of_route);
+}
+
 AttemptMessage CallerTask::MakeAttempt(const Exchange& exchange, const SendAttempt& effect) const {
   AttemptMessage message;
   message.service = exchange.service->name;
@@ -433,8 +450,7 @@
   }
   message.time_left = exchange.call_request.deadline - context_.loop.now();
   const RoutePolicy& route = exchange.route->policy;
-  message.priority =
-      exchange.call_request.kind == CallKind::kAtMostOnce ? Priority(0) : route.priority;
+  message.priority = PriorityOf(exchange);
   if (route.objective > Duration{}) {
     const Duration passed = context_.loop.now() - exchange.started;
     message.objective_left = std::max(route.objective - passed, Duration(0));
@@ -641,7 +657,7 @@
       info.http_status == 0 ? Describe(ResultCode::kInternal).http_status : info.http_status;
   response.headers.Add("content-type", "application/json");
   response.headers.Add(kResultHeader, std::to_string(static_cast<int>(code)));
-  if (response.status == 503) {
+  if (response.status == 503 || response.status == 429) {
     response.headers.Add("retry-after", FormatSeconds(retry_after));
   }
   response.body = nlohmann::json{{"code", static_cast<int>(code)},
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -78,6 +78,8 @@
                                        const std::vector<DataCentreSummary>& summaries) const;
   void Execute(const std::shared_ptr<Exchange>& exchange, const CallEffects& effects);
   ChoiceTerms TermsOf(const Exchange& exchange, bool may_wait) const;
+  /// The priority of the tenant goes before that of the route.
+  static Priority PriorityOf(const Exchange& exchange);
   AttemptMessage MakeAttempt(const Exchange& exchange, const SendAttempt& effect) const;
   void Send(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect);
   void OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
--- a/src/configuration.cc
+++ b/src/configuration.cc
@@ -79,7 +79,9 @@
           {"policy", route.numeric_fields},
           {"idempotent", route.idempotent},
           {"at_most_once", route.at_most_once},
-          {"large_responses", route.large_responses}};
+          {"large_responses", route.large_responses},
+          {"large_requests", route.large_requests},
+          {"open", route.open}};
 }
 
 Json ParsedPresetJson(const ParsedPreset& preset) {
@@ -118,7 +120,9 @@
                       {"policy", NumericFieldsJson(RoutePolicyFields(), route.policy)},
                       {"idempotent", route.idempotent},
                       {"at_most_once", route.at_most_once},
-                      {"large_responses", route.large_responses}});
+                      {"large_responses", route.large_responses},
+                      {"large_requests", route.large_requests},
+                      {"open", route.open}});
   }
   return result;
 }
@@ -192,6 +196,7 @@
   }
   compiled->routes_ = RouteTable(std::move(preset->routes));
   compiled->callers_ = checked.callers;
+  compiled->tenants_ = std::move(checked.tenants);
   compiled->revision_ = checked.revision.value_or("");
   compiled->text_ = std::move(text);
   compiled->digest_ = TextDigest(compiled->text_);
@@ -214,6 +219,9 @@
   if (checked.revision) {
     text += ",\"revision\":" + Json(*checked.revision).dump();
   }
+  if (!checked.tenants_text.empty()) {
+    text += ",\"tenants\":" + checked.tenants_text;
+  }
   return text + "}";
 }
 
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -17,6 +17,7 @@
 #include "errors.h"
 #include "route_table.h"
 #include "service_policy.h"
+#include "tenant_table.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -55,9 +56,20 @@
   bool idempotent = false;
   bool at_most_once = false;
   bool large_responses = false;
+  bool large_requests = false;
+  bool open = false;
   std::map<std::string, int64_t> numeric_fields;
 };
 
+/// A tenant as written in the document.
+struct ParsedTenant {
+  TenantName name;
+  std::vector<std::string> api_keys;
+  std::optional<int64_t> priority;
+  std::optional<double> rate_per_second;
+  std::optional<double> burst;
+};
+
 struct ParsedPreset {
   PresetName name;
   std::vector<ParsedService> services;
@@ -71,6 +83,8 @@
   std::map<std::string, int64_t> caller_numeric_fields;
   std::string callers_text;             // canonical JSON of "callers"; empty when it is absent
   std::optional<std::string> revision;  // identifier chosen by the submitter
+  std::vector<ParsedTenant> tenants;
+  std::string tenants_text;  // canonical JSON of "tenants"; empty when it is absent
 };
 
 struct CompiledService {
@@ -96,6 +110,8 @@
   std::string callers_text;
   CallerLimits callers;
   std::optional<std::string> revision;
+  std::shared_ptr<const TenantTable> tenants;  // null when the document has no tenants
+  std::string tenants_text;
 
   const CheckedPreset* FindPreset(const PresetName& name) const;
 };
@@ -116,6 +132,8 @@
   const std::vector<CompiledService>& services() const { return services_; }
   const std::vector<CompiledRoute>& routes() const { return routes_.routes(); }
   const CallerLimits& callers() const { return callers_; }
+  /// Null if the document has no tenants; requests then need no API key.
+  const std::shared_ptr<const TenantTable>& tenants() const { return tenants_; }
   /// The identifier that the submitter chose for this version; empty if the document has none.
   const std::string& revision() const { return revision_; }
 
@@ -135,6 +153,7 @@
   std::unordered_map<ServiceName, size_t> service_positions_;  // in services_
   RouteTable routes_;  // refers only to services in services_
   CallerLimits callers_;
+  std::shared_ptr<const TenantTable> tenants_;
   std::string revision_;
   std::string digest_;
   std::string text_;
@@ -169,7 +188,8 @@
                                                             std::string text);
 
 /// Returns the stored form of a configuration: JSON with sorted keys and no whitespace. The members
-/// are "callers" (if present), "preset_in_force", "presets" and "revision" (if present).
+/// are "callers" (if present), "preset_in_force", "presets", "revision" (if present) and "tenants"
+/// (if present).
 std::string CanonicalText(const CheckedConfiguration& checked, const PresetName& in_force);
 
 /// Returns the XXH3-128 hash of the text as 32 hexadecimal digits.
--- a/src/configuration_check.cc
+++ b/src/configuration_check.cc
@@ -24,6 +24,9 @@
 constexpr Duration kMaxObjectiveExcess = std::chrono::minutes(1);
 constexpr int64_t kMaxWeight = 1'000'000;
 constexpr size_t kMaxRevisionBytes = 64;
+constexpr int64_t kMaxPriority = 1'000;
+constexpr size_t kMaxKeyBytes = 512;
+constexpr double kMaxQuota = 1e9;  // requests per second, or requests of a burst
 
 constexpr std::string_view kAlphanumericCharacters =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789";
@@ -94,7 +97,7 @@
        policy.max_attempts = AttemptCount(static_cast<uint64_t>(value));
      },
      [](const RoutePolicy& policy) { return static_cast<int64_t>(policy.max_attempts.value()); }},
-    {"priority", 0, 1'000,
+    {"priority", 0, kMaxPriority,
      [](RoutePolicy& policy, int64_t value) {
        policy.priority = Priority(static_cast<uint64_t>(value));
      },
@@ -258,6 +261,8 @@
     checked.idempotent = route.idempotent;
     checked.at_most_once = route.at_most_once;
     checked.large_responses = route.large_responses;
+    checked.large_requests = route.large_requests;
+    checked.open = route.open;
     ApplyNumericFields<RoutePolicy>(path, kRoutePolicyFields, route.numeric_fields, checked.policy,
                                     problems_);
     const bool has_both =
@@ -276,6 +281,10 @@
     if (route.large_responses && !route.idempotent) {
       Report(path + "/large_responses", "needs an idempotent route");
     }
+    // A request that is passed on while it arrives cannot be sent to a second target.
+    if (route.large_requests && (route.idempotent || route.at_most_once)) {
+      Report(path + "/large_requests", "needs a route that is neither idempotent nor at_most_once");
+    }
     CheckDuplicateRoute(path, route);
     return checked;
   }
@@ -416,6 +425,72 @@
   std::map<RouteMatch, std::vector<const ParsedRoute*>> routes_by_match_;
 };
 
+// Checks the tenants. Messages never quote an API key.
+class TenantChecker {
+ public:
+  explicit TenantChecker(std::vector<Problem>& problems) : problems_(problems) {}
+
+  TenantTable Run(const std::vector<ParsedTenant>& tenants) {
+    TenantTable table;
+    for (const ParsedTenant& tenant : tenants) {
+      const std::string path = JsonPathAppend("/tenants", tenant.name.value());
+      CheckTenantName(path, tenant.name.value());
+      Tenant checked{.name = tenant.name};
+      if (InRange(path + "/priority", tenant.priority, kMaxPriority)) {
+        checked.priority = Priority(static_cast<uint64_t>(*tenant.priority));
+      }
+      if (InRange(path + "/rate_per_second", tenant.rate_per_second, kMaxQuota)) {
+        checked.quota.rate_per_second = *tenant.rate_per_second;
+      }
+      if (InRange(path + "/burst", tenant.burst, kMaxQuota)) {
+        checked.quota.burst = *tenant.burst;
+      }
+      table.AddTenant(std::move(checked));
+      for (size_t position = 0; position < tenant.api_keys.size(); ++position) {
+        CheckKey(JsonPathAppend(path + "/api_keys", position), tenant.api_keys[position], table);
+      }
+    }
+    return table;
+  }
+
+ private:
+  void Report(std::string path, std::string message) {
+    problems_.push_back({std::move(path), std::move(message)});
+  }
+
+  void CheckTenantName(const std::string& path, const std::string& name) {
+    const bool visible =
+        std::all_of(name.begin(), name.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+    if (name.empty() || name.size() > kMaxNameBytes || !visible) {
+      Report(path, "name " + Quoted(name) + " must be 1 to 64 visible ASCII characters");
+    }
+  }
+
+  void CheckKey(const std::string& path, const std::string& key, TenantTable& table) {
+    if (key.empty() || key.size() > kMaxKeyBytes) {
+      Report(path, "an API key must have 1 to 512 bytes");
+      return;
+    }
+    const Tenant& added_last = table.tenants().back();
+    const Tenant* owner = table.AddKey(key);
+    if (owner != nullptr && owner->name != added_last.name) {
+      Report(path, "tenants " + Quoted(owner->name.value()) + " and " +
+                       Quoted(added_last.name.value()) + " share an API key");
+    }
+  }
+
+  template <class Number>
+  bool InRange(const std::string& path, const std::optional<Number>& number, Number maximum) {
+    if (number && (*number < 0 || *number > maximum)) {
+      Report(path, "must be from 0 to " + std::to_string(static_cast<int64_t>(maximum)));
+      return false;
+    }
+    return number.has_value();
+  }
+
+  std::vector<Problem>& problems_;
+};
+
 }  // namespace
 
 std::span<const NumericField<ServicePolicy>> ServicePolicyFields() { return kServicePolicyFields; }
@@ -427,7 +502,12 @@
   CheckedConfiguration checked{.preset_in_force = parsed.preset_in_force,
                                .presets_text = parsed.presets_text,
                                .callers_text = parsed.callers_text,
-                               .revision = parsed.revision};
+                               .revision = parsed.revision,
+                               .tenants_text = parsed.tenants_text};
+  if (!parsed.tenants_text.empty()) {
+    checked.tenants =
+        std::make_shared<const TenantTable>(TenantChecker(problems).Run(parsed.tenants));
+  }
   ApplyNumericFields<CallerLimits>("/callers", kCallerLimitFields, parsed.caller_numeric_fields,
                                    checked.callers, problems);
   if (checked.revision && checked.revision->size() > kMaxRevisionBytes) {
--- a/src/configuration_parse.cc
+++ b/src/configuration_parse.cc
@@ -36,11 +36,15 @@
     if (!IsObject("", document)) {
       return parsed;
     }
-    ReportUnknownKeys("", document, {"callers", "preset_in_force", "presets", "revision"});
+    ReportUnknownKeys("", document,
+                      {"callers", "preset_in_force", "presets", "revision", "tenants"});
     parsed.revision = ReadOptionalString("", document, "revision");
     if (const auto callers = document.find("callers"); callers != document.end()) {
       ReadCallers(*callers, parsed);
     }
+    if (const auto tenants = document.find("tenants"); tenants != document.end()) {
+      ReadTenants(*tenants, parsed);
+    }
     if (auto name = ReadOptionalString("", document, "preset_in_force")) {
       parsed.preset_in_force = PresetName(std::move(*name));
     }
@@ -172,6 +176,44 @@
     parsed.callers_text = callers.dump();
   }
 
+  void ReadTenants(const Json& tenants, ParsedConfiguration& parsed) {
+    if (!IsObject("/tenants", tenants)) {
+      return;
+    }
+    for (const auto& [name, tenant] : tenants.items()) {
+      parsed.tenants.push_back(ReadTenant(name, tenant));
+    }
+    parsed.tenants_text = tenants.dump();
+  }
+
+  ParsedTenant ReadTenant(const std::string& name, const Json& tenant) {
+    ParsedTenant parsed{.name = TenantName(name)};
+    const std::string path = JsonPathAppend("/tenants", name);
+    if (!IsObject(path, tenant)) {
+      return parsed;
+    }
+    ReportUnknownKeys(path, tenant,
+                      {"api_keys", "priority", "rate_per_second", "burst", kAnnotationsKey});
+    parsed.api_keys =
+        ReadRequiredStrings(path, tenant, "api_keys").value_or(std::vector<std::string>());
+    if (const auto priority = tenant.find("priority"); priority != tenant.end()) {
+      parsed.priority = ReadInteger(path + "/priority", *priority);
+    }
+    parsed.rate_per_second = ReadOptionalDecimal(path, tenant, "rate_per_second");
+    parsed.burst = ReadOptionalDecimal(path, tenant, "burst");
+    return parsed;
+  }
+
+  std::optional<double> ReadOptionalDecimal(const std::string& path, const Json& object,
+                                            const std::string& key) {
+    const auto found = object.find(key);
+    if (found == object.end() ||
+        !HasType(JsonPathAppend(path, key), *found, found->is_number(), "a number")) {
+      return std::nullopt;
+    }
+    return found->get<double>();
+  }
+
   ParsedService ReadService(const std::string& parent, const std::string& name,
                             const Json& service) {
     ParsedService parsed{.name = ServiceName(name)};
@@ -217,9 +259,10 @@
     if (!IsObject(path, route)) {
       return parsed;
     }
-    std::vector<std::string_view> known_keys = {
-        "name",  "host",       "path_prefix",  "methods",         "service",
-        "split", "idempotent", "at_most_once", "large_responses", kAnnotationsKey};
+    std::vector<std::string_view> known_keys = {"name",           "host",         "path_prefix",
+                                                "methods",        "service",      "split",
+                                                "idempotent",     "at_most_once", "large_responses",
+                                                "large_requests", "open",         kAnnotationsKey};
     ReadNumericFields<RoutePolicy>(path, RoutePolicyFields(), route, known_keys,
                                    parsed.numeric_fields);
     ReportUnknownKeys(path, route, known_keys);
@@ -238,6 +281,8 @@
     parsed.idempotent = ReadBool(path, route, "idempotent");
     parsed.at_most_once = ReadBool(path, route, "at_most_once");
     parsed.large_responses = ReadBool(path, route, "large_responses");
+    parsed.large_requests = ReadBool(path, route, "large_requests");
+    parsed.open = ReadBool(path, route, "open");
     return parsed;
   }
 
--- a/src/result_code.h
+++ b/src/result_code.h
@@ -36,6 +36,8 @@
   kDraining = 409,
   kNoConfiguration = 410,
   kCancelled = 411,
+  kUnknownKey = 412,
+  kQuotaExceeded = 413,
   kNotRun = 501,
   kOutcomeUnknown = 502,
   kNotStarted = 503,
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -30,6 +30,8 @@
   bool idempotent = false;
   bool at_most_once = false;
   bool large_responses = false;  // only on idempotent routes
+  bool large_requests = false;   // only on routes that are not idempotent
+  bool open = false;             // needs no API key
   RoutePolicy policy;
 };
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -164,6 +164,7 @@
     read("origin_service", headers.origin_service);
     read("not_run", headers.not_run);
     read("answer_mark", headers.answer_mark);
+    read("tenant", headers.tenant);
     headers.diagnostics = entry.ReadBool("diagnostics", headers.diagnostics);
     if (headers.timeout.empty()) {
       entry.ReportProblem("timeout", "must name a header field");
--- a/src/stored_compiler.cc
+++ b/src/stored_compiler.cc
@@ -78,6 +78,7 @@
     work_ = {.parsed_routes = compiled->routes().size(), .reused_routes = 0};
     routes_.clear();
     checked_presets_.clear();
+    tenants_ = {};
   }
   compiled_ = compiled;
   return compiled;
@@ -103,6 +104,7 @@
   work_ = {.parsed_routes = routes.changed.size(),
            .reused_routes = routes.compiled.size() - routes.changed.size()};
   preset.routes = std::move(routes.compiled);
+  tenants_ = DigestOf(parts.tenants);
   routes_ = std::move(routes.digests);
   checked_presets_.clear();
   for (const StoredTextParts::Preset& other : parts.other_presets) {
@@ -136,6 +138,9 @@
                                                                  Routes& routes) const {
   std::optional<CheckedConfiguration> checked;
   std::vector<StoredTextParts::Preset> presets = UncheckedPresets(parts);
+  const bool same_tenants = compiled_ != nullptr && tenants_ == DigestOf(parts.tenants);
+  std::shared_ptr<const TenantTable> tenants =
+      same_tenants ? compiled_->tenants() : std::shared_ptr<const TenantTable>();
   size_t done = 0;
   do {  // once at least, for what is not a route
     const auto together =
@@ -145,7 +150,12 @@
     for (const size_t position : together) {
       texts.push_back(parts.routes[position]);
     }
-    checked = ParseAndCheck({JoinStoredText(parts, texts, std::exchange(presets, {}))});
+    const bool with_tenants = done == 0 && !same_tenants;
+    checked =
+        ParseAndCheck({JoinStoredText(parts, texts, std::exchange(presets, {}), with_tenants)});
+    if (with_tenants) {
+      tenants = checked->tenants;
+    }
     const auto preset = std::find_if(
         checked->presets.begin(), checked->presets.end(),
         [&](const CheckedPreset& each) { return each.name == checked->preset_in_force; });
@@ -158,6 +168,7 @@
     checked->presets = {std::move(*preset)};
     done += together.size();
   } while (done < routes.changed.size());
+  checked->tenants = std::move(tenants);
   return checked;
 }
 
--- a/src/stored_compiler.h
+++ b/src/stored_compiler.h
@@ -60,6 +60,7 @@
   std::shared_ptr<const CompiledConfiguration> compiled_;  // the result of the last Compile
   std::vector<Digest> routes_;        // of the routes of compiled_, in their order
   std::set<Digest> checked_presets_;  // presets of the last text that were not in force
+  Digest tenants_{};                  // of the text of the tenants of compiled_
   Work work_;
 };
 
--- a/src/stored_text.cc
+++ b/src/stored_text.cc
@@ -121,6 +121,7 @@
   std::vector<StoredTextParts::Preset> presets;
   bool found = false;
   Scanner scanner(text);
+  size_t after_presets = 0;
   const auto read_preset = [&](std::string_view name) {
     const std::optional<std::string_view> preset = scanner.SkipValue();
     if (preset) {
@@ -134,6 +135,16 @@
       parts.in_force = name.value_or("");
       return name.has_value();
     }
+    if (key == "tenants" && found) {
+      const std::string_view name = "\"tenants\":";
+      const size_t start = scanner.position() - name.size() - 1;
+      const bool skipped = scanner.SkipValue().has_value();
+      const bool last = scanner.position() + 1 == text.size();
+      if (skipped && last) {
+        parts.tenants = text.substr(start, scanner.position() - start);
+      }
+      return skipped && last;
+    }
     if (key != "presets" || found) {
       return scanner.SkipValue().has_value();
     }
@@ -142,12 +153,14 @@
     if (!scanner.ReadObject(read_preset)) {
       return false;
     }
-    parts.after_presets = text.substr(scanner.position() - 1);
+    after_presets = scanner.position() - 1;
     return true;
   });
   if (!complete || !found || scanner.position() != text.size()) {
     return std::nullopt;
   }
+  parts.after_presets =
+      text.substr(after_presets, text.size() - 1 - parts.tenants.size() - after_presets);
   std::set<std::string_view> names;
   bool split = false;
   for (const StoredTextParts::Preset& preset : presets) {
@@ -165,7 +178,8 @@
 
 std::string JoinStoredText(const StoredTextParts& parts,
                            const std::vector<std::string_view>& routes,
-                           const std::vector<StoredTextParts::Preset>& other_presets) {
+                           const std::vector<StoredTextParts::Preset>& other_presets,
+                           bool with_tenants) {
   std::string text(parts.before_presets);
   text.append("\"").append(parts.in_force).append("\":").append(parts.before_routes);
   for (size_t position = 0; position < routes.size(); ++position) {
@@ -175,7 +189,8 @@
   for (const StoredTextParts::Preset& preset : other_presets) {
     text.append(",\"").append(preset.name).append("\":").append(preset.text);
   }
-  return text.append(parts.after_presets);
+  text.append(parts.after_presets).append(with_tenants ? parts.tenants : "");
+  return text.append("}");
 }
 
 }  // namespace endivecleat
--- a/src/stored_text.h
+++ b/src/stored_text.h
@@ -17,8 +17,11 @@
     std::string_view text;  // its JSON object
   };
   std::string_view before_presets;  // up to the bracket that opens "presets", inclusive
-  std::string_view after_presets;   // from the bracket that closes it
-  std::string_view in_force;        // name of the preset in force, as written
+  // From the bracket that closes it to the end of the text, excluding the last bracket; without the
+  // member "tenants", which is the last one.
+  std::string_view after_presets;
+  std::string_view tenants;   // the member with the comma before it; empty if the text has none
+  std::string_view in_force;  // name of the preset in force, as written
   // The JSON object of the preset in force, without the elements of its array "routes".
   std::string_view before_routes;
   std::string_view after_routes;
@@ -31,11 +34,12 @@
 /// each route is one element of the array if the text is valid JSON; nothing else is checked.
 std::optional<StoredTextParts> SplitStoredText(std::string_view text);
 
-/// The text of a configuration that has only these routes in its preset in force, and beside it
-/// only these other presets.
+/// The text of a configuration that has only these routes in its preset in force, beside it only
+/// these other presets, and the tenants if they are wanted.
 std::string JoinStoredText(const StoredTextParts& parts,
                            const std::vector<std::string_view>& routes,
-                           const std::vector<StoredTextParts::Preset>& other_presets);
+                           const std::vector<StoredTextParts::Preset>& other_presets,
+                           bool with_tenants = true);
 
 }  // namespace endivecleat
 
--- /dev/null
+++ b/src/tenant_identity.h
@@ -0,0 +1,27 @@
+// Identifies the tenant of a request by its API key at the daemon that receives it, and replaces
+// the key by the tenant's name.
+#ifndef ENDIVECLEAT_TENANT_IDENTITY_H_
+#define ENDIVECLEAT_TENANT_IDENTITY_H_
+
+#include <string>
+
+#include "http_message.h"
+#include "tenant_table.h"
+
+namespace endivecleat {
+
+struct TenantIdentity {
+  bool accepted = true;            // false: the route needs a key and the request has no known one
+  const Tenant* tenant = nullptr;  // null for a request without a known key; valid as the table
+};
+
+/// Removes the API key ("Authorization: Bearer KEY") from the header fields, so that no target
+/// receives it, and sets the field `tenant_header` to the name of its tenant. A value of that field
+/// that the caller sent is always removed. Without tenants (null) every request is accepted, and
+/// "Authorization" is passed on, since it then belongs to the target.
+TenantIdentity IdentifyTenant(const TenantTable* tenants, bool open_route,
+                              const std::string& tenant_header, HeaderList& headers);
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_TENANT_IDENTITY_H_
--- a/test/platform/operator_document_test.cc
+++ b/test/platform/operator_document_test.cc
@@ -33,6 +33,12 @@
      "protocol":"h1","tls":false}},
     {"type":"services","metadata":{"name":"s2"},"spec":{"healthPath":"/h","maxConns":4,
      "protocol":"h1","tls":false}},
+    {"type":"routes","metadata":{"name":"r-4"},"spec":{"host":"a.example","pathPrefix":"/u/",
+     "routeType":"upload","timeoutMs":900,"sloMs":500,"priority":2,"service":"s2","attempts":2,
+     "public":true}},
+    {"type":"tenants","metadata":{"name":"t-1"},"spec":{"apiKeys":["key-one","key-two"],
+     "priority":1,"ratePerS":581,"burst":300,"plan":"gold"}},
+    {"type":"tenants","metadata":{"name":"t-2"},"spec":{"apiKeys":["key-three"]}},
     {"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
      "headerTimeoutMs":3000,"idleTimeoutMs":15000}}]})");
 }
@@ -79,6 +85,15 @@
   POINTERS_EQUAL(nullptr, compiled->FindRoute("GET", "b.example", "/x/7"));
   STRCMP_EQUAL("/h", compiled->FindService(ServiceName("s2"))->policy.health_path.c_str());
   CHECK(compiled->callers().idle_timeout == std::chrono::seconds(15));
+  const CompiledRoute* upload = compiled->FindRoute("POST", "a.example", "/u/7");
+  CHECK(upload != nullptr && upload->large_requests && !upload->idempotent && upload->open);
+  CHECK(!write->large_requests && !write->open);
+  CHECK(compiled->tenants() != nullptr);
+  const Tenant* tenant = compiled->tenants()->FindByKey("key-two");
+  CHECK(tenant != nullptr && tenant->name == TenantName("t-1"));
+  CHECK(tenant->priority == Priority(1));
+  CHECK(tenant->quota == (TenantQuota{.rate_per_second = 581, .burst = 300}));
+  CHECK_FALSE(compiled->tenants()->FindByKey("key-three")->quota.limited());
 }
 
 TEST(OperatorDocumentDecoding, ReturnsTheSubmittedDocument) {
@@ -128,6 +143,13 @@
   CHECK(changed([](Json& body) { Spec(body, 0)["split"][0]["weight"] = -1; }));
   CHECK(changed([](Json& body) { Spec(body, 0).erase("timeoutMs"); }));
   CHECK(changed([](Json& body) { Spec(body, 3).erase("healthPath"); }));
+  CHECK(changed([](Json& body) { Spec(body, 7)["apiKeys"] = {"key-one"}; }));
+  CHECK(changed([](Json& body) { Spec(body, 6)["apiKeys"] = {""}; }));
+  CHECK(changed([](Json& body) { Spec(body, 6).erase("apiKeys"); }));
+  CHECK(changed([](Json& body) { Spec(body, 6)["ratePerS"] = -1; }));
+  CHECK(changed([](Json& body) { Spec(body, 6)["priority"] = "1"; }));
+  CHECK(changed([](Json& body) { Spec(body, 5)["public"] = 1; }));
+  CHECK(changed([](Json& body) { body["resources"].push_back(body["resources"][6]); }));
   CHECK(changed([](Json& body) { body["version"] = "00000005"; }));
   CHECK(changed([](Json& body) { body["version"] = 12; }));
   CHECK(changed([](Json& body) { body["version"] = "xyz"; }));
@@ -153,6 +175,8 @@
   STRCMP_EQUAL("/resources/0/spec",
                OperatorPath(document, "/presets/ordinary/services/s1").c_str());
   STRCMP_EQUAL("/callers/body_bytes", OperatorPath(document, "/callers/body_bytes").c_str());
+  STRCMP_EQUAL("/resources/6/spec/ratePerS",
+               OperatorPath(document, "/tenants/t-1/rate_per_second").c_str());
   STRCMP_EQUAL("/presets/ordinary/routes/9/name",
                OperatorPath(document, "/presets/ordinary/routes/9/name").c_str());
 }
--- a/test/platform/target_report_test.cc
+++ b/test/platform/target_report_test.cc
@@ -105,6 +105,8 @@
 
 TEST(TargetReportDecoding, ReadsSlotsFromALoad) {
   CHECK(ParseLoadSlots("3,0,8") == 8U);
+  // A fourth figure, the speed of the machine, was taken for the slots.
+  CHECK(ParseLoadSlots("3,0,8,140") == 8U);
   for (const char* load : {"", "8", "3,0,", "3,0,x", "3,0,0", "3,0,-1", "1,2,3 "}) {
     CHECK_TEXT(!ParseLoadSlots(load).has_value(), load);
   }
