Keep the API key of a request until it is passed on

Cause: a request that arrives before its daemon knows a target of the service is held and prepared a second time. Change: identifying a tenant leaves the request as it is; the key is replaced when an attempt is built. Result: TenantIdentity passes, with a test of two look-ups.

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -252,9 +252,8 @@
   if (exchange.route == nullptr) {
     return ResultCode::kNoRoute;
   }
-  const TenantIdentity identity =
-      IdentifyTenant(exchange.configuration->tenants().get(), exchange.route->open, names.tenant,
-                     exchange.request.headers);
+  const TenantIdentity identity = IdentifyTenant(exchange.configuration->tenants().get(),
+                                                 exchange.route->open, exchange.request.headers);
   if (!identity.accepted) {
     return ResultCode::kUnknownKey;
   }
@@ -460,6 +459,8 @@
   message.request_id = exchange.request_id;
   message.request = exchange.request;
   RemoveHopByHopHeaders(message.request.headers);
+  ReplaceKeyByTenant(exchange.configuration->tenants().get(), exchange.tenant, names.tenant,
+                     message.request.headers);
   if (names.diagnostics) {
     message.request.headers.Set(std::string(kTraceparentHeader),
                                 FormatTraceparent(exchange.span.context()));
--- a/src/tenant_identity.cc
+++ b/src/tenant_identity.cc
@@ -20,19 +20,26 @@
 }  // namespace
 
 TenantIdentity IdentifyTenant(const TenantTable* tenants, bool open_route,
-                              const std::string& tenant_header, HeaderList& headers) {
-  if (!tenant_header.empty()) {
-    headers.Remove(tenant_header);
-  }
+                              const HeaderList& headers) {
   if (tenants == nullptr) {
     return {};
   }
   const Tenant* tenant = tenants->FindByKey(BearerKey(headers));
-  headers.Remove(kAuthorizationHeader);
-  if (tenant != nullptr && !tenant_header.empty()) {
-    headers.Set(tenant_header, tenant->name.value());
-  }
   return {.accepted = tenant != nullptr || open_route, .tenant = tenant};
 }
 
+void ReplaceKeyByTenant(const TenantTable* tenants, const Tenant* tenant,
+                        const std::string& tenant_header, HeaderList& headers) {
+  if (tenants != nullptr) {
+    headers.Remove(kAuthorizationHeader);
+  }
+  if (tenant_header.empty()) {
+    return;
+  }
+  headers.Remove(tenant_header);
+  if (tenant != nullptr) {
+    headers.Add(tenant_header, tenant->name.value());
+  }
+}
+
 }  // namespace endivecleat
--- a/src/tenant_identity.h
+++ b/src/tenant_identity.h
@@ -15,12 +15,17 @@
   const Tenant* tenant = nullptr;  // null for a request without a known key; valid as the table
 };
 
-/// Removes the API key ("Authorization: Bearer KEY") from the header fields, so that no target
-/// receives it, and sets the field `tenant_header` to the name of its tenant. A value of that field
-/// that the caller sent is always removed. Without tenants (null) every request is accepted, and
-/// "Authorization" is passed on, since it then belongs to the target.
+/// Looks up the API key ("Authorization: Bearer KEY"). Without tenants (null) every request is
+/// accepted.
 TenantIdentity IdentifyTenant(const TenantTable* tenants, bool open_route,
-                              const std::string& tenant_header, HeaderList& headers);
+                              const HeaderList& headers);
+
+/// Removes the API key from the header fields that a target receives, and sets the field
+/// `tenant_header` to the name of the tenant (null: none). A value of that field that the caller
+/// sent is always removed. Without tenants "Authorization" is kept, since it then belongs to the
+/// target.
+void ReplaceKeyByTenant(const TenantTable* tenants, const Tenant* tenant,
+                        const std::string& tenant_header, HeaderList& headers);
 
 }  // namespace endivecleat
 
--- a/test/correctness/tenant_identity_test.cc
+++ b/test/correctness/tenant_identity_test.cc
@@ -8,6 +8,7 @@
 
 using endivecleat::HeaderList;
 using endivecleat::IdentifyTenant;
+using endivecleat::ReplaceKeyByTenant;
 using endivecleat::TenantIdentity;
 using endivecleat::TenantName;
 using endivecleat::TenantTable;
@@ -28,8 +29,11 @@
 TEST_GROUP(TenantIdentity) {
   const TenantTable tenants = OneTenant();
 
+  /// Identifies the tenant and makes the header fields those that a target receives.
   TenantIdentity Identify(bool open, HeaderList& headers) const {
-    return IdentifyTenant(&tenants, open, kTenantHeader, headers);
+    const TenantIdentity identity = IdentifyTenant(&tenants, open, headers);
+    ReplaceKeyByTenant(&tenants, identity.tenant, kTenantHeader, headers);
+    return identity;
   }
 };
 
@@ -44,6 +48,14 @@
   }
 }
 
+// A request that a daemon held until it knew a target was identified twice; its key was gone the
+// second time, so that it got 401.
+TEST(TenantIdentity, LookingUpAKeyTwiceGivesTheSameTenant) {
+  const HeaderList headers = {{"Authorization", "Bearer secret"}};
+  CHECK(IdentifyTenant(&tenants, false, headers).tenant ==
+        IdentifyTenant(&tenants, false, headers).tenant);
+}
+
 TEST(TenantIdentity, UnknownKeyIsRefusedAndNoKeyPassedOn) {
   for (const char* value : {"Bearer other", "Bearer ", "Basic secret", "secret", ""}) {
     HeaderList headers = {{"Authorization", value}, {"Tenant", "pulo"}};
@@ -63,6 +75,7 @@
 
 TEST(TenantIdentity, WithoutTenantsTheFieldBelongsToTheTarget) {
   HeaderList headers = {{"Authorization", "Bearer other"}, {"Tenant", "pulo"}};
-  CHECK(IdentifyTenant(nullptr, false, kTenantHeader, headers).accepted);
+  CHECK(IdentifyTenant(nullptr, false, headers).accepted);
+  ReplaceKeyByTenant(nullptr, nullptr, kTenantHeader, headers);
   CHECK(headers == (HeaderList{{"Authorization", "Bearer other"}}));
 }
