Warn of entries without effect in check; hide API keys in differences

Cause: check told only errors, so that an operator learned of a route, service or limit that can never take effect, and of what differs from the version in force, only after submitting. diff printed API keys. API keys are hidden in both commands.

--- a/src/command_line.cc
+++ b/src/command_line.cc
@@ -54,7 +54,10 @@
       {{"daemon", "", "Runs the sidecar daemon of a target.", "s"}, RunDaemon},
       {{"init", "", "Initializes the data folder of a control instance of a new cluster.", "s"},
        RunInit},
-      {{"check", "FILE", "Checks a configuration or a settings file; prints every problem.", "gj"},
+      {{"check", "FILE",
+        "Checks a configuration or a settings file; prints every problem, and with control "
+        "instances the differences from the version in force.",
+        "cgjs"},
        RunCheck},
       {{"submit", "FILE", "Submits a configuration.", "cojs"}, RunSubmit},
       {{"preset", "NAME", "Switches the preset in force.", "cojs"}, RunPreset},
--- a/src/configuration_diff.cc
+++ b/src/configuration_diff.cc
@@ -74,8 +74,41 @@
   }
 }
 
+constexpr char kApiKeys[] = "api_keys";
+constexpr char kHidden[] = "(hidden)";
+
+void HideApiKeys(Json& value) {
+  for (auto child = value.begin(); child != value.end(); ++child) {
+    if (value.is_object() && child.key() == kApiKeys) {
+      *child = kHidden;
+    } else if (child->is_structured()) {
+      HideApiKeys(*child);
+    }
+  }
+}
+
+std::string WithoutApiKeys(const std::string& path, const std::string& text) {
+  if (text.empty()) {
+    return text;
+  }
+  if (path.find(std::string("/") + kApiKeys) != std::string::npos) {
+    return kHidden;
+  }
+  Json value = Json::parse(text);
+  HideApiKeys(value);
+  return value.dump();
+}
+
 }  // namespace
 
+std::vector<Difference> WithoutApiKeys(std::vector<Difference> differences) {
+  for (Difference& difference : differences) {
+    difference.before = WithoutApiKeys(difference.json_path, difference.before);
+    difference.after = WithoutApiKeys(difference.json_path, difference.after);
+  }
+  return differences;
+}
+
 std::vector<Difference> DiffDocuments(std::string_view before, std::string_view after) {
   std::vector<Difference> differences;
   Compare("", ReadDocument(before), ReadDocument(after), differences);
--- a/src/configuration_diff.h
+++ b/src/configuration_diff.h
@@ -24,6 +24,9 @@
 /// name. An empty text counts as {}. Throws UserError with kDocumentSyntax if a text is not JSON.
 std::vector<Difference> DiffDocuments(std::string_view before, std::string_view after);
 
+/// Replaces API keys by "(hidden)", so that a terminal or its history does not keep them.
+std::vector<Difference> WithoutApiKeys(std::vector<Difference> differences);
+
 /// Formats one line per difference: "+ path: value" for an added, "- path: value" for a removed and
 /// "~ path: before -> after" for a changed value.
 std::string FormatDifferences(const std::vector<Difference>& differences);
--- a/src/operator_commands.cc
+++ b/src/operator_commands.cc
@@ -13,6 +13,7 @@
 
 #include "configuration.h"
 #include "configuration_diff.h"
+#include "configuration_lint.h"
 #include "errors.h"
 #include "json_reader.h"
 #include "operator_client.h"
@@ -136,11 +137,56 @@
   return 0;
 }
 
+std::string FetchVersionText(OperatorClient& client, uint64_t version) {
+  return client.Call("version", {{"version", version}}).at("text").get<std::string>();
+}
+
+nlohmann::json ToJson(const std::vector<Difference>& differences) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const Difference& difference : differences) {
+    list.push_back({{"path", difference.json_path},
+                    {"before", difference.before},
+                    {"after", difference.after}});
+  }
+  return list;
+}
+
+bool NamesControlInstances(const CommandOptions& options) {
+  return !options.settings.empty() || !options.control.empty();
+}
+
+// Prints what a valid configuration should be looked at for and, if control instances are named,
+// what differs from the version in force. API keys are not printed.
+void PrintFindings(const CommandOptions& options, const std::string& text,
+                   const std::vector<Problem>& findings) {
+  std::vector<Difference> differences;
+  if (NamesControlInstances(options)) {
+    OperatorClient client = MakeClient(options);
+    differences = WithoutApiKeys(DiffDocuments(FetchVersionText(client, 0), text));
+  }
+  if (!options.json) {
+    std::cout << "valid\n";
+    for (const Problem& finding : findings) {
+      std::cout << "warning: " << finding.json_path << ": " << finding.message << "\n";
+    }
+    std::cout << FormatDifferences(differences);
+    return;
+  }
+  nlohmann::json report = {{"valid", true}, {"warnings", nlohmann::json::array()}};
+  for (const Problem& finding : findings) {
+    report["warnings"].push_back({{"path", finding.json_path}, {"message", finding.message}});
+  }
+  if (NamesControlInstances(options)) {
+    report["differences"] = ToJson(differences);
+  }
+  std::cout << report.dump() << "\n";
+}
+
 int CheckConfiguration(const CommandOptions& options, const std::string& text) {
   const SubmittedConfiguration submitted{text};
   const CheckedConfiguration checked = ParseAndCheck(submitted);
   if (options.stage.empty()) {
-    std::cout << (options.json ? "{\"valid\":true}" : "valid") << "\n";
+    PrintFindings(options, text, LintConfiguration(checked));
     return 0;
   }
   if (options.stage == "submitted") {
@@ -227,10 +273,6 @@
   }
 }
 
-std::string FetchVersionText(OperatorClient& client, uint64_t version) {
-  return client.Call("version", {{"version", version}}).at("text").get<std::string>();
-}
-
 std::optional<uint64_t> ParseVersion(const std::string& argument) {
   if (argument.empty() || argument.find_first_not_of("0123456789") != std::string::npos) {
     return std::nullopt;
@@ -325,18 +367,12 @@
   const std::string after = options.arguments.size() > 1
                                 ? ReadVersionOrFile(client, options.arguments[1])
                                 : FetchVersionText(client, 0);
-  const std::vector<Difference> differences = DiffDocuments(before, after);
+  const std::vector<Difference> differences = WithoutApiKeys(DiffDocuments(before, after));
   if (!options.json) {
     std::cout << FormatDifferences(differences);
     return 0;
   }
-  nlohmann::json list = nlohmann::json::array();
-  for (const Difference& difference : differences) {
-    list.push_back({{"path", difference.json_path},
-                    {"before", difference.before},
-                    {"after", difference.after}});
-  }
-  std::cout << list.dump() << "\n";
+  std::cout << ToJson(differences).dump() << "\n";
   return 0;
 }
 
--- a/src/tenant_table.cc
+++ b/src/tenant_table.cc
@@ -3,6 +3,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "errors.h"
@@ -40,4 +41,10 @@
   return found == by_name_.end() ? nullptr : &tenants_[found->second];
 }
 
+size_t TenantTable::KeyCountOf(const Tenant& tenant) const {
+  return static_cast<size_t>(std::count_if(by_key_.begin(), by_key_.end(), [&](const auto& entry) {
+    return &tenants_[entry.second] == &tenant;
+  }));
+}
+
 }  // namespace endivecleat
--- a/src/tenant_table.h
+++ b/src/tenant_table.h
@@ -54,6 +54,8 @@
 
   const std::vector<Tenant>& tenants() const { return tenants_; }
   size_t key_count() const { return by_key_.size(); }
+  /// Number of keys of one tenant of this table.
+  size_t KeyCountOf(const Tenant& tenant) const;
   bool empty() const { return tenants_.empty(); }
 
  private:
