Run pipelined idempotent requests of a connection at the same time

Change: HttpServer asks a classifier whether a request may run beside others of its connection. Such requests are delivered at once, at most 16 and 256 KiB of them and of responses that wait, and answered in order; any other waits until those before it are answered, and nothing behind it is read. A request counts as read once it is parsed: it is answered, also while the server drains, where the response to the last one read closes the connection. Without a classifier (operators, local) one request is processed at a time as before. The connection moves to http_connection.cc. Setting pipelining, two metrics.

Ruled out: running lookups beside downloads of one connection (large_responses), since 16 of them would be held in memory behind the first.

The latency of pipelined lookups in the deployment is not measured yet.

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -130,18 +130,29 @@
 CallerTask::~CallerTask() = default;
 
 void CallerTask::Handle(HttpRequest request, const ResponseSink& sink) {
+  const TimePoint now = context_.loop.now();
   const std::optional<TraceContext> parent =
       ParseTraceparent(request.headers.ValueOr(kTraceparentHeader, ""));
   auto exchange = std::make_shared<Exchange>(std::move(request), sink,
                                              context_.tracer.StartSpan("call", parent));
   exchange->number = context_.NextRequestNumber();
-  exchange->started = context_.loop.now();
+  exchange->started =
+      exchange->request.received_at == TimePoint{} ? now : exchange->request.received_at;
   if (const std::string& name = context_.settings.headers.request_id; !name.empty()) {
     exchange->request_id = exchange->request.headers.ValueOr(name, "");
   }
   StartOrRefuse(exchange);
 }
 
+bool CallerTask::MayRunConcurrently(const HttpRequest& request) const {
+  if (!context_.configuration) {
+    return false;
+  }
+  const CompiledRoute* route = context_.configuration->FindRoute(
+      request.method, HostWithoutPort(request.headers), request.path);
+  return route != nullptr && route->idempotent && !route->large_requests && !route->large_responses;
+}
+
 bool CallerTask::HoldDuringStartup(const std::shared_ptr<Exchange>& exchange) {
   if (!startup_queue_.Add(context_.loop.now(), exchange->number, exchange->started,
                           CallerTimeout(exchange->request))) {
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -32,6 +32,9 @@
 
   /// Handles a request and sends exactly one response to `sink`, unless the caller disconnects.
   void Handle(HttpRequest request, const ResponseSink& sink);
+  /// Whether the request may run at the same time as others of its connection: it is idempotent and
+  /// has no large body or response.
+  bool MayRunConcurrently(const HttpRequest& request) const;
   /// Cancels calls because the incoming calls that they were made for were cancelled.
   void Cancel(const std::vector<RequestNumber>& calls);
   /// A configuration version has come into force. Starts the requests that were held for it.
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -31,6 +31,13 @@
 // Before the end of a drain, the last answers are sent.
 constexpr Duration kLastAnswerTime = std::chrono::milliseconds(300);
 
+HttpServerLimits CallerServerLimits(const DaemonSettings& settings) {
+  HttpServerLimits limits;
+  limits.concurrent_requests = settings.pipelined_requests;
+  limits.concurrent_bytes = settings.pipelined_bytes.value();
+  return limits;
+}
+
 std::string MakeRunId(const CommonSettings& settings, uint64_t seed) {
   constexpr char kDigits[] = "0123456789abcdef";
   std::string id = settings.instance.value() + ".";
@@ -82,7 +89,7 @@
                             [this](const InstanceId& to) {
                               SendConfigMessages(replica_.NotDelivered(loop_.now(), to));
                             }}),
-      caller_server_(loop, settings_.caller_address, HttpServerLimits{},
+      caller_server_(loop, settings_.caller_address, CallerServerLimits(settings_),
                      [this](HttpRequest request, const ResponseSink& sink) {
                        callers_.Handle(std::move(request), sink);
                      }),
@@ -90,6 +97,8 @@
                     [this](const HttpRequest& request, const ResponseSink& sink) {
                       OnLocalRequest(request, sink);
                     }) {
+  caller_server_.AllowConcurrency(
+      [this](const HttpRequest& request) { return callers_.MayRunConcurrently(request); });
   target_.SetStateListener([this] { UpdateSelf(); });
   target_.SetCancelOutgoing(
       [this](const std::vector<RequestNumber>& calls) { callers_.Cancel(calls); });
@@ -277,6 +286,10 @@
       static_cast<double>(target_.running()));
   set("endivecleat_calls_in_flight", "In-flight calls of this daemon's callers",
       static_cast<double>(callers_.in_flight()));
+  set("endivecleat_pipelined_concurrent", "Pipelined requests that ran beside earlier ones",
+      static_cast<double>(caller_server_.pipelining().concurrent));
+  set("endivecleat_pipelined_waited", "Pipelined requests that waited for earlier ones",
+      static_cast<double>(caller_server_.pipelining().waited));
   set("endivecleat_members", "Members of the data centre that are alive",
       static_cast<double>(node_.membership().members().size()));
 }
--- /dev/null
+++ b/src/http_connection.h
@@ -0,0 +1,109 @@
+// One connection of HttpServer: reads its requests, delivers them to the handler, and writes the
+// responses in the order of the requests. Included by http_server.cc and http_connection.cc only.
+#ifndef ENDIVECLEAT_HTTP_CONNECTION_H_
+#define ENDIVECLEAT_HTTP_CONNECTION_H_
+
+#include <sys/epoll.h>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "http_server.h"
+
+namespace endivecleat {
+
+struct ResponseSink::Exchange {
+  std::function<void(HttpResponse)> send;  // empty once responded or disconnected
+  std::function<void()> on_disconnect;
+  bool disconnected = false;
+};
+
+/// Owns the socket. Requests that the classifier allows to run concurrently are delivered at once;
+/// any other request waits until those before it are answered, and nothing behind it is read.
+class HttpServer::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(HttpServer& server, uint64_t id, int descriptor, std::string peer_ip);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  /// Closes the connection and runs the disconnect tasks of its requests.
+  void Close();
+
+  /// Closes the connection unless it has requests in flight. Reads from the socket first, because
+  /// a request may already be in the receive buffer of the kernel.
+  void CloseIfIdle();
+
+  /// Enforces the timeout that applies to the current state of the connection.
+  void CheckTimeouts(TimePoint now);
+
+ private:
+  /// A request that was read, until its response is in output_.
+  struct Pending {
+    std::shared_ptr<ResponseSink::Exchange> exchange;  // null if the request was rejected
+    std::optional<HttpRequest> undelivered;            // waits for the requests before it
+    std::optional<HttpResponse> response;              // waits for the responses before it
+    bool concurrent = false;                           // others may run at the same time
+    bool is_head = false;
+    bool keep_alive = false;
+    size_t bytes = 0;  // of the request, and of the response while it waits
+  };
+
+  /// Bytes of the input that had arrived by a time.
+  struct Arrival {
+    uint64_t end;  // position in the input of the whole connection
+    TimePoint time;
+  };
+
+  bool IsIdle() const;
+  bool MayRead() const;
+  void CloseSocket();
+  void CancelPending();
+  void OnEvents(uint32_t events);
+  void OnReadable();
+  void RecordArrival(size_t bytes);
+  TimePoint TakeArrivalTime();
+  void ProcessRequests();
+  bool DeliverWaiting();
+  bool ReadRequest();
+  void SendContinue();
+  void AddRequest(HttpRequest request, size_t bytes);
+  void Deliver(Pending& pending, HttpRequest request);
+  void SendResponse(const std::weak_ptr<ResponseSink::Exchange>& exchange, HttpResponse response);
+  void QueueReadyResponses();
+  void QueueResponse(Pending pending, bool keep_alive);
+  void AddRejection(int status);
+  bool FlushResponses();
+  void StartLingeringClose();
+  void UpdateWatch();
+
+  HttpServer& server_;
+  const uint64_t id_;
+  int descriptor_;  // -1 once closed
+  const std::string peer_ip_;
+  WatchId watch_;
+  uint32_t events_ = EPOLLIN | EPOLLRDHUP;
+
+  RequestReader reader_;
+  std::string input_;
+  uint64_t received_bytes_ = 0;   // since the connection was opened
+  std::deque<Arrival> arrivals_;  // of the bytes in input_
+  uint64_t request_begin_ = 0;    // position in the input of the request being read
+  OutputQueue output_;
+  std::deque<Pending> pending_;        // in the order of the requests
+  size_t pending_bytes_ = 0;           // sum over pending_
+  size_t unanswered_ = 0;              // entries of pending_ that were not rejected
+  size_t unsent_responses_ = 0;        // responses with bytes in output_
+  bool continue_held_ = false;         // "100 Continue" is due after the responses before it
+  bool close_after_response_ = false;  // no request is read after the response in output_
+  bool processing_ = false;
+  std::optional<TimePoint> lingering_since_;
+  TimePoint last_progress_;  // last successful write, or last check with a request in flight
+  TimePoint request_started_at_;
+};
+
+}  // namespace endivecleat
+
+#endif  // ENDIVECLEAT_HTTP_CONNECTION_H_
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "units.h"
+
 namespace endivecleat {
 
 /// Compares two strings without regard to the case of letters.
@@ -85,7 +87,8 @@
   std::string query;
   HeaderList headers;
   std::string body;
-  std::string peer_ip;  // set by HttpServer, ignored by HttpClient
+  std::string peer_ip;      // set by HttpServer, ignored by HttpClient
+  TimePoint received_at{};  // arrival of the last byte; set by HttpServer, ignored by HttpClient
 };
 
 struct HttpResponse {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -1,5 +1,7 @@
 // HTTP/1.1 server on EventLoop. It delivers each request to a handler once the whole request has
-// arrived, and the handler may respond at any later time. Framing is done by http_codec.h.
+// arrived, and the handler may respond at any later time. Pipelined requests are processed one at a
+// time, or concurrently where a classifier allows it; responses are always sent in order. Framing
+// is done by http_codec.h.
 #ifndef ENDIVECLEAT_HTTP_SERVER_H_
 #define ENDIVECLEAT_HTTP_SERVER_H_
 
@@ -25,6 +27,18 @@
   Duration idle_timeout = std::chrono::seconds(60);
   /// Time limit for receiving a request, and for sending a response without progress.
   Duration transfer_timeout = std::chrono::seconds(30);
+  /// Requests of one connection that are read before the first of them is answered, and their bytes
+  /// together with those of responses that wait for an earlier one. No further request is read
+  /// while a limit is reached. They apply only where requests may run concurrently.
+  size_t concurrent_requests = 16;
+  size_t concurrent_bytes = 256U << 10U;
+};
+
+/// Pipelined requests since the start of the server: read before an earlier request of the same
+/// connection was answered.
+struct PipeliningCounts {
+  uint64_t concurrent = 0;  ///< delivered at once
+  uint64_t waited = 0;      ///< not concurrent, so it had to wait for the earlier ones
 };
 
 /// Sends the response to one request. Copies refer to the same request. It is used on the loop's
@@ -44,7 +58,7 @@
 
  private:
   friend class HttpServer;
-  struct Exchange;
+  struct Exchange;  // defined in http_connection.h
 
   explicit ResponseSink(std::shared_ptr<Exchange> exchange) : exchange_(std::move(exchange)) {}
 
@@ -56,6 +70,8 @@
 class HttpServer {
  public:
   using Handler = std::function<void(HttpRequest, ResponseSink)>;
+  /// Whether a request may run at the same time as others of its connection.
+  using Classifier = std::function<bool(const HttpRequest&)>;
 
   /// Starts to listen. With port 0 the kernel chooses the port. Throws std::system_error.
   HttpServer(EventLoop& loop, const Address& address, HttpServerLimits limits, Handler handler);
@@ -68,23 +84,32 @@
   /// The listening address with the actual port.
   const Address& address() const { return listener_.address(); }
 
-  /// Disables keep-alive: every later response carries "Connection: close".
+  /// Delivers pipelined requests concurrently if the classifier returns true for them. Without this
+  /// call, each request waits until those before it are answered.
+  void AllowConcurrency(Classifier classifier) { may_run_concurrently_ = std::move(classifier); }
+
+  /// Disables keep-alive: the next response that has no request behind it on its connection carries
+  /// "Connection: close", and no request is read in addition to those in flight.
   void DisableKeepAlive() { keep_alive_disabled_ = true; }
 
   void SetIdleTimeout(Duration timeout) { limits_.idle_timeout = timeout; }
 
   /// Closes the listening socket and the idle connections. Requests in flight still get a response,
-  /// with "Connection: close".
+  /// the last one of a connection with "Connection: close".
   void StopAccepting();
 
-  /// Number of delivered requests whose response has not been written to the socket in full.
+  /// Number of requests that were read and whose response has not been written in full, including
+  /// those that wait for an earlier one.
   size_t in_flight() const { return in_flight_; }
 
   size_t connections() const { return connections_.size(); }
 
+  const PipeliningCounts& pipelining() const { return pipelining_; }
+
  private:
-  class Connection;
+  class Connection;  // defined in http_connection.h
 
+  bool draining() const { return stopping_ || keep_alive_disabled_; }
   void Accept(int descriptor, const Address& peer);
   void CheckTimeouts();
   void ScheduleTimeoutCheck();
@@ -92,10 +117,12 @@
   EventLoop& loop_;
   HttpServerLimits limits_;
   Handler handler_;
+  Classifier may_run_concurrently_;
   TcpListener listener_;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
   uint64_t next_connection_id_ = 1;
   size_t in_flight_ = 0;
+  PipeliningCounts pipelining_;
   bool stopping_ = false;
   bool keep_alive_disabled_ = false;
   TimerId timeout_check_timer_;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -13,6 +13,8 @@
 namespace endivecleat {
 namespace {
 
+constexpr uint64_t kMaxPipelinedRequests = 256;
+constexpr uint64_t kMaxPipelinedBytes = 16U << 20U;
 constexpr double kMaxRetryBurst = 1e6;
 constexpr size_t kMinTokenLength = 16;  // characters; shorter tokens are too easy to guess
 constexpr size_t kMaxControlInstances = 7;
@@ -241,6 +243,12 @@
   SetSeedPorts(settings.common, settings.peer_address.port);
   settings.service = ServiceName(reader.ReadString("service", Presence::kOptional));
   settings.headers = ReadHeaders(reader);
+  reader.ReadObject("pipelining", Presence::kOptional, [&](JsonReader& entry) {
+    settings.pipelined_requests =
+        entry.ReadNumber("requests", 1, kMaxPipelinedRequests, settings.pipelined_requests);
+    settings.pipelined_bytes = ByteCount(
+        entry.ReadNumber("bytes", 1, kMaxPipelinedBytes, settings.pipelined_bytes.value()));
+  });
   settings.shared_retry_burst = reader.ReadDecimal("shared_retry_burst", 0, kMaxRetryBurst, 0);
   for (const std::string& address_text : reader.ReadStrings("neighbours", Presence::kOptional)) {
     const std::optional<Address> address = ParseAddress(address_text);
--- a/src/settings.h
+++ b/src/settings.h
@@ -84,6 +84,9 @@
   // has a separate burst.
   double shared_retry_burst = 0;
   CallHeaders headers;
+  // Pipelined requests of one caller's connection that may run at the same time, and their bytes.
+  uint64_t pipelined_requests = 16;
+  ByteCount pipelined_bytes{256U << 10U};
   ServiceName service;  // service of the local target, sent as the origin of this instance's calls
   std::vector<Address> neighbours;  // peers to join the gossip group through if no seed is a member
 };
