Lease quota tokens from one owner of all tenants

A tenant's rate and burst hold over all daemons together. Fixed shares per daemon were ruled out because callers are distributed unevenly; an owner per tenant among the daemons, because a daemon would then talk to dozens of owners and exceed its 5 kB/s. Each daemon lends its share (1/N) to one owner at a time, control instances first, and leases tokens from it in one message for all tenants; a caller's request takes a token before its call starts.

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -11,6 +11,7 @@
 #include "candidate_subset.h"
 #include "errors.h"
 #include "log.h"
+#include "quota_task.h"
 #include "tenant_identity.h"
 #include "wall_clock.h"
 
@@ -118,6 +119,9 @@
   std::map<AttemptId, PeerRequestId> peer_requests;  // of attempts to other instances
   TimePoint started;
   std::optional<TimerId> timer;
+  std::optional<QuotaToken> token;  // returned if no target ran the request
+  bool may_have_run = false;        // at some target
+  Duration quota_retry_after{};     // with kQuotaExceeded
 };
 
 CallerTask::CallerTask(DaemonContext& context, TargetTask& target)
@@ -198,6 +202,58 @@
     context_.call_registry.RemoveOutgoing(exchange->number);
     return;
   }
+  if (TakeQuota(exchange)) {
+    StartCall(exchange);
+  }
+}
+
+bool CallerTask::TakeQuota(const std::shared_ptr<Exchange>& exchange) {
+  if (context_.quota == nullptr || exchange->tenant == nullptr) {
+    return true;
+  }
+  const QuotaAnswer answer = context_.quota->Take(
+      *exchange->tenant, exchange->number, exchange->call_request.deadline,
+      [this, exchange](const QuotaAnswer& late_answer) { OnQuotaAnswer(exchange, late_answer); });
+  if (answer.verdict == QuotaVerdict::kWait) {
+    waiting_[exchange->number] = exchange;
+    exchange->sink.OnDisconnect([this, weak = std::weak_ptr<Exchange>(exchange)] {
+      if (const auto waiting = weak.lock()) {
+        StopWaiting(waiting);
+      }
+    });
+    return false;
+  }
+  if (answer.verdict == QuotaVerdict::kRefused) {
+    OnQuotaAnswer(exchange, answer);
+    return false;
+  }
+  exchange->token = answer.token;
+  return true;
+}
+
+void CallerTask::OnQuotaAnswer(const std::shared_ptr<Exchange>& exchange,
+                               const QuotaAnswer& answer) {
+  waiting_.erase(exchange->number);
+  if (answer.verdict == QuotaVerdict::kGranted) {
+    exchange->token = answer.token;
+    StartCall(exchange);
+    return;
+  }
+  context_.call_registry.RemoveOutgoing(exchange->number);
+  exchange->quota_retry_after = answer.retry_after;
+  Respond(*exchange, ResultCode::kQuotaExceeded, nullptr);
+}
+
+// The caller has gone, or the call is cancelled.
+void CallerTask::StopWaiting(const std::shared_ptr<Exchange>& exchange) {
+  if (waiting_.erase(exchange->number) > 0) {
+    context_.quota->Forget(*exchange->tenant, exchange->number);
+    context_.call_registry.RemoveOutgoing(exchange->number);
+    Respond(*exchange, ResultCode::kCancelled, nullptr);
+  }
+}
+
+void CallerTask::StartCall(const std::shared_ptr<Exchange>& exchange) {
   exchanges_[exchange->number] = exchange;
   exchange->sink.OnDisconnect([this, weak = std::weak_ptr<Exchange>(exchange)] {
     if (const auto active = weak.lock(); active && !active->call->finished()) {
@@ -212,6 +268,10 @@
 
 void CallerTask::Cancel(const std::vector<RequestNumber>& calls) {
   for (const RequestNumber number : calls) {
+    const auto waiting = waiting_.find(number);
+    if (waiting != waiting_.end()) {
+      StopWaiting(std::shared_ptr<Exchange>(waiting->second));
+    }
     const auto found = exchanges_.find(number);
     if (found != exchanges_.end()) {
       const std::shared_ptr<Exchange> exchange = found->second;
@@ -499,6 +559,9 @@
                          const AttemptReply& reply) {
   const TimePoint now = context_.loop.now();
   const auto* answer = std::get_if<TargetAnswer>(&reply.outcome);
+  const auto* refusal = std::get_if<Refusal>(&reply.outcome);
+  exchange->may_have_run |=
+      refusal == nullptr || refusal->reached_target || !GuaranteesNotRun(refusal->code);
   exchange->attempts->Ended(now, effect.attempt, ResultOf(reply), reply.load);
   Execute(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
                                       : exchange->call->Refused(now, effect.attempt,
@@ -508,6 +571,7 @@
 void CallerTask::OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                                bool was_sent) {
   const TimePoint now = context_.loop.now();
+  exchange->may_have_run |= was_sent;
   exchange->attempts->Ended(now, effect.attempt,
                             was_sent ? AttemptResult::kFailed : AttemptResult::kUnreachable);
   Execute(exchange, was_sent ? exchange->call->LinkBroken(now, effect.attempt)
@@ -516,6 +580,7 @@
 }
 
 void CallerTask::CancelSent(Exchange& exchange, const CancelAttempt& effect) {
+  exchange.may_have_run = true;
   const auto request = exchange.peer_requests.find(effect.attempt);
   if (request != exchange.peer_requests.end()) {
     context_.node.network().Cancel(request->second);
@@ -539,6 +604,9 @@
 
 void CallerTask::Finish(const std::shared_ptr<Exchange>& exchange, const FinishCall& effect) {
   context_.call_registry.RemoveOutgoing(exchange->number);
+  if (exchange->token && !exchange->may_have_run) {
+    context_.quota->Return(*exchange->token);
+  }
   Respond(*exchange, effect.code, effect.answer ? &*effect.answer : nullptr);
   exchanges_.erase(exchange->number);
 }
@@ -572,6 +640,9 @@
 // callers that were refused together from retrying together.
 Duration CallerTask::RetryAfter(const Exchange& exchange, ResultCode code) {
   Duration least = kRecoveryRetryAfter;
+  if (code == ResultCode::kQuotaExceeded) {
+    least = exchange.quota_retry_after;
+  }
   if (code == ResultCode::kOverloaded && exchange.state != nullptr) {
     const Duration wait = exchange.state->balancer.ExpectedWait();
     least = wait == Duration{} ? kMinRetryAfter
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -14,6 +14,7 @@
 #include "call_message.h"
 #include "daemon_context.h"
 #include "http_server.h"
+#include "quota_client.h"
 #include "retry_budget.h"
 #include "split_chooser.h"
 #include "startup_queue.h"
@@ -41,7 +42,7 @@
   /// Requests that arrive from now on are answered by then: their deadline is not later, and those
   /// with less time left than their route's objective are refused.
   void EndBy(TimePoint end) { end_ = end; }
-  size_t in_flight() const { return exchanges_.size() + held_.size(); }
+  size_t in_flight() const { return exchanges_.size() + held_.size() + waiting_.size(); }
 
  private:
   /// Balancer and retry budget of one service.
@@ -64,6 +65,11 @@
   void StartOrRefuse(const std::shared_ptr<Exchange>& exchange);
   void StartHeld(const std::vector<RequestNumber>& numbers);
   void Start(const std::shared_ptr<Exchange>& exchange);
+  /// Takes a token of the tenant's quota. Returns false if the request waits for one or was refused.
+  bool TakeQuota(const std::shared_ptr<Exchange>& exchange);
+  void OnQuotaAnswer(const std::shared_ptr<Exchange>& exchange, const QuotaAnswer& answer);
+  void StopWaiting(const std::shared_ptr<Exchange>& exchange);
+  void StartCall(const std::shared_ptr<Exchange>& exchange);
   /// Updates every service's candidates from the membership and the data centre summaries.
   void RefreshCandidates();
   Duration CallerTimeout(const HttpRequest& request) const;
@@ -105,6 +111,7 @@
   std::map<ServiceName, std::unique_ptr<ServiceState>> services_;
   std::map<ServiceName, ServiceMetrics>
       metrics_;  // under an empty name: requests without a service
+  std::map<RequestNumber, std::shared_ptr<Exchange>> waiting_;    // for a token of their quota
   std::map<RequestNumber, std::shared_ptr<Exchange>> exchanges_;  // not finished
 };
 
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -122,7 +122,8 @@
           {.on_message = [this](const InstanceId& from,
                                 const ConfigMessage& message) { OnConfigMessage(from, message); },
            .on_not_delivered = [](const InstanceId&) {}}),
-      crash_relay_(ControlInstances(settings_)) {
+      crash_relay_(ControlInstances(settings_)),
+      quota_owner_(node_, seed) {
   if (settings_.ledger_enabled) {
     once_ = std::make_unique<ReplicaTask<OnceState>>(
         settings_.common.instance, MakeLogSettings(seed + 1), OpenLogFolder(settings_, "once"),
@@ -147,6 +148,7 @@
 void ControlProcess::Drain() {
   Log(LogLevel::kInfo, "control_draining");
   operators_->StopAccepting();
+  quota_owner_.Stop();
   FinishDrain(loop_.now() + settings_.common.drain_timeout);
 }
 
@@ -176,6 +178,7 @@
     case PeerChannel::kCall:
     case PeerChannel::kOnceLedger:
     case PeerChannel::kOperatorRequests:
+    case PeerChannel::kQuota:
       return;
   }
 }
@@ -185,6 +188,9 @@
   if (channel == PeerChannel::kConfigDistribution) {
     config_exchange_.OnRequest(payload, replier);
   }
+  if (channel == PeerChannel::kQuota) {
+    OnQuotaRequest(payload, replier);
+  }
   if (channel != PeerChannel::kOnceLedger) {
     return;
   }
@@ -200,6 +206,14 @@
   }
 }
 
+void ControlProcess::OnQuotaRequest(const std::string& payload, const PeerResponder& replier) {
+  try {
+    quota_owner_.OnRequest(payload, replier);
+  } catch (const UserError& error) {
+    Log(LogLevel::kWarning, "quota_request_malformed", {{"reason", std::string(error.what())}});
+  }
+}
+
 void ControlProcess::OnLedgerRequest(const std::string& payload, const PeerResponder& replier) {
   LedgerRequest request = DecodeLedgerRequest(payload);
   request.command.at = WallNow();
@@ -241,6 +255,7 @@
   timer_ = loop_.RunAfter(kTickInterval, [this] { Tick(); });
   const TimePoint now = loop_.now();
   UpdateVoterCandidates();
+  quota_owner_.Tick();
   config_.Tick(now);
   if (once_) {
     once_->Tick(now);
@@ -410,6 +425,7 @@
 
 void ControlProcess::UpdateMetrics() {
   node_.ReportTraffic(metrics_);
+  quota_owner_.UpdateMetrics(metrics_);
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
   };
--- a/src/control_process.h
+++ b/src/control_process.h
@@ -13,6 +13,7 @@
 #include "event_loop.h"
 #include "mesh_node.h"
 #include "metrics.h"
+#include "quota_owner_task.h"
 #include "operator_service.h"
 #include "replica_task.h"
 #include "replicated_states.h"
@@ -46,6 +47,7 @@
  private:
   void OnMessage(const InstanceId& from, PeerChannel channel, const std::string& bytes);
   void OnRequest(PeerChannel channel, const std::string& payload, const PeerResponder& replier);
+  void OnQuotaRequest(const std::string& payload, const PeerResponder& replier);
   void OnLedgerRequest(const std::string& payload, const PeerResponder& replier);
   void ForwardLedgerRequest(LedgerCommand command, const PeerResponder& replier);
   void Tick();
@@ -77,6 +79,7 @@
   ConfigExchange config_exchange_;
   SummarySchedule summary_schedule_;
   CrashRelay crash_relay_;
+  QuotaOwnerTask quota_owner_;
   std::unique_ptr<OperatorService> operators_;
   TimerId timer_;
   std::string logged_role_;  // role, leader and voters in the last log line
--- a/src/daemon_context.h
+++ b/src/daemon_context.h
@@ -19,6 +19,8 @@
 
 namespace endivecleat {
 
+class QuotaTask;
+
 /// References must outlive the tasks.
 struct DaemonContext {
   EventLoop& loop;
@@ -32,6 +34,7 @@
   std::shared_ptr<const CompiledConfiguration> configuration;  // null before the first version
   std::string run_id;  // unique per process: differs between instances and restarts
   uint64_t last_request_number = 0;
+  QuotaTask* quota = nullptr;  // null: no quotas
 
   /// Returns a number that this process has not used yet.
   RequestNumber NextRequestNumber() { return RequestNumber(++last_request_number); }
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -65,6 +65,7 @@
                .run_id = MakeRunId(settings_.common, seed)},
       crash_reports_(settings_.common.instance),
       target_(context_),
+      quota_(context_, seed),
       callers_(context_, target_),
       load_log_(loop.now()),
       replica_(
@@ -90,6 +91,7 @@
                     [this](const HttpRequest& request, const ResponseSink& sink) {
                       OnLocalRequest(request, sink);
                     }) {
+  context_.quota = &quota_;
   target_.SetStateListener([this] { UpdateSelf(); });
   target_.SetCancelOutgoing(
       [this](const std::vector<RequestNumber>& calls) { callers_.Cancel(calls); });
@@ -106,6 +108,7 @@
       {{"calls_in_flight", static_cast<uint64_t>(callers_.in_flight())},
        {"target_in_flight", static_cast<uint64_t>(target_.in_flight())}});
   draining_ = true;
+  quota_.StopOwner();
   caller_server_.DisableKeepAlive();
   const Duration serving_time = settings_.common.drain_notice * kServingPercentOfNotice / 100;
   loop_.RunAfter(serving_time, [this] {
@@ -149,6 +152,8 @@
   try {
     if (channel == PeerChannel::kCall) {
       target_.HandlePeer(payload, replier);
+    } else if (channel == PeerChannel::kQuota) {
+      quota_.OnRequest(payload, replier);
     } else if (channel == PeerChannel::kOperatorRequests && payload == "drain") {
       target_.DrainAndHold();
       UpdateSelf();
@@ -221,6 +226,7 @@
     caller_server_.SetIdleTimeout(idle);
   }
   target_.ConfigurationChanged();
+  quota_.ConfigurationChanged();
   callers_.ConfigurationChanged();
   UpdateSelf();
   TrimHeap();
@@ -247,6 +253,7 @@
   crash_reports_.Collect(node_.membership(), context_.crash_guard);
   crash_reports_.Publish(now, context_.crash_guard, node_.membership());
   context_.crash_guard.Tick(WallNow());
+  quota_.Tick();
   callers_.Tick();
   load_log_.Tick(now, node_, target_);
 }
@@ -268,6 +275,7 @@
 
 void DaemonProcess::UpdateMetrics() {
   node_.ReportTraffic(metrics_);
+  quota_.UpdateMetrics();
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
   };
@@ -293,6 +301,7 @@
                    [this, not_before, deadline] { FinishDrain(not_before, deadline); });
     return;
   }
+  quota_.GiveBackShare();
   node_.Leave();
   loop_.RunAfter(kTickInterval, [this, deadline] { StopWhenIdle(deadline); });
 }
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -16,6 +16,7 @@
 #include "load_log.h"
 #include "mesh_node.h"
 #include "metrics.h"
+#include "quota_task.h"
 #include "settings.h"
 #include "stored_compiler.h"
 #include "target_task.h"
@@ -73,6 +74,7 @@
   DaemonContext context_;
   CrashReportExchange crash_reports_;
   TargetTask target_;
+  QuotaTask quota_;
   CallerTask callers_;
   LoadLog load_log_;
   StoredCompiler compiler_;
--- /dev/null
+++ b/src/quota_client.cc
@@ -0,0 +1,526 @@
+// Tokens are kept in lots by time of expiry; waiting requests are served in order of arrival.
+#include "quota_client.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+#include "quota_limits.h"
+
+namespace endivecleat {
+namespace {
+
+// A round trip between regions takes 60 ms; a request that gets no token in this time would only
+// become late.
+constexpr Duration kMaxWait = std::chrono::milliseconds(150);
+// The same while there is no owner, after a start or a change of owners. These take up to
+// kQuotaDelegation; the tenant is probably far below its limit.
+constexpr Duration kMaxWaitWithoutOwner = std::chrono::milliseconds(800);
+constexpr Duration kOwnerSilence = std::chrono::milliseconds(700);
+// While the owner has no tokens, further requests are refused without a message.
+constexpr Duration kMinRefusal = std::chrono::milliseconds(100);
+constexpr Duration kMaxRefusal = std::chrono::milliseconds(300);
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+constexpr Duration kAvoidSilentOwner = std::chrono::seconds(1);
+constexpr Duration kAvoidStoppedOwner = std::chrono::seconds(5);
+constexpr unsigned kMaxFailures = 2;
+// An owner that is preferred to the current one takes over after this time; long enough for the
+// views of the members to agree.
+constexpr Duration kSettleTime = std::chrono::seconds(1);
+// Messages for requests that wait: the average and the most at once. With about 350 bytes for a
+// round trip, they stay under 2 kB/s.
+constexpr double kMessagesPerSecond = 5;
+constexpr double kMaxAllowance = 5;
+// Stock of tokens: one for a tenant that was seen lately, and the demand of this time.
+constexpr double kStockSeconds = 0.8;
+constexpr double kMinStockRate = 0.03;  // one request was seen within the last 10 s
+constexpr double kSingleTokenRate = 0.25;
+constexpr double kRateSeconds = 6;  // time constant of the measured rate
+constexpr double kBusyRate = 2;     // from here on a denied prefetch is repeated at once
+constexpr Duration kPrefetchPause = std::chrono::seconds(2);
+constexpr Duration kRenewal = std::chrono::milliseconds(700);  // left when a token is renewed
+constexpr Duration kLimitedPause = std::chrono::seconds(5);    // ends a limitation in the log
+
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+void QuotaClient::SetTenants(TimePoint now, ConfigVersion version, const TenantTable* tenants,
+                             double part) {
+  now_ = now;
+  version_ = version;
+  std::unordered_map<TenantId, TenantState> before = std::exchange(tenants_, {});
+  if (tenants != nullptr) {
+    for (const Tenant& tenant : tenants->tenants()) {
+      if (!tenant.quota.limited()) {
+        continue;
+      }
+      const TenantId id = TenantIdOf(tenant.name);
+      TenantState& state = tenants_[id];
+      const auto found = before.find(id);
+      if (found != before.end()) {
+        state = std::move(found->second);
+        before.erase(found);
+      }
+      const TenantQuota quota = {tenant.quota.rate_per_second * part, tenant.quota.burst * part};
+      const bool lower = quota.rate_per_second < state.quota.rate_per_second ||
+                         quota.burst < state.quota.burst;
+      if (lower) {
+        for (const Lot& lot : state.lots) {
+          state.returned += lot.tokens;
+        }
+        state.lots.clear();
+        state.own_tokens = 0;
+      }
+      state.name = tenant.name;
+      state.quota = quota;
+    }
+  }
+  for (auto& [id, state] : before) {  // these have no limit any longer
+    for (const Waiting& waiting : state.waiting) {
+      Decide(waiting.request, {});
+      --waiting_;
+    }
+  }
+  hurry_ = hurry_ || !owner_;
+}
+
+void QuotaClient::SetOwners(TimePoint now, std::vector<InstanceId> owners) {
+  owners_ = std::move(owners);
+  std::erase_if(avoid_until_, [&](const auto& entry) { return entry.second <= now; });
+  ChooseOwner(now);
+}
+
+std::optional<InstanceId> QuotaClient::PreferredOwner(TimePoint now) const {
+  for (const InstanceId& owner : owners_) {
+    const auto avoided = avoid_until_.find(owner);
+    if (avoided == avoid_until_.end() || avoided->second <= now) {
+      return owner;
+    }
+  }
+  return std::nullopt;
+}
+
+void QuotaClient::ChooseOwner(TimePoint now) {
+  const std::optional<InstanceId> preferred = PreferredOwner(now);
+  if (!owner_) {
+    UseOwner(preferred);
+  }
+  if (!preferred || owner_ == preferred) {
+    other_preferred_at_ = TimePoint::max();
+  } else {
+    other_preferred_at_ = std::min(other_preferred_at_, now);
+  }
+}
+
+void QuotaClient::UseOwner(std::optional<InstanceId> owner) {
+  if (owner == owner_) {
+    return;
+  }
+  owner_ = std::move(owner);
+  owner_run_ = 0;
+  failures_ = 0;
+  other_preferred_at_ = TimePoint::max();
+  retry_at_ = TimePoint{};
+  hurry_ = true;
+  ++counts_.owner_changes;
+}
+
+void QuotaClient::DropExpired(TimePoint now) {
+  now_ = std::max(now_, now);
+  const bool lapsed = lends_ && lent_until_ <= now_;
+  if (!lapsed) {
+    return;
+  }
+  lends_ = false;
+  hurry_ = true;  // to lend the share to the current owner
+  for (auto& [id, tenant] : tenants_) {
+    auto keep = static_cast<uint32_t>(OwnDepth(id, tenant));
+    for (Lot& lot : tenant.lots) {
+      const uint32_t kept = std::min(lot.tokens, keep);
+      keep -= kept;
+      counts_.expired += lot.tokens - kept;
+      lot.tokens = kept;
+    }
+    std::erase_if(tenant.lots, [](const Lot& lot) { return lot.tokens == 0; });
+  }
+}
+
+// Where less than one token of the depth falls to each daemon, only some daemons, chosen by a hash,
+// may store one; otherwise the sum over all daemons would exceed the depth.
+double QuotaClient::OwnDepth(TenantId id, const TenantState& tenant) const {
+  if (members_ == 0) {
+    return 0;
+  }
+  const double depth = DepthOf(tenant.quota).steady;
+  if (depth >= members_) {
+    return depth / members_;
+  }
+  const std::string text = self_.value() + "/" + std::to_string(id.value());
+  return static_cast<double>(XXH3_64bits(text.data(), text.size()) % members_) < depth ? 1 : 0;
+}
+
+void QuotaClient::FillOwn(TimePoint now, TenantId id, TenantState& tenant) const {
+  const TimePoint from = std::max(tenant.own_filled, lent_until_);
+  tenant.own_filled = now;
+  if (Lends(now) || members_ == 0 || !has_lent_ || now <= from) {
+    return;
+  }
+  tenant.own_tokens = std::min(
+      tenant.own_tokens + tenant.quota.rate_per_second / members_ * Seconds(now - from),
+      OwnDepth(id, tenant));
+}
+
+bool QuotaClient::TakeToken(TimePoint now, TenantId id, TenantState& tenant, QuotaToken& token) {
+  while (!tenant.lots.empty() && tenant.lots.front().expires_at <= now) {
+    counts_.expired += tenant.lots.front().tokens;
+    tenant.lots.pop_front();
+  }
+  if (!tenant.lots.empty()) {
+    Lot& lot = tenant.lots.front();
+    token = {id, lot.expires_at};
+    if (--lot.tokens == 0) {
+      tenant.lots.pop_front();
+    }
+    tenant.changed = true;
+    ++counts_.taken;
+    return true;
+  }
+  FillOwn(now, id, tenant);
+  if (tenant.own_tokens < 1) {
+    return false;
+  }
+  tenant.own_tokens -= 1;
+  token = {id, now};
+  ++counts_.taken;
+  return true;
+}
+
+double QuotaClient::RateOf(const TenantState& tenant, TimePoint now) const {
+  return tenant.rate * std::exp(-Seconds(now - tenant.rate_at) / kRateSeconds);
+}
+
+QuotaAnswer QuotaClient::Take(TimePoint now, TenantId id, RequestNumber request,
+                              TimePoint deadline) {
+  DropExpired(now);
+  const auto found = tenants_.find(id);
+  if (found == tenants_.end()) {
+    return {};
+  }
+  TenantState& tenant = found->second;
+  tenant.rate = RateOf(tenant, now) + 1 / kRateSeconds;
+  tenant.rate_at = now;
+  QuotaAnswer answer;
+  if (tenant.waiting.empty() && TakeToken(now, id, tenant, answer.token)) {
+    return answer;
+  }
+  if (now < tenant.refuse_until) {
+    return Refuse(now, tenant);
+  }
+  const bool has_owner = Lends(now) && answered_at_ + kOwnerSilence > now;
+  const Duration wait = has_owner ? kMaxWait : kMaxWaitWithoutOwner;
+  tenant.waiting.push_back({request, std::min(now + wait, deadline)});
+  ++waiting_;
+  ++counts_.waited;
+  answer.verdict = QuotaVerdict::kWait;
+  return answer;
+}
+
+void QuotaClient::Forget(TenantId id, RequestNumber request) {
+  const auto found = tenants_.find(id);
+  if (found != tenants_.end()) {
+    waiting_ -= std::erase_if(found->second.waiting, [&](const Waiting& waiting) {
+      return waiting.request == request;
+    });
+  }
+}
+
+void QuotaClient::Return(TimePoint now, const QuotaToken& token) {
+  DropExpired(now);
+  const auto found = tenants_.find(token.tenant);
+  // Without a share that is lent, the tokens stored here are limited; the token is lost.
+  if (found == tenants_.end() || token.expires_at <= now || !Lends(now)) {
+    return;
+  }
+  ++counts_.returned;
+  found->second.lots.push_front({token.expires_at, 1});
+  std::sort(found->second.lots.begin(), found->second.lots.end(),
+            [](const Lot& left, const Lot& right) { return left.expires_at < right.expires_at; });
+  Serve(now, token.tenant, found->second);
+}
+
+QuotaAnswer QuotaClient::Refuse(TimePoint now, TenantState& tenant) {
+  ++counts_.refused;
+  ++tenant.refused;
+  tenant.refused_at = now;
+  if (!tenant.logged) {
+    tenant.logged = true;
+    events_.push_back({tenant.name, true, tenant.refused});
+  }
+  QuotaAnswer answer;
+  answer.verdict = QuotaVerdict::kRefused;
+  answer.retry_after = std::max(tenant.wait_hint, kMinRetryAfter);
+  return answer;
+}
+
+void QuotaClient::Decide(RequestNumber request, const QuotaAnswer& answer) {
+  decisions_.push_back({request, answer});
+}
+
+void QuotaClient::Serve(TimePoint now, TenantId id, TenantState& tenant) {
+  QuotaAnswer answer;
+  while (!tenant.waiting.empty() && TakeToken(now, id, tenant, answer.token)) {
+    Decide(tenant.waiting.front().request, answer);
+    tenant.waiting.pop_front();
+    --waiting_;
+  }
+}
+
+bool QuotaClient::IsDue(TimePoint now) const {
+  if (in_flight_ || stopped_ || now < retry_at_) {
+    return false;
+  }
+  if (hurry_ || stopping_ || now >= next_period_) {
+    return true;
+  }
+  const double allowance =
+      std::min(allowance_ + Seconds(now - allowance_at_) * kMessagesPerSecond, kMaxAllowance);
+  return waiting_ > 0 && allowance >= 1;
+}
+
+std::optional<OutgoingQuotaRequest> QuotaClient::NextRequest(TimePoint now) {
+  DropExpired(now);
+  if (!HasLimits() || !IsDue(now)) {
+    return std::nullopt;
+  }
+  ChooseOwner(now);
+  if (!owner_) {
+    retry_at_ = now + kRetryInterval;
+    return std::nullopt;
+  }
+  OutgoingQuotaRequest outgoing;
+  QuotaRequest& request = outgoing.request;
+  outgoing.to = *owner_;
+  request.from = self_;
+  request.run = run_;
+  request.sequence = ++sequence_;
+  request.members = members_;
+  request.version = version_;
+  const bool changes =
+      other_preferred_at_ != TimePoint::max() && other_preferred_at_ + kSettleTime <= now;
+  if (stopping_) {
+    request.purpose = QuotaPurpose::kStop;
+    stopped_ = true;
+  } else if (changes) {
+    request.purpose = QuotaPurpose::kChangeOwner;
+  } else {
+    LendShare(now, request);
+  }
+  AddEntries(now, request);
+  allowance_ = std::min(allowance_ + Seconds(now - allowance_at_) * kMessagesPerSecond,
+                        kMaxAllowance);
+  allowance_at_ = now;
+  allowance_ = std::max(allowance_ - 1, 0.0);
+  in_flight_ = InFlight{request.sequence, now, changes};
+  next_period_ = now + kQuotaPeriod;
+  hurry_ = false;
+  ++counts_.messages;
+  return outgoing;
+}
+
+void QuotaClient::LendShare(TimePoint now, QuotaRequest& request) {
+  if (owner_run_ == 0 || (lends_ && lent_to_ != *owner_)) {
+    return;
+  }
+  if (!lends_ || lent_to_run_ != owner_run_) {
+    lent_since_ = now;
+    for (auto& [id, tenant] : tenants_) {
+      tenant.own_tokens = 0;
+    }
+  }
+  request.owner_run = owner_run_;
+  request.stamp = stamp_;
+  request.lent_for = std::min(now - lent_since_, kQuotaMemberMemory);
+  request.fresh = !has_lent_;
+  lends_ = true;
+  lent_to_ = *owner_;
+  lent_to_run_ = owner_run_;
+  lent_until_ = now + kQuotaDelegation;
+}
+
+uint32_t QuotaClient::StockOf(const TenantState& tenant, TimePoint now) const {
+  const double rate = RateOf(tenant, now);
+  if (rate < kMinStockRate) {
+    return 0;
+  }
+  return rate < kSingleTokenRate ? 1 : 1 + static_cast<uint32_t>(std::ceil(rate * kStockSeconds));
+}
+
+void QuotaClient::AddEntries(TimePoint now, QuotaRequest& request) {
+  const bool gives_up = request.purpose != QuotaPurpose::kRequest;
+  for (auto& [id, tenant] : tenants_) {
+    const uint32_t stock = gives_up ? 0 : StockOf(tenant, now);
+    QuotaEntry entry;
+    entry.tenant = id;
+    entry.quota = tenant.quota;
+    uint32_t lasting = 0;  // tokens that need not be renewed yet
+    for (const Lot& lot : tenant.lots) {
+      entry.held += lot.expires_at > now ? lot.tokens : 0;
+      lasting += lot.expires_at > now + kRenewal ? lot.tokens : 0;
+    }
+    // Twice the stock is kept, so that a rate that varies does not cause messages.
+    while (entry.held > 2 * stock + 1 || (gives_up && entry.held > 0)) {
+      Lot& lot = tenant.lots.back();
+      entry.held -= lot.expires_at > now ? 1 : 0;
+      tenant.returned += lot.expires_at > now ? 1 : 0;
+      if (--lot.tokens == 0) {
+        tenant.lots.pop_back();
+      }
+    }
+    entry.returned = std::exchange(tenant.returned, 0);
+    entry.urgent = gives_up ? 0 : static_cast<uint32_t>(tenant.waiting.size());
+    if (lasting < stock && now >= tenant.prefetch_at) {
+      entry.prefetch = stock - lasting;
+      if (RateOf(tenant, now) < kBusyRate) {
+        tenant.prefetch_at = now + kPrefetchPause;  // until granted
+      }
+    }
+    if (entry.returned + entry.urgent + entry.prefetch > 0 || tenant.changed) {
+      request.entries.push_back(entry);
+    }
+    tenant.changed = false;
+  }
+}
+
+void QuotaClient::Received(TimePoint now, uint64_t sequence, const QuotaReply& reply) {
+  DropExpired(now);
+  if (!in_flight_ || in_flight_->sequence != sequence) {
+    return;
+  }
+  const InFlight sent = *std::exchange(in_flight_, std::nullopt);
+  failures_ = 0;
+  answered_at_ = now;
+  members_ = reply.members;
+  if (owner_run_ != reply.owner_run) {
+    hurry_ = true;  // to lend the share at once
+  }
+  owner_run_ = reply.owner_run;
+  stamp_ = reply.stamp;
+  if (reply.released) {
+    lent_until_ = std::min(lent_until_, now);
+    if (!sent.changes_owner) {
+      avoid_until_[*owner_] = now + kAvoidStoppedOwner;
+    }
+    UseOwner(PreferredOwner(now));
+    DropExpired(now);
+    return;
+  }
+  const TimePoint expires_at = sent.sent_at + reply.lease;
+  for (const QuotaGrant& grant : reply.grants) {
+    const auto found = tenants_.find(grant.tenant);
+    if (found == tenants_.end()) {
+      continue;
+    }
+    TenantState& tenant = found->second;
+    if (grant.tokens > 0 && expires_at > now) {
+      tenant.lots.push_back({expires_at, grant.tokens});
+      tenant.prefetch_at = TimePoint{};
+    }
+    tenant.wait_hint = grant.wait;
+    Serve(now, grant.tenant, tenant);
+    if (grant.wait > Duration{}) {
+      tenant.refuse_until = now + std::clamp(grant.wait, kMinRefusal, kMaxRefusal);
+      while (!tenant.waiting.empty() && tenant.waiting.back().give_up_at < now + grant.wait) {
+        Decide(tenant.waiting.back().request, Refuse(now, tenant));
+        tenant.waiting.pop_back();
+        --waiting_;
+      }
+    }
+  }
+}
+
+void QuotaClient::Failed(TimePoint now, uint64_t sequence) {
+  DropExpired(now);
+  if (!in_flight_ || in_flight_->sequence != sequence) {
+    return;
+  }
+  const InFlight sent = *std::exchange(in_flight_, std::nullopt);
+  ++counts_.failed_messages;
+  ++failures_;
+  retry_at_ = now + kRetryInterval;
+  hurry_ = true;
+  if (failures_ >= kMaxFailures || sent.changes_owner) {
+    avoid_until_[*owner_] = now + kAvoidSilentOwner;
+    const std::optional<InstanceId> next = PreferredOwner(now);
+    if (next) {
+      UseOwner(next);
+    }
+    failures_ = 0;
+  }
+}
+
+std::vector<QuotaDecision> QuotaClient::TakeDecisions(TimePoint now) {
+  DropExpired(now);
+  if (waiting_ > 0) {
+    for (auto& [id, tenant] : tenants_) {
+      if (tenant.waiting.empty()) {
+        continue;
+      }
+      Serve(now, id, tenant);
+      waiting_ -= std::erase_if(tenant.waiting, [&](const Waiting& waiting) {
+        if (waiting.give_up_at > now) {
+          return false;
+        }
+        Decide(waiting.request, Refuse(now, tenant));
+        return true;
+      });
+    }
+  }
+  return std::exchange(decisions_, {});
+}
+
+std::vector<QuotaEvent> QuotaClient::TakeEvents(TimePoint now) {
+  for (auto& [id, tenant] : tenants_) {
+    if (tenant.logged && tenant.refused_at + kLimitedPause <= now) {
+      events_.push_back({tenant.name, false, tenant.refused});
+      tenant.logged = false;
+      tenant.refused = 0;
+    }
+  }
+  return std::exchange(events_, {});
+}
+
+TimePoint QuotaClient::next_timer() const {
+  if (!HasLimits()) {
+    return TimePoint::max();
+  }
+  TimePoint next = TimePoint::max();
+  if (!decisions_.empty()) {
+    return now_;
+  }
+  if (!in_flight_ && !stopped_) {
+    next = hurry_ || stopping_ ? retry_at_ : std::max(retry_at_, next_period_);
+    if (waiting_ > 0) {
+      const double missing = std::max(1 - allowance_, 0.0);
+      const auto pause = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(missing / kMessagesPerSecond));
+      next = std::min(next, std::max(retry_at_, allowance_at_ + pause));
+    }
+  }
+  if (lends_ && owner_ != lent_to_) {
+    next = std::min(next, lent_until_);
+  }
+  if (waiting_ > 0) {
+    for (const auto& [id, tenant] : tenants_) {
+      for (const Waiting& waiting : tenant.waiting) {
+        next = std::min(next, waiting.give_up_at);
+      }
+    }
+  }
+  return next;
+}
+
+}  // namespace endivecleat
