Bound the use within the window, and keep tokens in stock in calm

The owner now counts what was used within 5 s and leases up to the rest of the window's limit, so that a tenant below its limit has more tokens in stock.

--- a/src/quota_client.cc
+++ b/src/quota_client.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <string>
 
 #include "quota_limits.h"
@@ -33,12 +34,17 @@
 // Messages for requests that wait: the average and the most at once. With about 350 bytes for a
 // round trip, they stay under 2 kB/s.
 constexpr double kMessagesPerSecond = 5;
-constexpr double kMaxAllowance = 5;
+constexpr double kMaxAllowance = 15;
+// A message is sent in any case when requests have waited for this time.
+constexpr Duration kLongWait = std::chrono::milliseconds(70);
 // Stock of tokens: one for a tenant that was seen lately, and the demand of this time.
 constexpr double kStockSeconds = 0.8;
-constexpr double kMinStockRate = 0.03;  // one request was seen within the last 10 s
-constexpr double kSingleTokenRate = 0.25;
-constexpr double kRateSeconds = 6;  // time constant of the measured rate
+constexpr double kMinStockRate = 0.02;  // one request was seen within the last 17 s
+// Assumed of a tenant that is new in the configuration, so that its first requests find a token.
+constexpr double kRateOfNewTenant = 0.1;
+constexpr double kSingleTokenRate = 0.35;
+constexpr uint32_t kSmallStock = 4;
+constexpr double kRateSeconds = 12;  // time constant of the measured rate
 constexpr double kBusyRate = 2;     // from here on a denied prefetch is repeated at once
 constexpr Duration kPrefetchPause = std::chrono::seconds(2);
 constexpr Duration kRenewal = std::chrono::milliseconds(700);  // left when a token is renewed
@@ -64,6 +70,9 @@
       if (found != before.end()) {
         state = std::move(found->second);
         before.erase(found);
+      } else {
+        state.rate = kRateOfNewTenant;
+        state.rate_at = now;
       }
       const TenantQuota quota = {tenant.quota.rate_per_second * part, tenant.quota.burst * part};
       const bool lower = quota.rate_per_second < state.quota.rate_per_second ||
@@ -155,7 +164,7 @@
   if (members_ == 0) {
     return 0;
   }
-  const double depth = DepthOf(tenant.quota).steady;
+  const double depth = UnknownPastLimitOf(tenant.quota);
   if (depth >= members_) {
     return depth / members_;
   }
@@ -186,6 +195,7 @@
       tenant.lots.pop_front();
     }
     tenant.changed = true;
+    CountUse(now, tenant, 1);
     ++counts_.taken;
     return true;
   }
@@ -194,11 +204,26 @@
     return false;
   }
   tenant.own_tokens -= 1;
+  CountUse(now, tenant, 1);
   token = {id, now};
   ++counts_.taken;
   return true;
 }
 
+void QuotaClient::CountUse(TimePoint now, TenantState& tenant, uint32_t tokens) {
+  const auto second =
+      static_cast<uint64_t>(now.time_since_epoch() / Duration(std::chrono::seconds(1)));
+  for (; tenant.second < second && tenant.second + kUseSlots > second - 1; ++tenant.second) {
+    tenant.used_by_second.at((tenant.second + 1) % kUseSlots) = 0;
+  }
+  if (tenant.second < second) {
+    tenant.used_by_second.fill(0);
+    tenant.second = second;
+  }
+  tenant.used_by_second.at(second % kUseSlots) += tokens;
+  tenant.used += tokens;
+}
+
 double QuotaClient::RateOf(const TenantState& tenant, TimePoint now) const {
   return tenant.rate * std::exp(-Seconds(now - tenant.rate_at) / kRateSeconds);
 }
@@ -223,6 +248,7 @@
   const bool has_owner = Lends(now) && answered_at_ + kOwnerSilence > now;
   const Duration wait = has_owner ? kMaxWait : kMaxWaitWithoutOwner;
   tenant.waiting.push_back({request, std::min(now + wait, deadline)});
+  waiting_since_ = waiting_ == 0 ? now : waiting_since_;
   ++waiting_;
   ++counts_.waited;
   answer.verdict = QuotaVerdict::kWait;
@@ -246,10 +272,11 @@
     return;
   }
   ++counts_.returned;
-  found->second.lots.push_front({token.expires_at, 1});
-  std::sort(found->second.lots.begin(), found->second.lots.end(),
+  TenantState& tenant = found->second;
+  tenant.lots.push_front({token.expires_at, 1});
+  std::sort(tenant.lots.begin(), tenant.lots.end(),
             [](const Lot& left, const Lot& right) { return left.expires_at < right.expires_at; });
-  Serve(now, token.tenant, found->second);
+  Serve(now, token.tenant, tenant);
 }
 
 QuotaAnswer QuotaClient::Refuse(TimePoint now, TenantState& tenant) {
@@ -288,7 +315,7 @@
   }
   const double allowance =
       std::min(allowance_ + Seconds(now - allowance_at_) * kMessagesPerSecond, kMaxAllowance);
-  return waiting_ > 0 && allowance >= 1;
+  return waiting_ > 0 && (allowance >= 1 || waiting_since_ + kLongWait <= now);
 }
 
 std::optional<OutgoingQuotaRequest> QuotaClient::NextRequest(TimePoint now) {
@@ -324,9 +351,10 @@
                         kMaxAllowance);
   allowance_at_ = now;
   allowance_ = std::max(allowance_ - 1, 0.0);
-  in_flight_ = InFlight{request.sequence, now, changes};
+  in_flight_ = InFlight{request.sequence, now, changes, request.owner_run != 0};
   next_period_ = now + kQuotaPeriod;
   hurry_ = false;
+  waiting_since_ = now;
   ++counts_.messages;
   return outgoing;
 }
@@ -337,6 +365,7 @@
   }
   if (!lends_ || lent_to_run_ != owner_run_) {
     lent_since_ = now;
+    introduced_ = false;
     for (auto& [id, tenant] : tenants_) {
       tenant.own_tokens = 0;
     }
@@ -344,8 +373,8 @@
   request.owner_run = owner_run_;
   request.stamp = stamp_;
   request.lent_for = std::min(now - lent_since_, kQuotaMemberMemory);
-  request.fresh = !has_lent_;
   lends_ = true;
+  has_lent_ = true;
   lent_to_ = *owner_;
   lent_to_run_ = owner_run_;
   lent_until_ = now + kQuotaDelegation;
@@ -360,6 +389,7 @@
 }
 
 void QuotaClient::AddEntries(TimePoint now, QuotaRequest& request) {
+  const bool introduces = request.owner_run != 0 && !introduced_;
   const bool gives_up = request.purpose != QuotaPurpose::kRequest;
   for (auto& [id, tenant] : tenants_) {
     const uint32_t stock = gives_up ? 0 : StockOf(tenant, now);
@@ -371,8 +401,9 @@
       entry.held += lot.expires_at > now ? lot.tokens : 0;
       lasting += lot.expires_at > now + kRenewal ? lot.tokens : 0;
     }
-    // Twice the stock is kept, so that a rate that varies does not cause messages.
-    while (entry.held > 2 * stock + 1 || (gives_up && entry.held > 0)) {
+    // Of a larger stock twice as much is kept, so that a rate that varies does not cause messages.
+    const uint32_t most = stock < kSmallStock ? stock : 2 * stock;
+    while (entry.held > most || (gives_up && entry.held > 0)) {
       Lot& lot = tenant.lots.back();
       entry.held -= lot.expires_at > now ? 1 : 0;
       tenant.returned += lot.expires_at > now ? 1 : 0;
@@ -380,6 +411,12 @@
         tenant.lots.pop_back();
       }
     }
+    entry.used = tenant.used;
+    if (introduces) {
+      CountUse(now, tenant, 0);
+      entry.recent = std::accumulate(tenant.used_by_second.begin(), tenant.used_by_second.end(),
+                                     uint32_t{0});
+    }
     entry.returned = std::exchange(tenant.returned, 0);
     entry.urgent = gives_up ? 0 : static_cast<uint32_t>(tenant.waiting.size());
     if (lasting < stock && now >= tenant.prefetch_at) {
@@ -388,7 +425,8 @@
         tenant.prefetch_at = now + kPrefetchPause;  // until granted
       }
     }
-    if (entry.returned + entry.urgent + entry.prefetch > 0 || tenant.changed) {
+    const bool unknown = introduces && entry.held + entry.recent > 0;
+    if (entry.returned + entry.urgent + entry.prefetch > 0 || tenant.changed || unknown) {
       request.entries.push_back(entry);
     }
     tenant.changed = false;
@@ -403,6 +441,7 @@
   const InFlight sent = *std::exchange(in_flight_, std::nullopt);
   failures_ = 0;
   answered_at_ = now;
+  introduced_ = introduced_ || sent.introduces;
   members_ = reply.members;
   if (owner_run_ != reply.owner_run) {
     hurry_ = true;  // to lend the share at once
@@ -507,7 +546,8 @@
       const double missing = std::max(1 - allowance_, 0.0);
       const auto pause = std::chrono::duration_cast<Duration>(
           std::chrono::duration<double>(missing / kMessagesPerSecond));
-      next = std::min(next, std::max(retry_at_, allowance_at_ + pause));
+      const TimePoint due = std::min(allowance_at_ + pause, waiting_since_ + kLongWait);
+      next = std::min(next, std::max(retry_at_, due));
     }
   }
   if (lends_ && owner_ != lent_to_) {
--- a/src/quota_client.h
+++ b/src/quota_client.h
@@ -4,6 +4,7 @@
 #ifndef ENDIVECLEAT_QUOTA_CLIENT_H_
 #define ENDIVECLEAT_QUOTA_CLIENT_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -102,6 +103,9 @@
   const Counts& counts() const { return counts_; }
 
  private:
+  // The window of 5 s and the second under way.
+  static constexpr uint64_t kUseSlots = 6;
+
   struct Lot {
     TimePoint expires_at;
     uint32_t tokens;
@@ -116,6 +120,9 @@
     std::deque<Lot> lots;       // ascending by expiry
     uint32_t returned = 0;      // tokens to give back with the next message
     bool changed = false;       // tokens were used since the latest message
+    uint64_t used = 0;          // tokens, in this run
+    std::array<uint32_t, kUseSlots> used_by_second{};  // by second modulo kUseSlots
+    uint64_t second = 0;                               // the newest
     double rate = 0;            // requests per second at this daemon, averaged
     TimePoint rate_at{};        // time of `rate`
     TimePoint prefetch_at{};    // earliest time of the next prefetch
@@ -132,6 +139,7 @@
     uint64_t sequence;
     TimePoint sent_at;
     bool changes_owner;
+    bool introduces;
   };
 
   bool HasLimits() const { return !tenants_.empty(); }
@@ -144,6 +152,7 @@
   bool IsDue(TimePoint now) const;
   void LendShare(TimePoint now, QuotaRequest& request);
   void AddEntries(TimePoint now, QuotaRequest& request);
+  static void CountUse(TimePoint now, TenantState& tenant, uint32_t tokens);
   uint32_t StockOf(const TenantState& tenant, TimePoint now) const;
   double RateOf(const TenantState& tenant, TimePoint now) const;
   bool TakeToken(TimePoint now, TenantId id, TenantState& tenant, QuotaToken& token);
@@ -159,6 +168,7 @@
   ConfigVersion version_;
   std::unordered_map<TenantId, TenantState> tenants_;  // those with a limit
   size_t waiting_ = 0;
+  TimePoint waiting_since_{};  // the first request, or the latest message
   std::vector<QuotaDecision> decisions_;
   std::vector<QuotaEvent> events_;
 
@@ -175,12 +185,13 @@
   TimePoint next_period_{};
   TimePoint retry_at_{};
   bool hurry_ = false;      // the next request is due at once
-  double allowance_ = 0;    // of requests for tokens that are missing
+  double allowance_ = 15;   // of requests for tokens that are missing
   TimePoint allowance_at_{};
 
   // The share is lent to lent_to_, and must not be used or lent to another owner before.
   bool lends_ = false;
   bool has_lent_ = false;
+  bool introduced_ = false;  // the owner knows what was used in the last window
   InstanceId lent_to_;
   uint64_t lent_to_run_ = 0;
   TimePoint lent_since_{};
--- a/src/quota_message.cc
+++ b/src/quota_message.cc
@@ -64,7 +64,6 @@
   writer.WriteVarint(request.owner_run);
   WriteTime(writer, request.stamp);
   writer.WriteVarint(ToMilliseconds(request.lent_for));
-  writer.WriteVarint(request.fresh ? 1 : 0);
   writer.WriteVarint(request.members);
   writer.WriteVarint(request.version.value());
   writer.WriteVarint(request.entries.size());
@@ -72,6 +71,8 @@
     writer.WriteVarint(entry.tenant.value());
     writer.WriteVarint(ToThousandths(entry.quota.rate_per_second));
     writer.WriteVarint(ToThousandths(entry.quota.burst));
+    writer.WriteVarint(entry.used);
+    writer.WriteVarint(entry.recent);
     writer.WriteVarint(entry.held);
     writer.WriteVarint(entry.returned);
     writer.WriteVarint(entry.urgent);
@@ -92,7 +93,6 @@
   request.owner_run = reader.ReadVarint();
   request.stamp = ReadTime(reader);
   request.lent_for = ReadMilliseconds(reader);
-  request.fresh = reader.ReadVarintUpTo(1) == 1;
   request.members = ReadCount(reader);
   request.version = ConfigVersion(reader.ReadVarint());
   request.entries.resize(reader.ReadCount());
@@ -100,6 +100,8 @@
     entry.tenant = TenantId(reader.ReadVarint());
     entry.quota.rate_per_second = ReadThousandths(reader);
     entry.quota.burst = ReadThousandths(reader);
+    entry.used = reader.ReadVarint();
+    entry.recent = ReadCount(reader);
     entry.held = ReadCount(reader);
     entry.returned = ReadCount(reader);
     entry.urgent = ReadCount(reader);
--- a/src/quota_message.h
+++ b/src/quota_message.h
@@ -22,6 +22,8 @@
 struct QuotaEntry {
   TenantId tenant;
   TenantQuota quota;       // in the configuration of the daemon; in thousandths on the wire
+  uint64_t used = 0;       // tokens, in this run of the daemon
+  uint32_t recent = 0;     // of these, in the last window; 0 where the owner knows them
   uint32_t held = 0;       // unused tokens at the daemon
   uint32_t returned = 0;   // tokens that it gives back; not in `held`
   uint32_t urgent = 0;     // tokens for requests that wait for them
@@ -44,7 +46,6 @@
   uint64_t owner_run = 0;  // from the latest reply of this owner; 0 if there is none
   TimePoint stamp{};       // the same
   Duration lent_for{};     // for how long the share has been lent to this run of the owner alone; ms
-  bool fresh = false;      // this run of the daemon has not lent its share before
   uint32_t members = 0;    // daemons of the mesh, from the latest reply of any owner; 0: unknown
   ConfigVersion version;   // of the quotas
   std::vector<QuotaEntry> entries;
--- a/src/quota_owner.cc
+++ b/src/quota_owner.cc
@@ -11,30 +11,47 @@
 
 // Daemons report the size of the mesh to an owner that may not know all members yet.
 constexpr Duration kLearningTime = std::chrono::seconds(5);
-constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
-// Prefetched tokens are at most this part of the depth, so that tokens for requests that wait still
-// accrue.
-constexpr double kMaxLeasedPart = 0.75;
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
+constexpr Duration kSlotLength = std::chrono::milliseconds(250);
+// The requests of a daemon are known from the window before it lent its share on; the rest is the
+// time of a change of owners.
+constexpr Duration kPastKnownAfter = kQuotaWindow + std::chrono::seconds(1);
+// A use is reported this long after the end of its lease at the latest, unless the daemon is cut
+// off.
+constexpr Duration kReportTime = std::chrono::milliseconds(1500);
+// A bucket with more than this part of its depth belongs to a tenant below its limit. Its daemons
+// may hold tokens in stock, up to a part of the window's limit.
+constexpr double kCalmPart = 0.5;
+constexpr double kMaxStockPart = 0.95;
+// More than the burst, so that a tenant near its limit does not alternate between refusals and
+// unused capacity.
+constexpr double kExtraDepth = 10;
 // Time constant with which refused tokens are forgotten; callers return about that late.
 constexpr double kMissingSeconds = 1;
-// A daemon asks again after this time at the latest.
 constexpr Duration kMaxWait = std::chrono::seconds(2);
 constexpr Duration kMinWait = std::chrono::milliseconds(20);
 
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+uint32_t WholeTokens(double tokens) { return static_cast<uint32_t>(std::max(tokens, 0.0)); }
+
 }  // namespace
 
 size_t QuotaOwner::members() const {
   return std::max({members_.size(), holders_, static_cast<size_t>(reported_members_), size_t{1}});
 }
 
+double QuotaOwner::Share() const {
+  return static_cast<double>(holders_) / static_cast<double>(members());
+}
+
 void QuotaOwner::SetMembers(TimePoint now, const std::vector<InstanceId>& daemons) {
   Advance(now);
   for (const InstanceId& daemon : daemons) {
     members_[daemon] = now;
   }
-  std::erase_if(members_, [&](const auto& entry) {
-    return entry.second + kQuotaMemberMemory < now;
-  });
+  std::erase_if(members_,
+                [&](const auto& entry) { return entry.second + kQuotaMemberMemory < now; });
   if (started_ + kQuotaMemberMemory < now) {
     reported_members_ = 0;
   }
@@ -43,35 +60,27 @@
 // Shares that have expired meanwhile do not count for any of the time, so that a frozen owner
 // counts too little rather than too much.
 void QuotaOwner::Advance(TimePoint now) {
-  if (now <= now_) {
-    return;
-  }
-  bool lost = false;
-  long_holders_ = 0;
   for (auto& [instance, daemon] : daemons_) {
     if (daemon.lends && daemon.lends_until <= now) {
       daemon.lends = false;
       --holders_;
-      lost = true;
     }
   }
-  const double seconds = std::chrono::duration<double>(now - now_).count();
-  share_seconds_ += seconds * static_cast<double>(holders_) / static_cast<double>(members());
-  now_ = now;
-  for (const auto& [instance, daemon] : daemons_) {
-    long_holders_ += LendsForLong(daemon) ? 1 : 0;
+  if (now > now_) {
+    share_seconds_ += Seconds(now - now_) * Share();
+    now_ = now;
   }
-  if (lost) {
-    for (auto& [tenant, bucket] : buckets_) {
-      Fill(bucket);
+  long_holders_ = 0;
+  short_seconds_ = 0;
+  for (const auto& [instance, daemon] : daemons_) {
+    if (daemon.lends && daemon.lends_since + kPastKnownAfter <= now_) {
+      ++long_holders_;
+    } else if (daemon.lends) {
+      short_seconds_ += Seconds(now_ - daemon.lends_since);
     }
   }
 }
 
-bool QuotaOwner::LendsForLong(const Daemon& daemon) const {
-  return daemon.lends && daemon.lends_since + kQuotaLease <= now_;
-}
-
 void QuotaOwner::Tick(TimePoint now) {
   Advance(now);
   if (now < next_sweep_) {
@@ -79,18 +88,21 @@
   }
   next_sweep_ = now + kSweepInterval;
   for (auto& [instance, daemon] : daemons_) {
-    std::erase_if(daemon.leases, [&](const auto& entry) {
-      if (entry.second.expires_at > now) {
-        return false;
+    for (auto& [tenant, lease] : daemon.leases) {
+      if (lease.tokens == 0 || lease.expires_at + kReportTime > now) {
+        continue;
+      }
+      Bucket& bucket = buckets_[tenant];
+      bucket.leased -= lease.tokens;
+      counts_.expired += lease.tokens;
+      if (daemon.heard_at < lease.expires_at) {
+        CountUsed(bucket, lease.tokens);  // the daemon is cut off and may have used them
       }
-      buckets_[entry.first].leased -= entry.second.tokens;
-      counts_.expired += entry.second.tokens;
-      return true;
-    });
+      lease.tokens = 0;
+    }
   }
   std::erase_if(daemons_, [&](const auto& entry) {
-    const Daemon& daemon = entry.second;
-    return !daemon.lends && daemon.leases.empty() && daemon.lends_until + kQuotaMemberMemory < now;
+    return !entry.second.lends && entry.second.heard_at + kQuotaMemberMemory < now;
   });
 }
 
@@ -102,14 +114,10 @@
 }
 
 void QuotaOwner::TakeBackShare(Daemon& daemon) {
-  if (!daemon.lends) {
-    return;
-  }
-  long_holders_ -= LendsForLong(daemon) ? 1 : 0;
-  daemon.lends = false;
-  --holders_;
-  for (auto& [tenant, bucket] : buckets_) {
-    Fill(bucket);
+  if (daemon.lends) {
+    daemon.lends = false;
+    --holders_;
+    Advance(now_);
   }
 }
 
@@ -120,16 +128,17 @@
   if (stopped_ || request.owner_run != run_ || request.stamp + kQuotaDelegation <= now_) {
     return;
   }
-  // The daemon knows better than the owner whether it lent its share to others meanwhile.
-  daemon.lends_since = now_ - request.lent_for;
   if (!daemon.lends) {
     daemon.lends = true;
     ++holders_;
-    if (request.fresh) {
-      fresh_shares_ += 1 / static_cast<double>(members());
+    if (request.lent_for < kQuotaPeriod) {
+      lent_shares_ += 1 / static_cast<double>(members());
     }
   }
+  // The daemon knows whether it lent its share to others meanwhile.
+  daemon.lends_since = now_ - request.lent_for;
   daemon.lends_until = std::max(daemon.lends_until, request.stamp + kQuotaDelegation);
+  Advance(now_);
 }
 
 QuotaReply QuotaOwner::Receive(TimePoint now, const QuotaRequest& request) {
@@ -138,6 +147,7 @@
   QuotaReply reply;
   reply.owner_run = run_;
   reply.stamp = now_;
+  reply.lease = kQuotaLease;
   const auto [found, added] = daemons_.try_emplace(request.from);
   Daemon& daemon = found->second;
   if (daemon.run != request.run) {
@@ -153,6 +163,7 @@
     return reply;  // arrived late or twice
   }
   daemon.sequence = request.sequence;
+  daemon.heard_at = now_;
   if (now_ < started_ + kLearningTime) {
     reported_members_ = std::max(reported_members_, request.members);
   }
@@ -165,101 +176,125 @@
     }
   }
   reply.released = stopped_ || request.purpose != QuotaPurpose::kRequest;
-  reply.lease = LendsForLong(daemon) ? kQuotaLease : kQuotaShortLease;
   for (const QuotaEntry& entry : request.entries) {
-    Grant(daemon, entry, request.version, reply);
+    Bucket& bucket = FindBucket(entry, request.version);
+    Report(daemon, bucket, entry);
+    if (!reply.released) {
+      Grant(daemon, bucket, entry, reply);
+    }
   }
   reply.members = static_cast<uint32_t>(members());
   return reply;
 }
 
+// The run that held the tokens has ended. It may have used them just before.
 void QuotaOwner::DropLeases(Daemon& daemon) {
   for (const auto& [tenant, lease] : daemon.leases) {
-    buckets_[tenant].leased -= lease.tokens;
+    Bucket& bucket = buckets_[tenant];
+    bucket.leased -= lease.tokens;
     counts_.expired += lease.tokens;
+    CountUsed(bucket, lease.tokens);
   }
   daemon.leases.clear();
 }
 
-void QuotaOwner::Grant(Daemon& daemon, const QuotaEntry& entry, ConfigVersion version,
-                       QuotaReply& reply) {
+// A new bucket is filled from the start of this owner on: nothing was taken from it.
+QuotaOwner::Bucket& QuotaOwner::FindBucket(const QuotaEntry& entry, ConfigVersion version) {
   const auto [found, added] = buckets_.try_emplace(entry.tenant);
   Bucket& bucket = found->second;
-  // A new bucket is filled from the start of this owner on: nothing was taken from it.
   if (added || version > bucket.version) {
-    if (!added) {
-      Fill(bucket);
-    }
+    Fill(bucket);
     bucket.quota = entry.quota;
     bucket.version = version;
   }
-  SetLease(daemon, bucket, entry.tenant, entry.held, now_ + kQuotaLease);
-  bucket.tokens += entry.returned;
-  counts_.returned += entry.returned;
   Fill(bucket);
-  if (reply.released) {
-    return;
-  }
-  const auto available = static_cast<uint32_t>(std::max(std::floor(bucket.tokens), 0.0));
+  return bucket;
+}
+
+void QuotaOwner::Report(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry) {
+  const auto [found, added] = daemon.leases.try_emplace(entry.tenant);
+  Lease& lease = found->second;
+  const uint64_t used_since = added || entry.used < lease.used ? 0 : entry.used - lease.used;
+  const uint64_t used = std::max<uint64_t>(used_since, entry.recent);
+  CountUsed(bucket, used);
+  bucket.tokens -= static_cast<double>(used_since);
+  counts_.returned += entry.returned;
+  bucket.leased += entry.held;
+  bucket.leased -= lease.tokens;
+  lease = {entry.held, entry.used, now_ + kQuotaLease};
+}
+
+void QuotaOwner::Grant(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry, QuotaReply& reply) {
+  const double limit = WindowLimit(bucket.quota);
+  const auto leased = static_cast<double>(bucket.leased);
+  const double taken = leased + static_cast<double>(bucket.used_in_window);
+  const uint32_t room = WholeTokens(limit - taken);
+  const bool calm = bucket.tokens >= kCalmPart * Depth(bucket.quota);
+  const uint32_t available = calm ? room : std::min(room, WholeTokens(bucket.tokens - leased));
   const uint32_t urgent = std::min(entry.urgent, available);
-  uint32_t prefetch = 0;
-  const double room =
-      std::floor(kMaxLeasedPart * Depth(bucket.quota) - static_cast<double>(bucket.leased));
-  if (room >= 1) {
-    const uint32_t half = (available - urgent + 1) / 2;
-    prefetch = std::min({entry.prefetch, half, static_cast<uint32_t>(room)});
-  }
+  // A tenant at its limit gets half of the rest, so that tokens remain for other daemons.
+  const uint32_t prefetch =
+      std::min(entry.prefetch, calm ? WholeTokens(kMaxStockPart * limit - taken - urgent)
+                                    : (available - urgent + 1) / 2);
   const uint32_t tokens = urgent + prefetch;
-  bucket.tokens -= tokens;
   counts_.granted += tokens;
   counts_.refused += entry.urgent - urgent;
-  Duration wait{};
-  if (urgent < entry.urgent) {
-    wait = ExpectedWait(bucket, entry.urgent - urgent);
-  }
+  const Duration wait =
+      urgent < entry.urgent ? ExpectedWait(bucket, entry.urgent - urgent) : Duration{};
   if (tokens > 0) {
-    SetLease(daemon, bucket, entry.tenant, entry.held + tokens, now_ + kQuotaLease);
+    bucket.leased += tokens;
+    daemon.leases[entry.tenant].tokens += tokens;
   }
   if (tokens > 0 || wait > Duration{}) {
     reply.grants.push_back({entry.tenant, tokens, wait});
   }
 }
 
+void QuotaOwner::CountUsed(Bucket& bucket, uint64_t tokens) {
+  const auto slot = static_cast<uint64_t>(now_.time_since_epoch() / kSlotLength);
+  const uint64_t passed = std::min<uint64_t>(slot - bucket.slot, kSlots);
+  for (uint64_t step = 1; step <= passed; ++step) {
+    uint32_t& oldest = bucket.used.at((slot - passed + step) % kSlots);
+    bucket.used_in_window -= oldest;
+    oldest = 0;
+  }
+  bucket.slot = slot;
+  bucket.used.at(slot % kSlots) += static_cast<uint32_t>(tokens);
+  bucket.used_in_window += tokens;
+}
+
 Duration QuotaOwner::ExpectedWait(Bucket& bucket, uint32_t missing) const {
-  const double passed = std::chrono::duration<double>(now_ - bucket.missing_at).count();
+  const double passed = Seconds(now_ - bucket.missing_at);
   bucket.missing = bucket.missing * std::exp(-passed / kMissingSeconds) + missing;
   bucket.missing_at = now_;
-  const double rate = bucket.quota.rate_per_second * static_cast<double>(holders_) /
-                      static_cast<double>(members());
-  const double most = std::chrono::duration<double>(kMaxWait).count();
+  const double rate = bucket.quota.rate_per_second * Share();
+  const double most = Seconds(kMaxWait);
   const double seconds = rate <= 0 ? most : std::min(bucket.missing / rate, most);
   return std::max(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)),
                   kMinWait);
 }
 
-void QuotaOwner::SetLease(Daemon& daemon, Bucket& bucket, TenantId tenant, uint32_t tokens,
-                          TimePoint expires_at) {
-  Lease& lease = daemon.leases[tenant];
-  bucket.leased += tokens;
-  bucket.leased -= lease.tokens;
-  lease = {tokens, expires_at};
+double QuotaOwner::Depth(const TenantQuota& quota) const {
+  return (quota.burst + kExtraDepth) * Share();
 }
 
-double QuotaOwner::Depth(const TenantQuota& quota) const {
-  const QuotaDepth depth = DepthOf(quota);
-  const auto all = static_cast<double>(members());
-  const auto lent_for_long = static_cast<double>(long_holders_);
-  const double lent_since = static_cast<double>(holders_) - lent_for_long;
-  return (depth.steady * lent_for_long + depth.margin * lent_since) / all;
+double QuotaOwner::WindowLimit(const TenantQuota& quota) const {
+  const double limit = WindowLimitOf(quota);
+  const auto short_holders = static_cast<double>(holders_ - long_holders_);
+  const double of_short = short_holders * UnknownPastLimitOf(quota) +
+                          quota.rate_per_second * short_seconds_;
+  return (limit * static_cast<double>(long_holders_) + std::min(of_short, limit * short_holders)) /
+         static_cast<double>(members());
 }
 
-void QuotaOwner::Fill(Bucket& bucket) const {
-  const double fresh = DepthOf(bucket.quota).margin * (fresh_shares_ - bucket.fresh);
-  bucket.tokens += bucket.quota.rate_per_second * (share_seconds_ - bucket.filled) + fresh;
+// A share that is lent comes with its part of the depth, since the window holds the bound.
+void QuotaOwner::Fill(Bucket& bucket) {
+  CountUsed(bucket, 0);
+  bucket.tokens += bucket.quota.rate_per_second * (share_seconds_ - bucket.filled) +
+                   (bucket.quota.burst + kExtraDepth) * (lent_shares_ - bucket.lent);
   bucket.filled = share_seconds_;
-  bucket.fresh = fresh_shares_;
-  const double most = Depth(bucket.quota) - static_cast<double>(bucket.leased);
-  bucket.tokens = std::clamp(bucket.tokens, 0.0, std::max(most, 0.0));
+  bucket.lent = lent_shares_;
+  bucket.tokens = std::clamp(bucket.tokens, -WindowLimitOf(bucket.quota), Depth(bucket.quota));
 }
 
 }  // namespace endivecleat
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -1,11 +1,11 @@
-// The owner of the quotas of all tenants: one token bucket for each tenant, from which daemons
-// lease tokens. Each daemon lends its share, 1 / N of every quota, to one owner at a time; the
-// buckets fill at the sum of the shares that the owner holds at the moment. Whatever the views of
-// the membership, the rates of all owners together are therefore at most the quota. QuotaClient
-// sends the requests; see docs/design/quotas.md.
+// The owner of the quotas of all tenants: leases tokens to daemons. Each daemon lends its share,
+// 1 / N of every quota, to one owner at a time, and an owner gives out the sum of the shares that
+// it holds at the moment. Whatever the views of the membership, all owners together therefore give
+// out at most the quota. QuotaClient sends the requests; see docs/design/quotas.md.
 #ifndef ENDIVECLEAT_QUOTA_OWNER_H_
 #define ENDIVECLEAT_QUOTA_OWNER_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <unordered_map>
@@ -16,14 +16,17 @@
 
 namespace endivecleat {
 
-/// All times are of the boot clock of the owner's machine.
+/// Two rules decide on each token. The window: what was used within 5 s and what is leased stay
+/// within the limit of the window; this holds the bound. The bucket: the use stays within the rate
+/// and the burst; a tenant whose bucket is full may hold more leased tokens than the bucket has,
+/// so that each daemon has some in stock. All times are of the boot clock of the owner's machine.
 class QuotaOwner {
  public:
   struct Counts {
     uint64_t granted = 0;   // tokens
     uint64_t refused = 0;   // urgent tokens that were missing
     uint64_t returned = 0;  // tokens
-    uint64_t expired = 0;   // leased tokens that were neither used nor returned, as far as known
+    uint64_t expired = 0;   // tokens that were leased and not reported as used or returned
     uint64_t requests = 0;
   };
 
@@ -44,8 +47,12 @@
   const Counts& counts() const { return counts_; }
 
  private:
+  static constexpr size_t kSlots = 21;  // of a quarter of a second: the window and one under way
+
+  /// What is known of a tenant at one daemon.
   struct Lease {
     uint32_t tokens = 0;
+    uint64_t used = 0;  // by the run of the daemon, as it reports
     TimePoint expires_at{};
   };
   struct Daemon {
@@ -54,31 +61,38 @@
     bool lends = false;
     TimePoint lends_until{};
     TimePoint lends_since{};
+    TimePoint heard_at{};
     std::unordered_map<TenantId, Lease> leases;
   };
   struct Bucket {
     TenantQuota quota;
     ConfigVersion version;
-    double tokens = 0;
-    double filled = 0;       // value of share_seconds_ up to which `tokens` is filled
-    double fresh = 0;        // the same of fresh_shares_
+    double tokens = 0;  // without what is leased; negative after the use of tokens in stock
+    double filled = 0;  // value of share_seconds_ up to which `tokens` is filled
+    double lent = 0;    // the same of lent_shares_
+    uint64_t leased = 0;
+    std::array<uint32_t, kSlots> used{};  // by slot of time, modulo kSlots
+    uint64_t slot = 0;                    // the newest
+    uint64_t used_in_window = 0;
     double missing = 0;      // tokens that were refused lately; decays
     TimePoint missing_at{};  // time of `missing`
-    uint64_t leased = 0;     // sum of the unexpired leases
   };
 
   void Advance(TimePoint now);
   void UpdateShare(Daemon& daemon, const QuotaRequest& request);
   void TakeBackShare(Daemon& daemon);
   void DropLeases(Daemon& daemon);
-  void Grant(Daemon& daemon, const QuotaEntry& entry, ConfigVersion version, QuotaReply& reply);
-  void SetLease(Daemon& daemon, Bucket& bucket, TenantId tenant, uint32_t tokens,
-                TimePoint expires_at);
-  void Fill(Bucket& bucket) const;
+  Bucket& FindBucket(const QuotaEntry& entry, ConfigVersion version);
+  void Report(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry);
+  void Grant(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry, QuotaReply& reply);
+  void CountUsed(Bucket& bucket, uint64_t tokens);
+  void Fill(Bucket& bucket);
   /// When a token is likely to be free, given what has been refused lately.
   Duration ExpectedWait(Bucket& bucket, uint32_t missing) const;
+  double Share() const;
   double Depth(const TenantQuota& quota) const;
-  bool LendsForLong(const Daemon& daemon) const;
+  /// Tokens that may be used within the window and leased, from the shares held.
+  double WindowLimit(const TenantQuota& quota) const;
 
   uint64_t run_;
   TimePoint started_;
@@ -89,9 +103,10 @@
   std::map<InstanceId, TimePoint> members_;  // when each was a member last
   uint32_t reported_members_ = 0;            // by daemons soon after the start
   size_t holders_ = 0;
-  size_t long_holders_ = 0;   // of these, the ones that lend for longer than a lease
-  double share_seconds_ = 0;  // integral over time of the share that is held
-  double fresh_shares_ = 0;   // sum of the shares lent by daemons that started
+  size_t long_holders_ = 0;    // of these, the ones whose requests of the last window are known
+  double short_seconds_ = 0;   // sum of the times for which the others have lent their shares
+  double share_seconds_ = 0;   // integral over time of the share that is held
+  double lent_shares_ = 0;     // sum of all shares when they were lent
   TimePoint next_sweep_{};
   Counts counts_;
 };
