--- a/src/quota_client.cc
+++ b/src/quota_client.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <string>
 
 #include "quota_limits.h"
@@ -18,14 +17,21 @@
 constexpr Duration kMaxWait = std::chrono::milliseconds(150);
 // The same while there is no owner, after a start or a change of owners. These take up to
 // kQuotaDelegation; the tenant is probably far below its limit.
-constexpr Duration kMaxWaitWithoutOwner = std::chrono::milliseconds(800);
+constexpr Duration kMaxWaitWithoutOwner = std::chrono::seconds(1);
+// The daemons lend their shares to a new owner within this time.
+constexpr Duration kJoiningTime = kQuotaPeriod + std::chrono::milliseconds(100);
 constexpr Duration kOwnerSilence = std::chrono::milliseconds(700);
 // While the owner has no tokens, further requests are refused without a message.
 constexpr Duration kMinRefusal = std::chrono::milliseconds(100);
 constexpr Duration kMaxRefusal = std::chrono::milliseconds(300);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
+// After the end of a lending: for so long another owner may take the share, and the tokens with it,
+// before the daemon uses its share itself.
+constexpr Duration kIntroductionTime = std::chrono::seconds(1);
 constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
-constexpr Duration kAvoidSilentOwner = std::chrono::seconds(1);
+constexpr Duration kAvoidSilentOwner = std::chrono::seconds(2);
+constexpr Duration kMaxAvoid = std::chrono::seconds(30);
+constexpr Duration kForgetFailures = std::chrono::seconds(30);
 constexpr Duration kAvoidStoppedOwner = std::chrono::seconds(5);
 constexpr unsigned kMaxFailures = 2;
 // An owner that is preferred to the current one takes over after this time; long enough for the
@@ -47,6 +53,7 @@
 constexpr double kRateSeconds = 12;  // time constant of the measured rate
 constexpr double kBusyRate = 2;     // from here on a denied prefetch is repeated at once
 constexpr Duration kPrefetchPause = std::chrono::seconds(2);
+constexpr Duration kPrefetchPauseOfNewTenant = std::chrono::seconds(30);
 constexpr Duration kRenewal = std::chrono::milliseconds(700);  // left when a token is renewed
 constexpr Duration kLimitedPause = std::chrono::seconds(5);    // ends a limitation in the log
 
@@ -99,20 +106,28 @@
 
 void QuotaClient::SetOwners(TimePoint now, std::vector<InstanceId> owners) {
   owners_ = std::move(owners);
-  std::erase_if(avoid_until_, [&](const auto& entry) { return entry.second <= now; });
+  std::erase_if(avoided_, [&](const auto& entry) {
+    return entry.second.until + entry.second.time + kForgetFailures <= now;
+  });
   ChooseOwner(now);
 }
 
 std::optional<InstanceId> QuotaClient::PreferredOwner(TimePoint now) const {
   for (const InstanceId& owner : owners_) {
-    const auto avoided = avoid_until_.find(owner);
-    if (avoided == avoid_until_.end() || avoided->second <= now) {
+    const auto avoided = avoided_.find(owner);
+    if (avoided == avoided_.end() || avoided->second.until <= now) {
       return owner;
     }
   }
   return std::nullopt;
 }
 
+void QuotaClient::Avoid(TimePoint now, const InstanceId& owner, Duration time) {
+  Avoided& avoided = avoided_[owner];
+  avoided.time = std::clamp(2 * avoided.time, time, kMaxAvoid);
+  avoided.until = now + avoided.time;
+}
+
 void QuotaClient::ChooseOwner(TimePoint now) {
   const std::optional<InstanceId> preferred = PreferredOwner(now);
   if (!owner_) {
@@ -132,6 +147,7 @@
   owner_ = std::move(owner);
   owner_run_ = 0;
   failures_ = 0;
+  probed_.reset();
   other_preferred_at_ = TimePoint::max();
   retry_at_ = TimePoint{};
   hurry_ = true;
@@ -140,12 +156,14 @@
 
 void QuotaClient::DropExpired(TimePoint now) {
   now_ = std::max(now_, now);
-  const bool lapsed = lends_ && lent_until_ <= now_;
-  if (!lapsed) {
+  if (lends_ && lent_until_ <= now_) {
+    lends_ = false;
+    hurry_ = true;  // to lend the share to the current owner
+  }
+  if (lends_ || !holds_leased_ || now_ < lent_until_ + kIntroductionTime) {
     return;
   }
-  lends_ = false;
-  hurry_ = true;  // to lend the share to the current owner
+  holds_leased_ = false;
   for (auto& [id, tenant] : tenants_) {
     auto keep = static_cast<uint32_t>(OwnDepth(id, tenant));
     for (Lot& lot : tenant.lots) {
@@ -173,7 +191,7 @@
 }
 
 void QuotaClient::FillOwn(TimePoint now, TenantId id, TenantState& tenant) const {
-  const TimePoint from = std::max(tenant.own_filled, lent_until_);
+  const TimePoint from = std::max(tenant.own_filled, lent_until_ + kIntroductionTime);
   tenant.own_filled = now;
   if (Lends(now) || members_ == 0 || !has_lent_ || now <= from) {
     return;
@@ -224,6 +242,20 @@
   tenant.used += tokens;
 }
 
+std::vector<uint32_t> QuotaClient::RecentUse(TimePoint now, TenantState& tenant) {
+  CountUse(now, tenant, 0);
+  // Uses of the second before this one may be of any age from 0 on.
+  std::vector<uint32_t> recent(kUseSlots - 1);
+  for (uint64_t back = 0; back < kUseSlots; ++back) {
+    recent.at(back == 0 ? 0 : back - 1) +=
+        tenant.used_by_second.at((tenant.second + kUseSlots - back) % kUseSlots);
+  }
+  while (!recent.empty() && recent.back() == 0) {
+    recent.pop_back();
+  }
+  return recent;
+}
+
 double QuotaClient::RateOf(const TenantState& tenant, TimePoint now) const {
   return tenant.rate * std::exp(-Seconds(now - tenant.rate_at) / kRateSeconds);
 }
@@ -237,6 +269,7 @@
   }
   TenantState& tenant = found->second;
   tenant.rate = RateOf(tenant, now) + 1 / kRateSeconds;
+  tenant.seen = true;
   tenant.rate_at = now;
   QuotaAnswer answer;
   if (tenant.waiting.empty() && TakeToken(now, id, tenant, answer.token)) {
@@ -245,9 +278,7 @@
   if (now < tenant.refuse_until) {
     return Refuse(now, tenant);
   }
-  const bool has_owner = Lends(now) && answered_at_ + kOwnerSilence > now;
-  const Duration wait = has_owner ? kMaxWait : kMaxWaitWithoutOwner;
-  tenant.waiting.push_back({request, std::min(now + wait, deadline)});
+  tenant.waiting.push_back({request, now, deadline});
   waiting_since_ = waiting_ == 0 ? now : waiting_since_;
   ++waiting_;
   ++counts_.waited;
@@ -255,6 +286,16 @@
   return answer;
 }
 
+bool QuotaClient::HasOwner(TimePoint now) const {
+  return Lends(now) && owner_ == lent_to_ && lent_since_ + kJoiningTime <= now && failures_ == 0 &&
+         answered_at_ + kOwnerSilence > now;
+}
+
+TimePoint QuotaClient::GiveUpAt(TimePoint now, const Waiting& waiting) const {
+  return std::min(waiting.since + (HasOwner(now) ? kMaxWait : kMaxWaitWithoutOwner),
+                  waiting.deadline);
+}
+
 void QuotaClient::Forget(TenantId id, RequestNumber request) {
   const auto found = tenants_.find(id);
   if (found != tenants_.end()) {
@@ -328,6 +369,12 @@
     retry_at_ = now + kRetryInterval;
     return std::nullopt;
   }
+  const bool changes =
+      other_preferred_at_ != TimePoint::max() && other_preferred_at_ + kSettleTime <= now;
+  const std::optional<InstanceId> preferred = PreferredOwner(now);
+  if (changes && preferred && probed_ != preferred && !stopping_) {
+    return MakeProbe(now, *preferred);
+  }
   OutgoingQuotaRequest outgoing;
   QuotaRequest& request = outgoing.request;
   outgoing.to = *owner_;
@@ -336,8 +383,6 @@
   request.sequence = ++sequence_;
   request.members = members_;
   request.version = version_;
-  const bool changes =
-      other_preferred_at_ != TimePoint::max() && other_preferred_at_ + kSettleTime <= now;
   if (stopping_) {
     request.purpose = QuotaPurpose::kStop;
     stopped_ = true;
@@ -351,7 +396,7 @@
                         kMaxAllowance);
   allowance_at_ = now;
   allowance_ = std::max(allowance_ - 1, 0.0);
-  in_flight_ = InFlight{request.sequence, now, changes, request.owner_run != 0};
+  in_flight_ = InFlight{request.sequence, now, changes, request.owner_run != 0, std::nullopt};
   next_period_ = now + kQuotaPeriod;
   hurry_ = false;
   waiting_since_ = now;
@@ -359,8 +404,24 @@
   return outgoing;
 }
 
+// Asks whether an owner answers before the share is taken back from the current one.
+OutgoingQuotaRequest QuotaClient::MakeProbe(TimePoint now, const InstanceId& owner) {
+  OutgoingQuotaRequest outgoing;
+  outgoing.to = owner;
+  outgoing.request.from = self_;
+  outgoing.request.run = run_;
+  outgoing.request.sequence = ++sequence_;
+  outgoing.request.members = members_;
+  outgoing.request.version = version_;
+  in_flight_ = InFlight{sequence_, now, false, false, owner};
+  ++counts_.messages;
+  return outgoing;
+}
+
 void QuotaClient::LendShare(TimePoint now, QuotaRequest& request) {
-  if (owner_run_ == 0 || (lends_ && lent_to_ != *owner_)) {
+  // After a failure the owner is only asked whether it answers: a promise would delay the change
+  // to another one.
+  if (owner_run_ == 0 || failures_ > 0 || (lends_ && lent_to_ != *owner_)) {
     return;
   }
   if (!lends_ || lent_to_run_ != owner_run_) {
@@ -375,6 +436,7 @@
   request.lent_for = std::min(now - lent_since_, kQuotaMemberMemory);
   lends_ = true;
   has_lent_ = true;
+  holds_leased_ = true;
   lent_to_ = *owner_;
   lent_to_run_ = owner_run_;
   lent_until_ = now + kQuotaDelegation;
@@ -413,19 +475,18 @@
     }
     entry.used = tenant.used;
     if (introduces) {
-      CountUse(now, tenant, 0);
-      entry.recent = std::accumulate(tenant.used_by_second.begin(), tenant.used_by_second.end(),
-                                     uint32_t{0});
+      entry.recent = RecentUse(now, tenant);
     }
     entry.returned = std::exchange(tenant.returned, 0);
     entry.urgent = gives_up ? 0 : static_cast<uint32_t>(tenant.waiting.size());
     if (lasting < stock && now >= tenant.prefetch_at) {
       entry.prefetch = stock - lasting;
-      if (RateOf(tenant, now) < kBusyRate) {
-        tenant.prefetch_at = now + kPrefetchPause;  // until granted
+      if (request.owner_run != 0 && RateOf(tenant, now) < kBusyRate) {
+        // Until granted.
+        tenant.prefetch_at = now + (tenant.seen ? kPrefetchPause : kPrefetchPauseOfNewTenant);
       }
     }
-    const bool unknown = introduces && entry.held + entry.recent > 0;
+    const bool unknown = introduces && (entry.held > 0 || !entry.recent.empty());
     if (entry.returned + entry.urgent + entry.prefetch > 0 || tenant.changed || unknown) {
       request.entries.push_back(entry);
     }
@@ -439,11 +500,15 @@
     return;
   }
   const InFlight sent = *std::exchange(in_flight_, std::nullopt);
+  if (sent.probed) {
+    probed_ = sent.probed;
+    return;
+  }
   failures_ = 0;
   answered_at_ = now;
   introduced_ = introduced_ || sent.introduces;
   members_ = reply.members;
-  if (owner_run_ != reply.owner_run) {
+  if (!Lends(now) || owner_run_ != reply.owner_run) {
     hurry_ = true;  // to lend the share at once
   }
   owner_run_ = reply.owner_run;
@@ -451,7 +516,7 @@
   if (reply.released) {
     lent_until_ = std::min(lent_until_, now);
     if (!sent.changes_owner) {
-      avoid_until_[*owner_] = now + kAvoidStoppedOwner;
+      Avoid(now, *owner_, kAvoidStoppedOwner);
     }
     UseOwner(PreferredOwner(now));
     DropExpired(now);
@@ -470,9 +535,10 @@
     }
     tenant.wait_hint = grant.wait;
     Serve(now, grant.tenant, tenant);
-    if (grant.wait > Duration{}) {
+    // An owner that does not hold all shares yet may have no tokens for that reason alone.
+    if (grant.wait > Duration{} && HasOwner(now)) {
       tenant.refuse_until = now + std::clamp(grant.wait, kMinRefusal, kMaxRefusal);
-      while (!tenant.waiting.empty() && tenant.waiting.back().give_up_at < now + grant.wait) {
+      while (!tenant.waiting.empty() && GiveUpAt(now, tenant.waiting.back()) < now + grant.wait) {
         Decide(tenant.waiting.back().request, Refuse(now, tenant));
         tenant.waiting.pop_back();
         --waiting_;
@@ -488,11 +554,16 @@
   }
   const InFlight sent = *std::exchange(in_flight_, std::nullopt);
   ++counts_.failed_messages;
+  if (sent.probed) {
+    Avoid(now, *sent.probed, kAvoidSilentOwner);
+    ChooseOwner(now);
+    return;
+  }
   ++failures_;
   retry_at_ = now + kRetryInterval;
   hurry_ = true;
   if (failures_ >= kMaxFailures || sent.changes_owner) {
-    avoid_until_[*owner_] = now + kAvoidSilentOwner;
+    Avoid(now, *owner_, kAvoidSilentOwner);
     const std::optional<InstanceId> next = PreferredOwner(now);
     if (next) {
       UseOwner(next);
@@ -510,7 +581,7 @@
       }
       Serve(now, id, tenant);
       waiting_ -= std::erase_if(tenant.waiting, [&](const Waiting& waiting) {
-        if (waiting.give_up_at > now) {
+        if (GiveUpAt(now, waiting) > now) {
           return false;
         }
         Decide(waiting.request, Refuse(now, tenant));
@@ -556,7 +627,7 @@
   if (waiting_ > 0) {
     for (const auto& [id, tenant] : tenants_) {
       for (const Waiting& waiting : tenant.waiting) {
-        next = std::min(next, waiting.give_up_at);
+        next = std::min(next, GiveUpAt(now_, waiting));
       }
     }
   }
--- a/src/quota_client.h
+++ b/src/quota_client.h
@@ -112,7 +112,8 @@
   };
   struct Waiting {
     RequestNumber request;
-    TimePoint give_up_at;
+    TimePoint since;
+    TimePoint deadline;
   };
   struct TenantState {
     TenantName name;
@@ -125,6 +126,7 @@
     uint64_t second = 0;                               // the newest
     double rate = 0;            // requests per second at this daemon, averaged
     TimePoint rate_at{};        // time of `rate`
+    bool seen = false;          // a request of the tenant has come
     TimePoint prefetch_at{};    // earliest time of the next prefetch
     std::deque<Waiting> waiting;
     TimePoint refuse_until{};   // the owner has no tokens until then
@@ -140,18 +142,26 @@
     TimePoint sent_at;
     bool changes_owner;
     bool introduces;
+    std::optional<InstanceId> probed;
   };
 
   bool HasLimits() const { return !tenants_.empty(); }
+  /// Whether the owner of the share answers.
+  bool HasOwner(TimePoint now) const;
+  TimePoint GiveUpAt(TimePoint now, const Waiting& waiting) const;
   bool Lends(TimePoint now) const { return lends_ && now < lent_until_; }
-  /// After the end of a lease of the share: only what the own share allows to store is kept.
+  /// When the share is not lent and no owner has taken it in time: keeps only the tokens that the
+  /// own share allows to store.
   void DropExpired(TimePoint now);
   void ChooseOwner(TimePoint now);
   std::optional<InstanceId> PreferredOwner(TimePoint now) const;
+  void Avoid(TimePoint now, const InstanceId& owner, Duration time);
+  OutgoingQuotaRequest MakeProbe(TimePoint now, const InstanceId& owner);
   void UseOwner(std::optional<InstanceId> owner);
   bool IsDue(TimePoint now) const;
   void LendShare(TimePoint now, QuotaRequest& request);
   void AddEntries(TimePoint now, QuotaRequest& request);
+  static std::vector<uint32_t> RecentUse(TimePoint now, TenantState& tenant);
   static void CountUse(TimePoint now, TenantState& tenant, uint32_t tokens);
   uint32_t StockOf(const TenantState& tenant, TimePoint now) const;
   double RateOf(const TenantState& tenant, TimePoint now) const;
@@ -173,8 +183,13 @@
   std::vector<QuotaEvent> events_;
 
   std::vector<InstanceId> owners_;
-  std::map<InstanceId, TimePoint> avoid_until_;  // owners that did not answer or stop
+  struct Avoided {
+    TimePoint until;
+    Duration time;  // doubles with each failure
+  };
+  std::map<InstanceId, Avoided> avoided_;  // owners that did not answer or stop
   std::optional<InstanceId> owner_;
+  std::optional<InstanceId> probed_;  // another owner that answers
   TimePoint other_preferred_at_ = TimePoint::max();  // since when another owner is preferred
   uint64_t owner_run_ = 0;                           // from its latest reply; 0 without one
   TimePoint stamp_{};
@@ -191,6 +206,7 @@
   // The share is lent to lent_to_, and must not be used or lent to another owner before.
   bool lends_ = false;
   bool has_lent_ = false;
+  bool holds_leased_ = false;  // tokens that an owner leased may be left
   bool introduced_ = false;  // the owner knows what was used in the last window
   InstanceId lent_to_;
   uint64_t lent_to_run_ = 0;
--- a/src/quota_limits.h
+++ b/src/quota_limits.h
@@ -10,7 +10,7 @@
 namespace endivecleat {
 
 /// A daemon lends its share to an owner for this long from the sending of each request on.
-constexpr Duration kQuotaDelegation = std::chrono::milliseconds(1500);
+constexpr Duration kQuotaDelegation = std::chrono::milliseconds(1250);
 /// Between two requests of a daemon that needs no token.
 constexpr Duration kQuotaPeriod = std::chrono::milliseconds(500);
 /// Leased tokens expire after this time, or when the share of the daemon is no longer lent. Long,
--- a/src/quota_message.cc
+++ b/src/quota_message.cc
@@ -12,6 +12,7 @@
 
 constexpr uint64_t kFormat = 1;
 constexpr int kTenantIdBits = 48;
+constexpr uint64_t kMaxRecent = 60;
 constexpr uint64_t kMaxCount = 1'000'000'000;
 constexpr double kThousandths = 1000;
 constexpr uint64_t kMaxThousandths = 1'000'000'000'000'000;
@@ -72,7 +73,10 @@
     writer.WriteVarint(ToThousandths(entry.quota.rate_per_second));
     writer.WriteVarint(ToThousandths(entry.quota.burst));
     writer.WriteVarint(entry.used);
-    writer.WriteVarint(entry.recent);
+    writer.WriteVarint(entry.recent.size());
+    for (const uint32_t tokens : entry.recent) {
+      writer.WriteVarint(tokens);
+    }
     writer.WriteVarint(entry.held);
     writer.WriteVarint(entry.returned);
     writer.WriteVarint(entry.urgent);
@@ -101,7 +105,10 @@
     entry.quota.rate_per_second = ReadThousandths(reader);
     entry.quota.burst = ReadThousandths(reader);
     entry.used = reader.ReadVarint();
-    entry.recent = ReadCount(reader);
+    entry.recent.resize(reader.ReadVarintUpTo(kMaxRecent));
+    for (uint32_t& tokens : entry.recent) {
+      tokens = ReadCount(reader);
+    }
     entry.held = ReadCount(reader);
     entry.returned = ReadCount(reader);
     entry.urgent = ReadCount(reader);
--- a/src/quota_message.h
+++ b/src/quota_message.h
@@ -23,7 +23,9 @@
   TenantId tenant;
   TenantQuota quota;       // in the configuration of the daemon; in thousandths on the wire
   uint64_t used = 0;       // tokens, in this run of the daemon
-  uint32_t recent = 0;     // of these, in the last window; 0 where the owner knows them
+  // Of these, the ones of the last window by age: at least 0, 1, 2 ... seconds. Empty if the owner
+  // knows them.
+  std::vector<uint32_t> recent;
   uint32_t held = 0;       // unused tokens at the daemon
   uint32_t returned = 0;   // tokens that it gives back; not in `held`
   uint32_t urgent = 0;     // tokens for requests that wait for them
--- a/src/quota_owner.cc
+++ b/src/quota_owner.cc
@@ -23,6 +23,11 @@
 // may hold tokens in stock, up to a part of the window's limit.
 constexpr double kCalmPart = 0.5;
 constexpr double kMaxStockPart = 0.95;
+constexpr double kMaxStockPartAfterChange = 0.7;
+// Tokens in stock cannot be taken back. The requests of a window vary by about the square root of
+// their number, so this multiple of it is kept for requests that find no token in stock.
+constexpr double kReservedDeviations = 2.5;
+constexpr double kUsualPartOfRate = 0.65;
 // More than the burst, so that a tenant near its limit does not alternate between refusals and
 // unused capacity.
 constexpr double kExtraDepth = 10;
@@ -215,8 +220,14 @@
   const auto [found, added] = daemon.leases.try_emplace(entry.tenant);
   Lease& lease = found->second;
   const uint64_t used_since = added || entry.used < lease.used ? 0 : entry.used - lease.used;
-  const uint64_t used = std::max<uint64_t>(used_since, entry.recent);
-  CountUsed(bucket, used);
+  if (entry.recent.empty()) {
+    CountUsed(bucket, used_since);
+  }
+  for (size_t seconds = 0; seconds < entry.recent.size(); ++seconds) {
+    CountUsed(bucket, entry.recent[seconds], std::chrono::seconds(seconds));
+    bucket.introduced += entry.recent[seconds];
+  }
+  bucket.introduced += added ? entry.held : 0;
   bucket.tokens -= static_cast<double>(used_since);
   counts_.returned += entry.returned;
   bucket.leased += entry.held;
@@ -225,16 +236,22 @@
 }
 
 void QuotaOwner::Grant(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry, QuotaReply& reply) {
-  const double limit = WindowLimit(bucket.quota);
+  const double limit = WindowLimit(bucket);
   const auto leased = static_cast<double>(bucket.leased);
   const double taken = leased + static_cast<double>(bucket.used_in_window);
   const uint32_t room = WholeTokens(limit - taken);
   const bool calm = bucket.tokens >= kCalmPart * Depth(bucket.quota);
   const uint32_t available = calm ? room : std::min(room, WholeTokens(bucket.tokens - leased));
   const uint32_t urgent = std::min(entry.urgent, available);
+  const double stock_part =
+      long_holders_ == holders_ ? kMaxStockPart : kMaxStockPartAfterChange;
+  const double usual =
+      kUsualPartOfRate * bucket.quota.rate_per_second * Share() * Seconds(kQuotaWindow);
+  const double stock_limit =
+      std::min(stock_part * limit, limit - kReservedDeviations * std::sqrt(usual));
   // A tenant at its limit gets half of the rest, so that tokens remain for other daemons.
   const uint32_t prefetch =
-      std::min(entry.prefetch, calm ? WholeTokens(kMaxStockPart * limit - taken - urgent)
+      std::min(entry.prefetch, calm ? WholeTokens(stock_limit - taken - urgent)
                                     : (available - urgent + 1) / 2);
   const uint32_t tokens = urgent + prefetch;
   counts_.granted += tokens;
@@ -250,7 +267,7 @@
   }
 }
 
-void QuotaOwner::CountUsed(Bucket& bucket, uint64_t tokens) {
+void QuotaOwner::CountUsed(Bucket& bucket, uint64_t tokens, Duration age) {
   const auto slot = static_cast<uint64_t>(now_.time_since_epoch() / kSlotLength);
   const uint64_t passed = std::min<uint64_t>(slot - bucket.slot, kSlots);
   for (uint64_t step = 1; step <= passed; ++step) {
@@ -259,8 +276,11 @@
     oldest = 0;
   }
   bucket.slot = slot;
-  bucket.used.at(slot % kSlots) += static_cast<uint32_t>(tokens);
-  bucket.used_in_window += tokens;
+  const auto slots_ago = static_cast<uint64_t>(age / kSlotLength);
+  if (slots_ago < kSlots) {
+    bucket.used.at((slot - slots_ago) % kSlots) += static_cast<uint32_t>(tokens);
+    bucket.used_in_window += tokens;
+  }
 }
 
 Duration QuotaOwner::ExpectedWait(Bucket& bucket, uint32_t missing) const {
@@ -278,11 +298,15 @@
   return (quota.burst + kExtraDepth) * Share();
 }
 
-double QuotaOwner::WindowLimit(const TenantQuota& quota) const {
+// Of shares that were lent lately, the past of the daemons that lent them is known, but not that of
+// others which the owner before served from them.
+double QuotaOwner::WindowLimit(const Bucket& bucket) const {
+  const TenantQuota& quota = bucket.quota;
   const double limit = WindowLimitOf(quota);
   const auto short_holders = static_cast<double>(holders_ - long_holders_);
   const double of_short = short_holders * UnknownPastLimitOf(quota) +
-                          quota.rate_per_second * short_seconds_;
+                          quota.rate_per_second * short_seconds_ +
+                          bucket.introduced * static_cast<double>(members());
   return (limit * static_cast<double>(long_holders_) + std::min(of_short, limit * short_holders)) /
          static_cast<double>(members());
 }
@@ -290,6 +314,7 @@
 // A share that is lent comes with its part of the depth, since the window holds the bound.
 void QuotaOwner::Fill(Bucket& bucket) {
   CountUsed(bucket, 0);
+  bucket.introduced = long_holders_ == holders_ ? 0 : bucket.introduced;
   bucket.tokens += bucket.quota.rate_per_second * (share_seconds_ - bucket.filled) +
                    (bucket.quota.burst + kExtraDepth) * (lent_shares_ - bucket.lent);
   bucket.filled = share_seconds_;
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -74,6 +74,7 @@
     std::array<uint32_t, kSlots> used{};  // by slot of time, modulo kSlots
     uint64_t slot = 0;                    // the newest
     uint64_t used_in_window = 0;
+    double introduced = 0;   // used and leased, as reported with the shares that were lent lately
     double missing = 0;      // tokens that were refused lately; decays
     TimePoint missing_at{};  // time of `missing`
   };
@@ -85,14 +86,14 @@
   Bucket& FindBucket(const QuotaEntry& entry, ConfigVersion version);
   void Report(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry);
   void Grant(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry, QuotaReply& reply);
-  void CountUsed(Bucket& bucket, uint64_t tokens);
+  void CountUsed(Bucket& bucket, uint64_t tokens, Duration age = Duration{});
   void Fill(Bucket& bucket);
   /// When a token is likely to be free, given what has been refused lately.
   Duration ExpectedWait(Bucket& bucket, uint32_t missing) const;
   double Share() const;
   double Depth(const TenantQuota& quota) const;
   /// Tokens that may be used within the window and leased, from the shares held.
-  double WindowLimit(const TenantQuota& quota) const;
+  double WindowLimit(const Bucket& bucket) const;
 
   uint64_t run_;
   TimePoint started_;
--- a/src/quota_task.cc
+++ b/src/quota_task.cc
@@ -16,7 +16,7 @@
 namespace {
 
 // One retransmission of TCP in 60 ms of round trip time.
-constexpr Duration kMessageTimeout = std::chrono::milliseconds(600);
+constexpr Duration kMessageTimeout = std::chrono::milliseconds(400);
 constexpr Duration kOwnersInterval = std::chrono::milliseconds(300);
 constexpr size_t kMaxOwners = 6;
 
--- a/test/quota_mesh.cc
+++ b/test/quota_mesh.cc
@@ -7,7 +7,7 @@
 namespace endivecleat::test {
 namespace {
 
-constexpr Duration kMessageTimeout = std::chrono::milliseconds(600);
+constexpr Duration kMessageTimeout = std::chrono::milliseconds(400);
 constexpr Duration kMembersInterval = std::chrono::milliseconds(500);
 constexpr Duration kDeadline = std::chrono::seconds(2);
 constexpr Duration kWindow = std::chrono::seconds(5);
