Rollouts: orders, share by version, evidence and steps at the leader

Cause: the metering deployment orders rollouts; POST /-/rollouts was answered 404.

Change: the state of the newest rollout of each service is the member rollouts of the stored text. A step is a change of the replicated log like any other; it is proposed only while no other change is pending, and a submitted document waits for it, so that neither meets a version conflict. Members state the version of their target. The caller's daemon chooses the version by the share, the daemon beside a target refuses what its version may not run. Daemons report cumulative counts of responses to all control instances twice a second, and the leader decides by them.

Ruled out: a log entry kind of its own for steps, since replicas of the release before would not understand the log.

--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -20,6 +20,8 @@
 constexpr char kOfferHeader[] = "endivecleat-offer";
 // Internal header field: the sender's boot clock in microseconds.
 constexpr char kSentHeader[] = "endivecleat-sent";
+// Internal header field: the version of a rollout for which the target was chosen.
+constexpr char kVersionHeader[] = "endivecleat-version";
 constexpr Duration kMaxOfferDuration = std::chrono::hours(24);
 constexpr Duration kMaxUptime = std::chrono::years(100);
 
@@ -42,8 +44,12 @@
 }
 
 void WriteRequest(ByteWriter& writer, HttpRequest request, const std::string& offer,
-                  const std::optional<TimePoint>& sent_at) {
+                  const std::optional<TimePoint>& sent_at, const TargetVersion& version) {
   request.headers.Set(kOfferHeader, offer);
+  request.headers.Remove(kVersionHeader);
+  if (!version.empty()) {
+    request.headers.Set(kVersionHeader, version.value());
+  }
   if (sent_at) {
     request.headers.Set(kSentHeader, std::to_string(sent_at->time_since_epoch().count()));
   }
@@ -161,7 +167,8 @@
   writer.WriteVarint(message.priority.value());
   writer.WriteVarint(
       message.objective_left ? static_cast<uint64_t>(message.objective_left->count()) + 1 : 0);
-  WriteRequest(writer, message.request, FormatOffer(message), message.sent_at);
+  WriteRequest(writer, message.request, FormatOffer(message), message.sent_at,
+               message.target_version);
   return writer.Take();
 }
 
@@ -186,6 +193,8 @@
   reader.ExpectEnd();
   TakeOffer(message);
   TakeSentAt(message);
+  message.target_version = TargetVersion(message.request.headers.ValueOr(kVersionHeader, ""));
+  message.request.headers.Remove(kVersionHeader);
   return message;
 }
 
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -1,7 +1,7 @@
 // Messages of a call between the caller's daemon (CallerTask) and the daemon beside the target
-// (TargetTask), and their binary encoding. The objective, the longest wait and the time of sending
-// travel in header fields of the request, so that daemons of the version before accept the message
-// during an upgrade.
+// (TargetTask), and their binary encoding. The objective, the longest wait, the time of sending
+// and the version of a rollout travel in header fields of the request, so that daemons of the
+// version before accept the message during an upgrade.
 #ifndef ENDIVECLEAT_CALL_MESSAGE_H_
 #define ENDIVECLEAT_CALL_MESSAGE_H_
 
@@ -32,6 +32,8 @@
   Duration objective{};                    // the route's whole objective; 0 if it has none
   std::optional<Duration> max_wait;        // for a slot of this target; nullopt: no limit
   std::optional<TimePoint> sent_at;        // by the boot clock of the sender
+  // The version of a rollout for which the target was chosen; empty if none applies.
+  TargetVersion target_version;
   HttpRequest request;
 };
 
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -114,6 +114,7 @@
   CallRequest call_request;
   Fingerprint fingerprint;
   std::unique_ptr<Call> call;
+  std::optional<bool> new_version;                   // chosen by the share of a rollout
   std::optional<AttemptTracker> attempts;            // set with `call`
   std::map<AttemptId, PeerRequestId> peer_requests;  // of attempts to other instances
   TimePoint started;
@@ -231,12 +232,31 @@
     if (found != services_.end()) {
       found->second->budget.SetPercent(service.policy.retry_percent);
       found->second->budget.SetSize(budget_size);
-      found->second->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service, summaries),
-                                            {"*"});
+      RefreshTargets(*found->second, service, summaries);
     }
   }
 }
 
+void CallerTask::RefreshTargets(ServiceState& state, const CompiledService& service,
+                                const std::vector<DataCentreSummary>& summaries) {
+  state.balancer.SetCandidates(context_.loop.now(), CandidatesFor(service, summaries), {"*"});
+  const Rollout* rollout = context_.configuration->FindRollout(service.name);
+  std::vector<VersionedTarget> targets;
+  if (rollout != nullptr) {
+    for (const MemberRecord& member : context_.node.membership().members()) {
+      if (IsUsable(member, service)) {
+        targets.push_back({member.instance, member.target_version, member.boot_time});
+      }
+    }
+  }
+  state.split.Update(rollout, WallNow(), targets);
+}
+
+bool CallerTask::IsUsable(const MemberRecord& member, const CompiledService& service) const {
+  return member.service == service.name && AcceptsRequests(member.state) &&
+         service.AllowsTarget(member.target) && !context_.node.membership().IsSuspect(member);
+}
+
 std::optional<ResultCode> CallerTask::Prepare(Exchange& exchange) {
   exchange.configuration = context_.configuration;
   if (!exchange.configuration) {
@@ -357,8 +377,7 @@
     state = std::make_unique<ServiceState>(
         std::hash<std::string>()(context_.run_id) ^ std::hash<ServiceName>()(service.name),
         service.policy.retry_percent, RetryBudgetSize());
-    state->balancer.SetCandidates(
-        context_.loop.now(), CandidatesFor(service, context_.node.membership().summaries()), {"*"});
+    RefreshTargets(*state, service, context_.node.membership().summaries());
   }
   return *state;
 }
@@ -366,18 +385,19 @@
 std::vector<Candidate> CallerTask::CandidatesFor(
     const CompiledService& service, const std::vector<DataCentreSummary>& summaries) const {
   const Location& here = context_.settings.common.location;
+  const Rollout* rollout = context_.configuration->FindRollout(service.name);
   std::vector<LocatedCandidate> candidates;
+  std::vector<LocatedCandidate> new_candidates;  // limited separately, so that both versions remain
   for (const MemberRecord& member : context_.node.membership().members()) {
-    const bool usable = member.service == service.name && AcceptsRequests(member.state) &&
-                        service.AllowsTarget(member.target) &&
-                        !context_.node.membership().IsSuspect(member);
-    if (usable) {
-      candidates.push_back({member.data_centre,
-                            {{member.instance, member.address},
-                             member.target,
-                             LocalityOf(member, here),
-                             LoadOf(member),
-                             member.instance == context_.settings.common.instance}});
+    if (IsUsable(member, service)) {
+      const bool is_new = rollout != nullptr && member.target_version == rollout->version;
+      (is_new ? new_candidates : candidates)
+          .push_back({member.data_centre,
+                      {{member.instance, member.address},
+                       member.target,
+                       LocalityOf(member, here),
+                       LoadOf(member),
+                       member.instance == context_.settings.common.instance}});
     }
   }
   for (const DataCentreSummary& summary : summaries) {
@@ -395,16 +415,45 @@
       }
     }
   }
-  return LimitCandidates(context_.settings.common.instance, candidates);
+  std::vector<Candidate> chosen = LimitCandidates(context_.settings.common.instance, candidates);
+  for (Candidate& candidate : LimitCandidates(context_.settings.common.instance, new_candidates)) {
+    chosen.push_back(std::move(candidate));
+  }
+  return chosen;
+}
+
+// A request that the new version has refused or failed goes to the old one, and never the other way
+// round: the share limits the requests of the new version.
+std::optional<Endpoint> CallerTask::ChooseTarget(Exchange& exchange,
+                                                 const ChooseCandidate& choose) {
+  const TimePoint now = context_.loop.now();
+  const ChoiceTerms terms = TermsOf(exchange, choose.may_wait);
+  ServiceState& state = *exchange.state;
+  if (!state.split.active()) {
+    return state.balancer.Choose(now, choose.tried, terms);
+  }
+  const auto choose_of = [&](bool new_version) {
+    std::vector<InstanceId> excluded = choose.tried;
+    const std::vector<InstanceId>& others = state.split.Excluded(new_version);
+    excluded.insert(excluded.end(), others.begin(), others.end());
+    return state.balancer.Choose(now, excluded, terms);
+  };
+  const bool first = !exchange.new_version.has_value();
+  exchange.new_version = first ? state.split.ChooseNew(random_.Next()) : state.split.only_new();
+  if (*exchange.new_version) {
+    const std::optional<Endpoint> endpoint = choose_of(true);
+    if (endpoint || !choose.may_wait) {
+      return endpoint;
+    }
+  }
+  return choose_of(false);
 }
 
 void CallerTask::Execute(const std::shared_ptr<Exchange>& exchange, const CallEffects& effects) {
   for (const CallEffect& effect : effects) {
     if (const auto* choose = std::get_if<ChooseCandidate>(&effect)) {
-      const TimePoint now = context_.loop.now();
-      Execute(exchange, exchange->call->Chosen(
-                            now, exchange->state->balancer.Choose(
-                                     now, choose->tried, TermsOf(*exchange, choose->may_wait))));
+      const std::optional<Endpoint> endpoint = ChooseTarget(*exchange, *choose);
+      Execute(exchange, exchange->call->Chosen(context_.loop.now(), endpoint));
     } else if (const auto* send = std::get_if<SendAttempt>(&effect)) {
       Send(exchange, *send);
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
@@ -458,6 +507,7 @@
   }
   const CallHeaders& names = context_.settings.headers;
   message.request_id = exchange.request_id;
+  message.target_version = exchange.state->split.VersionOf(effect.endpoint.instance);
   message.request = exchange.request;
   RemoveHopByHopHeaders(message.request.headers);
   if (names.diagnostics) {
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -15,6 +15,7 @@
 #include "daemon_context.h"
 #include "http_server.h"
 #include "retry_budget.h"
+#include "rollout_split.h"
 #include "split_chooser.h"
 #include "startup_queue.h"
 #include "target_task.h"
@@ -50,6 +51,7 @@
         : balancer(seed), budget(retry_percent, budget_size) {}
     Balancer balancer;
     RetryBudget budget;
+    RolloutSplit split;
   };
   /// Cached metrics of one service; a look-up by name and labels would copy all of them.
   struct ServiceMetrics {
@@ -73,6 +75,11 @@
   bool EndsBeforeAnswer(const RoutePolicy& policy) const;
   RetryHundredths RetryBudgetSize() const;
   size_t CountDaemons() const;
+  /// Applies the newest targets and the newest rollout of the service.
+  void RefreshTargets(ServiceState& state, const CompiledService& service,
+                      const std::vector<DataCentreSummary>& summaries);
+  bool IsUsable(const MemberRecord& member, const CompiledService& service) const;
+  std::optional<Endpoint> ChooseTarget(Exchange& exchange, const ChooseCandidate& choose);
   ServiceState& FindOrCreateState(const CompiledService& service);
   std::vector<Candidate> CandidatesFor(const CompiledService& service,
                                        const std::vector<DataCentreSummary>& summaries) const;
--- a/src/config_store.cc
+++ b/src/config_store.cc
@@ -40,6 +40,15 @@
   return TruncateUtf8(message, kMaxMessageBytes);
 }
 
+// The text has been checked, so that there are no problems to report.
+Rollouts RolloutsOf(const std::string& text) {
+  const std::string member = FindRolloutsText(text);
+  std::vector<Problem> problems;
+  return member.empty()
+             ? Rollouts()
+             : ReadRollouts("/rollouts", nlohmann::json::parse(member, nullptr, false), problems);
+}
+
 PresetName ChoosePreset(const CheckedConfiguration& checked, const PresetName& current) {
   if (checked.preset_in_force) {
     return *checked.preset_in_force;
@@ -119,7 +128,8 @@
   try {
     if (const auto* submitted = std::get_if<SubmitDocument>(&change.payload)) {
       const std::string document = ApplyDelta(text(), submitted->delta, kMaxDocumentBytes);
-      const CheckedConfiguration checked = ParseAndCheck({document});
+      CheckedConfiguration checked = ParseAndCheck({document});
+      checked.rollouts = rollouts_;
       return Install(change, *Compile(checked, version_.next(), ChoosePreset(checked, preset_)));
     }
     if (const auto* checked = std::get_if<InstallCheckedText>(&change.payload)) {
@@ -179,6 +189,7 @@
   if (history_.size() > kMaxHistory) {
     history_.pop_front();
   }
+  rollouts_ = RolloutsOf(text);
   text_bytes_ += text.size();
   texts_.push_back(std::move(text));
   EvictOldTexts();
@@ -273,7 +284,9 @@
     reader.ExpectEnd();
     store.CheckConsistency();
     if (!store.texts_.empty()) {
-      store.revision_ = CompileStored(store.text(), store.version_)->revision();
+      const auto compiled = CompileStored(store.text(), store.version_);
+      store.revision_ = compiled->revision();
+      store.rollouts_ = compiled->rollouts();
     }
     return store;
   } catch (const UserError& error) {
@@ -295,12 +308,21 @@
 }
 
 InstallCheckedText PrepareInstallation(const ConfigStore& store, const std::string& document) {
-  const CheckedConfiguration checked = ParseAndCheck({document});
+  CheckedConfiguration checked = ParseAndCheck({document});
+  checked.rollouts = store.rollouts();
   const auto compiled =
       Compile(checked, store.version().next(), ChoosePreset(checked, store.preset()));
   return {MakeDelta(store.text(), compiled->text()), compiled->preset(), compiled->revision()};
 }
 
+InstallCheckedText PrepareRollout(const ConfigStore& store, const ServiceName& service,
+                                  const Rollout& rollout) {
+  Rollouts rollouts = store.rollouts();
+  rollouts[service] = rollout;
+  return {MakeDelta(store.text(), ReplaceRollouts(store.text(), rollouts)), store.preset(),
+          store.revision()};
+}
+
 std::string EncodeChange(const Change& change) {
   ByteWriter writer;
   writer.WriteVarint(kChangeFormat);
--- a/src/config_store.h
+++ b/src/config_store.h
@@ -105,6 +105,9 @@
   const PresetName& preset() const { return preset_; }
   /// The last kMaxHistory accepted changes, oldest first.
   const std::deque<HistoryEntry>& history() const { return history_; }
+  /// The newest rollout of each service. Documents neither set nor remove them; they change only by
+  /// InstallCheckedText (see PrepareRollout).
+  const Rollouts& rollouts() const { return rollouts_; }
   /// The `revision` field of the newest document; empty when it has none.
   const std::string& revision() const { return revision_; }
   /// The stored result of an operation, or null when it is unknown or evicted. Valid until the next
@@ -132,6 +135,7 @@
   ConfigVersion version_;
   PresetName preset_;
   std::string revision_;              // of the text of version_
+  Rollouts rollouts_;                 // of the text of version_
   std::deque<HistoryEntry> history_;  // ends with version_; versions are consecutive
   std::deque<std::string> texts_;     // ends with the text of version_
   size_t text_bytes_ = 0;             // total size of texts_
@@ -143,6 +147,10 @@
 /// 200 (syntax), 201 (invalid), 202 (unknown preset) or 203 (too large).
 InstallCheckedText PrepareInstallation(const ConfigStore& store, const std::string& document);
 
+/// Returns the change that sets the rollout of one service and leaves the rest as it is.
+InstallCheckedText PrepareRollout(const ConfigStore& store, const ServiceName& service,
+                                  const Rollout& rollout);
+
 std::string EncodeChange(const Change& change);
 /// Throws UserError 601 when the bytes are malformed.
 Change DecodeChange(std::string_view bytes);
--- a/src/configuration.cc
+++ b/src/configuration.cc
@@ -197,6 +197,7 @@
   compiled->routes_ = RouteTable(std::move(preset->routes));
   compiled->callers_ = checked.callers;
   compiled->tenants_ = std::move(checked.tenants);
+  compiled->rollouts_ = std::move(checked.rollouts);
   compiled->revision_ = checked.revision.value_or("");
   compiled->text_ = std::move(text);
   compiled->digest_ = TextDigest(compiled->text_);
@@ -219,6 +220,9 @@
   if (checked.revision) {
     text += ",\"revision\":" + Json(*checked.revision).dump();
   }
+  if (const std::string rollouts = RolloutsText(checked.rollouts); !rollouts.empty()) {
+    text += ",\"rollouts\":" + rollouts;
+  }
   if (!checked.tenants_text.empty()) {
     text += ",\"tenants\":" + checked.tenants_text;
   }
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "errors.h"
+#include "rollout.h"
 #include "route_table.h"
 #include "service_policy.h"
 #include "tenant_table.h"
@@ -85,6 +86,7 @@
   std::optional<std::string> revision;  // identifier chosen by the submitter
   std::vector<ParsedTenant> tenants;
   std::string tenants_text;  // canonical JSON of "tenants"; empty when it is absent
+  Rollouts rollouts;
 };
 
 struct CompiledService {
@@ -112,6 +114,7 @@
   std::optional<std::string> revision;
   std::shared_ptr<const TenantTable> tenants;  // null when the document has no tenants
   std::string tenants_text;
+  Rollouts rollouts;
 
   const CheckedPreset* FindPreset(const PresetName& name) const;
 };
@@ -134,6 +137,12 @@
   const CallerLimits& callers() const { return callers_; }
   /// Null if the document has no tenants; requests then need no API key.
   const std::shared_ptr<const TenantTable>& tenants() const { return tenants_; }
+  /// The newest rollout of a service, or null if it never had one.
+  const Rollout* FindRollout(const ServiceName& service) const {
+    const auto found = rollouts_.find(service);
+    return found == rollouts_.end() ? nullptr : &found->second;
+  }
+  const Rollouts& rollouts() const { return rollouts_; }
   /// The identifier that the submitter chose for this version; empty if the document has none.
   const std::string& revision() const { return revision_; }
 
@@ -154,6 +163,7 @@
   RouteTable routes_;  // refers only to services in services_
   CallerLimits callers_;
   std::shared_ptr<const TenantTable> tenants_;
+  Rollouts rollouts_;
   std::string revision_;
   std::string digest_;
   std::string text_;
@@ -188,8 +198,8 @@
                                                             std::string text);
 
 /// Returns the stored form of a configuration: JSON with sorted keys and no whitespace. The members
-/// are "callers" (if present), "preset_in_force", "presets", "revision" (if present) and "tenants"
-/// (if present).
+/// are "callers" (if present), "preset_in_force", "presets", "revision", "rollouts" and "tenants"
+/// (each if present).
 std::string CanonicalText(const CheckedConfiguration& checked, const PresetName& in_force);
 
 /// Returns the XXH3-128 hash of the text as 32 hexadecimal digits.
--- a/src/configuration_check.cc
+++ b/src/configuration_check.cc
@@ -503,7 +503,8 @@
                                .presets_text = parsed.presets_text,
                                .callers_text = parsed.callers_text,
                                .revision = parsed.revision,
-                               .tenants_text = parsed.tenants_text};
+                               .tenants_text = parsed.tenants_text,
+                               .rollouts = parsed.rollouts};
   if (!parsed.tenants_text.empty()) {
     checked.tenants =
         std::make_shared<const TenantTable>(TenantChecker(problems).Run(parsed.tenants));
--- a/src/configuration_parse.cc
+++ b/src/configuration_parse.cc
@@ -37,7 +37,7 @@
       return parsed;
     }
     ReportUnknownKeys("", document,
-                      {"callers", "preset_in_force", "presets", "revision", "tenants"});
+                      {"callers", "preset_in_force", "presets", "revision", "rollouts", "tenants"});
     parsed.revision = ReadOptionalString("", document, "revision");
     if (const auto callers = document.find("callers"); callers != document.end()) {
       ReadCallers(*callers, parsed);
@@ -45,6 +45,9 @@
     if (const auto tenants = document.find("tenants"); tenants != document.end()) {
       ReadTenants(*tenants, parsed);
     }
+    if (const auto rollouts = document.find("rollouts"); rollouts != document.end()) {
+      parsed.rollouts = ReadRollouts("/rollouts", *rollouts, problems_);
+    }
     if (auto name = ReadOptionalString("", document, "preset_in_force")) {
       parsed.preset_in_force = PresetName(std::move(*name));
     }
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -115,6 +115,7 @@
               [this](const InstanceId& to, const std::string& message) {
                 node_.Send(to, PeerChannel::kConfigLog, message);
               }),
+      rollouts_(loop_, config_, node_, metrics_),
       source_(SourceSettings(settings_.common), MakeMeasuredCodec(MakeTransferCodec(), metrics_),
               seed),
       config_exchange_(
@@ -173,6 +174,9 @@
     case PeerChannel::kCrashTotals:
       OnCrashTotals(from, bytes);
       return;
+    case PeerChannel::kRolloutEvidence:
+      rollouts_.OnReport(bytes);
+      return;
     case PeerChannel::kCall:
     case PeerChannel::kOnceLedger:
     case PeerChannel::kOperatorRequests:
@@ -242,6 +246,7 @@
   const TimePoint now = loop_.now();
   UpdateVoterCandidates();
   config_.Tick(now);
+  rollouts_.Tick();
   if (once_) {
     once_->Tick(now);
   }
@@ -410,6 +415,7 @@
 
 void ControlProcess::UpdateMetrics() {
   node_.ReportTraffic(metrics_);
+  rollouts_.UpdateMetrics();
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
   };
--- a/src/control_process.h
+++ b/src/control_process.h
@@ -16,6 +16,7 @@
 #include "operator_service.h"
 #include "replica_task.h"
 #include "replicated_states.h"
+#include "rollout_task.h"
 #include "settings.h"
 #include "units.h"
 
@@ -32,6 +33,7 @@
   /// The replicated configuration, for additional operator APIs of this instance.
   ReplicaTask<ConfigState>& config() { return config_; }
   const ReplicaTask<ConfigState>& config() const { return config_; }
+  RolloutTask& rollouts() { return rollouts_; }
   Metrics& metrics() { return metrics_; }
   /// Sets a function that counts the pending requests of additional operator APIs; Drain waits for
   /// them.
@@ -72,6 +74,7 @@
   Metrics metrics_;
   MeshNode node_;
   ReplicaTask<ConfigState> config_;
+  RolloutTask rollouts_;
   std::unique_ptr<ReplicaTask<OnceState>> once_;  // null if the settings disable the ledger
   ConfigSource source_;
   ConfigExchange config_exchange_;
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -249,6 +249,16 @@
   context_.crash_guard.Tick(WallNow());
   callers_.Tick();
   load_log_.Tick(now, node_, target_);
+  SendRolloutReport();
+}
+
+// All control instances get the report, so that each that may become the leader has the evidence.
+void DaemonProcess::SendRolloutReport() {
+  if (const std::optional<std::string> report = target_.TakeRolloutReport()) {
+    for (const InstanceId& instance : node_.control_instances()) {
+      node_.Send(instance, PeerChannel::kRolloutEvidence, *report);
+    }
+  }
 }
 
 void DaemonProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -58,6 +58,7 @@
   void Tick();
   void SendConfigMessages(const std::vector<PeerMessage>& messages);
   void UpdateSelf();
+  void SendRolloutReport();
   void UpdateMetrics();
   void FinishDrain(TimePoint not_before, TimePoint deadline);
   void StopWhenIdle(TimePoint deadline);
--- a/src/member_record.cc
+++ b/src/member_record.cc
@@ -55,12 +55,12 @@
 }
 
 Json ToCbor(const MemberRecord& record) {
-  return Json::array({0U, record.instance.value(), record.address.ip, record.address.port,
-                      record.boot_time.value(), record.sequence, record.service.value(),
-                      record.target.value(), static_cast<uint8_t>(record.state), record.slots,
-                      record.free_slots, record.config_version.value(),
-                      CborBytes(record.config_digest), record.is_control ? 1U : 0U,
-                      record.region.value(), record.data_centre.value()});
+  return Json::array(
+      {0U, record.instance.value(), record.address.ip, record.address.port,
+       record.boot_time.value(), record.sequence, record.service.value(), record.target.value(),
+       static_cast<uint8_t>(record.state), record.slots, record.free_slots,
+       record.config_version.value(), CborBytes(record.config_digest), record.is_control ? 1U : 0U,
+       record.region.value(), record.data_centre.value(), record.target_version.value()});
 }
 
 Json ToCbor(const MemberUpdate& update) {
@@ -90,6 +90,9 @@
   record.is_control = fields->Number(1) == 1;
   record.region = RegionId(fields->Text(kMaxNameBytes));
   record.data_centre = DataCentreId(fields->Text(kMaxNameBytes));
+  if (!fields->at_end()) {  // absent in records of the release before
+    record.target_version = TargetVersion(fields->Text(kMaxNameBytes));
+  }
   if (record.instance.empty()) {
     throw MalformedMessage("a member record has no instance id");
   }
--- a/src/member_record.h
+++ b/src/member_record.h
@@ -41,6 +41,8 @@
   uint32_t free_slots = 0;
   ConfigVersion config_version;
   std::string config_digest;  // at most 32 raw bytes
+  // Empty if the target has not said its version, or its daemon is of a release without versions.
+  TargetVersion target_version;
 
   bool operator==(const MemberRecord&) const = default;
 };
--- a/src/peer_frame.h
+++ b/src/peer_frame.h
@@ -29,8 +29,9 @@
   kDataCentreSummary,
   kOperatorRequests,  // operator requests to a daemon
   kCrashTotals,
+  kRolloutEvidence,  // reports of daemons to control instances; see rollout_evidence.h
 };
-constexpr size_t kPeerChannelCount = 8;
+constexpr size_t kPeerChannelCount = 9;
 
 /// The values are part of the wire format. A process of the version before knows the first four; it
 /// gets no others, since it does not state in the handshake that it acknowledges.
--- a/src/replica_task.h
+++ b/src/replica_task.h
@@ -96,6 +96,9 @@
     return applied;
   }
 
+  /// Whether commands proposed here are still to be applied.
+  bool has_proposals() const { return !proposals_.empty(); }
+
   const State& state() const { return state_; }
   const ReplicatedLog& log() const { return log_; }
 
--- /dev/null
+++ b/src/rollout.cc
@@ -0,0 +1,148 @@
+// Encodes the rollouts as one JSON object by service name, with sorted keys and no whitespace as
+// the stored text has them.
+#include "rollout.h"
+
+#include <array>
+#include <string_view>
+
+#include "json_document.h"
+#include "stored_text.h"
+
+namespace endivecleat {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<const char*, 3> kStateNames = {"serving", "complete", "reverted"};
+constexpr uint64_t kMaxTimeMs = uint64_t{1} << 53U;
+
+class RolloutReader {
+ public:
+  RolloutReader(std::string path, const Json& object, std::vector<Problem>& problems)
+      : path_(std::move(path)), object_(object), problems_(problems) {}
+
+  Rollout Read() {
+    Rollout rollout;
+    rollout.version = TargetVersion(ReadString("version"));
+    if (rollout.version.empty() || rollout.version.value().size() > kMaxTargetVersionBytes) {
+      Report("version", "must have 1 to 64 bytes");
+    }
+    rollout.state = ReadState();
+    rollout.share = static_cast<uint32_t>(ReadNumber("share", kWholeShare));
+    rollout.start = WallTime(ReadNumber("start", kMaxTimeMs));
+    rollout.deadline = WallTime(ReadNumber("deadline", kMaxTimeMs));
+    return rollout;
+  }
+
+ private:
+  void Report(const char* key, std::string message) {
+    problems_.push_back({JsonPathAppend(path_, key), std::move(message)});
+  }
+
+  std::string ReadString(const char* key) {
+    const auto found = object_.find(key);
+    if (found == object_.end() || !found->is_string()) {
+      Report(key, "must be a string");
+      return "";
+    }
+    return found->get<std::string>();
+  }
+
+  uint64_t ReadNumber(const char* key, uint64_t maximum) {
+    const auto found = object_.find(key);
+    if (found == object_.end() || !found->is_number_unsigned() ||
+        found->get<uint64_t>() > maximum) {
+      Report(key, "must be a whole number up to " + std::to_string(maximum));
+      return 0;
+    }
+    return found->get<uint64_t>();
+  }
+
+  RolloutState ReadState() {
+    const std::string name = ReadString("state");
+    for (size_t state = 0; state < kStateNames.size(); ++state) {
+      if (name == kStateNames.at(state)) {
+        return static_cast<RolloutState>(state);
+      }
+    }
+    Report("state", "must be serving, complete or reverted");
+    return RolloutState::kReverted;
+  }
+
+  std::string path_;
+  const Json& object_;
+  std::vector<Problem>& problems_;
+};
+
+}  // namespace
+
+const char* RolloutStateName(RolloutState state) {
+  return kStateNames.at(static_cast<size_t>(state));
+}
+
+Rollouts ReadRollouts(const std::string& path, const Json& member, std::vector<Problem>& problems) {
+  Rollouts rollouts;
+  if (!member.is_object()) {
+    problems.push_back({path, "must be an object"});
+    return rollouts;
+  }
+  for (const auto& [name, object] : member.items()) {
+    const std::string entry = JsonPathAppend(path, name);
+    if (!object.is_object()) {
+      problems.push_back({entry, "must be an object"});
+      continue;
+    }
+    rollouts[ServiceName(name)] = RolloutReader(entry, object, problems).Read();
+  }
+  return rollouts;
+}
+
+std::string RolloutsText(const Rollouts& rollouts) {
+  if (rollouts.empty()) {
+    return "";
+  }
+  Json member = Json::object();
+  for (const auto& [service, rollout] : rollouts) {
+    member[service.value()] = {{"deadline", rollout.deadline.value()},
+                               {"share", rollout.share},
+                               {"start", rollout.start.value()},
+                               {"state", RolloutStateName(rollout.state)},
+                               {"version", rollout.version.value()}};
+  }
+  return member.dump();
+}
+
+std::string FindRolloutsText(const std::string& stored_text) {
+  return std::string(FindStoredMember(stored_text, "rollouts").value);
+}
+
+std::string ReplaceRollouts(const std::string& stored_text, const Rollouts& rollouts) {
+  const StoredMember member = FindStoredMember(stored_text, "rollouts");
+  std::string text = stored_text.substr(0, member.start);
+  if (const std::string value = RolloutsText(rollouts); !value.empty()) {
+    text += ",\"rollouts\":" + value;
+  }
+  return text + stored_text.substr(member.end);
+}
+
+bool MayRun(const Rollout* rollout, const TargetVersion& target, const TargetVersion& chosen_for) {
+  if (rollout == nullptr) {
+    return true;
+  }
+  const bool is_new = target == rollout->version;
+  switch (rollout->state) {
+    case RolloutState::kServing:
+      return !is_new || chosen_for == rollout->version;
+    case RolloutState::kComplete:
+      return is_new;
+    case RolloutState::kReverted:
+      break;
+  }
+  return !is_new;
+}
+
+uint32_t ShareAt(const Rollout& rollout, WallTime now) {
+  return rollout.share < kWholeShare && now > rollout.deadline ? 0 : rollout.share;
+}
+
+}  // namespace endivecleat
--- a/src/stored_text.cc
+++ b/src/stored_text.cc
@@ -193,4 +193,26 @@
   return text.append("}");
 }
 
+StoredMember FindStoredMember(std::string_view text, std::string_view name) {
+  StoredMember member;
+  member.start = member.end = text.empty() ? 0 : text.size() - 1;
+  bool placed = false;
+  Scanner scanner(text);
+  scanner.ReadObject([&](std::string_view key) {
+    const size_t comma = scanner.position() - key.size() - 4;  // ,"key":
+    const std::optional<std::string_view> value = scanner.SkipValue();
+    if (!value) {
+      return false;
+    }
+    if (!placed && key >= name) {
+      placed = true;
+      member.start = comma;
+      member.end = key == name ? scanner.position() : comma;
+      member.value = key == name ? *value : std::string_view();
+    }
+    return true;
+  });
+  return member;
+}
+
 }  // namespace endivecleat
--- a/src/stored_text.h
+++ b/src/stored_text.h
@@ -41,6 +41,19 @@
                            const std::vector<StoredTextParts::Preset>& other_presets,
                            bool with_tenants = true);
 
+/// A member of the object that a stored text is; with the comma before it.
+struct StoredMember {
+  size_t start = 0;  // of the comma
+  size_t end = 0;
+  std::string_view value;
+};
+
+/// Finds a top-level member. If the text has none of the name, `value` is empty and `start` and
+/// `end` are where it belongs, which is before the first member whose key sorts after it. The name
+/// must sort after "preset_in_force", which each stored text has. A text that is not in the stored
+/// form has no members.
+StoredMember FindStoredMember(std::string_view text, std::string_view name);
+
 }  // namespace endivecleat
 
 #endif  // ENDIVECLEAT_STORED_TEXT_H_
--- a/src/target_state.h
+++ b/src/target_state.h
@@ -21,6 +21,7 @@
   Address address;
   uint32_t slots = 0;
   uint32_t connections = 0;
+  TargetVersion version;  // empty if unknown
 
   bool operator==(const Announcement&) const = default;
 };
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -23,6 +23,9 @@
 // is still accepted.
 constexpr Duration kSecondDeathProbeDelay = std::chrono::milliseconds(100);
 
+// A cancelled request that has run for this long counts as one that the target did not answer.
+constexpr Duration kLongRun = std::chrono::seconds(1);
+
 bool ProbePassed(const HttpOutcome& outcome) {
   return outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500;
 }
@@ -76,7 +79,10 @@
 };
 
 TargetTask::TargetTask(DaemonContext& context)
-    : context_(context), target_(TargetSettings{}), admission_(ServicePolicy{}) {
+    : context_(context),
+      target_(TargetSettings{}),
+      admission_(ServicePolicy{}),
+      evidence_(context.run_id) {
   timer_ = context_.loop.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
@@ -173,6 +179,7 @@
   const TimePoint now = context_.loop.now();
   record.service = target_.announcement().service;
   record.target = target_.announcement().target;
+  record.target_version = target_.announcement().version;
   record.state = target_.state();
   record.slots = static_cast<uint32_t>(admission_.slots(now));
   const auto slots = static_cast<double>(admission_.slots(now));
@@ -180,7 +187,7 @@
 }
 
 void TargetTask::StartAttempt(const AttemptMessage& message, Reply reply, ExchangePtr* started) {
-  if (!Serves(message.service)) {
+  if (!Serves(message.service) || !VersionMayRun(message)) {
     const ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
                                                                   : ResultCode::kNoReadyTarget;
     reply({Refusal{code, false}, Load()}, nullptr);
@@ -222,6 +229,16 @@
   return declared != nullptr && declared->AllowsTarget(announced.target);
 }
 
+const Rollout* TargetTask::FindRollout() const {
+  return context_.configuration
+             ? context_.configuration->FindRollout(target_.announcement().service)
+             : nullptr;
+}
+
+bool TargetTask::VersionMayRun(const AttemptMessage& message) const {
+  return MayRun(FindRollout(), target_.announcement().version, message.target_version);
+}
+
 ServicePolicy TargetTask::EffectivePolicy() const {
   ServicePolicy policy;
   const Announcement& announced = target_.announcement();
@@ -250,6 +267,14 @@
     }
     const ExchangePtr exchange = found->second;
     const TimePoint now = context_.loop.now();
+    if (!decision.refusal_code && !VersionMayRun(exchange->message)) {
+      // A rollout was decided while the request waited.
+      ExecuteEffects(exchange, exchange->call.AdmissionRefused(now, ResultCode::kNoReadyTarget));
+      context_.loop.Post([this, number = decision.number] {
+        ApplyDecisions(admission_.Finish(context_.loop.now(), number));
+      });
+      continue;
+    }
     if (decision.refusal_code) {
       ExecuteEffects(exchange, exchange->call.AdmissionRefused(now, *decision.refusal_code));
       continue;
@@ -290,6 +315,7 @@
   } else if (std::holds_alternative<CancelTarget>(effect)) {
     if (exchange->target_call) {
       client_->Cancel(*exchange->target_call);
+      CountEvidence(*exchange, nullptr);
       CountSlotUse(*exchange, false);
     }
   } else if (const auto* end = std::get_if<RecordCallEnding>(&effect)) {
@@ -342,6 +368,7 @@
 void TargetTask::OnOutcome(const ExchangePtr& exchange, const HttpOutcome& outcome) {
   const TimePoint now = context_.loop.now();
   exchange->target_call.reset();
+  CountEvidence(*exchange, &outcome);
   CountSlotUse(*exchange, outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500);
   switch (outcome.kind) {
     case HttpOutcome::kAnswered:
@@ -362,6 +389,46 @@
   }
 }
 
+void TargetTask::UpdateEvidence() {
+  const Announcement& announced = target_.announcement();
+  evidence_.Update(context_.loop.now(), announced.service, FindRollout(), announced.target,
+                   announced.version);
+}
+
+std::optional<std::string> TargetTask::TakeRolloutReport() {
+  UpdateEvidence();
+  const std::optional<RolloutReport> report = evidence_.TakeReport(context_.loop.now());
+  return report ? std::optional(EncodeRolloutReport(*report)) : std::nullopt;
+}
+
+// Counts a response of the target, or with null a request that was cancelled: one that has run for
+// long counts as a failure, and the others tell nothing.
+void TargetTask::CountEvidence(const Exchange& exchange, const HttpOutcome* outcome) {
+  if (FindRollout() == nullptr || !exchange.called) {
+    return;
+  }
+  UpdateEvidence();
+  const TimePoint now = context_.loop.now();
+  const Duration taken = now - *exchange.called;
+  const HttpRequest& request = exchange.message.request;
+  const std::string host = request.headers.ValueOr("host", "");
+  const CompiledRoute* found = context_.configuration->FindRoute(
+      request.method, host.substr(0, host.rfind(':')), request.path);
+  const std::string route = found == nullptr ? "" : found->name.value();
+  if (outcome == nullptr) {
+    if (taken >= kLongRun) {
+      evidence_.AddResponse(now, route, taken, true);
+    }
+  } else if (outcome->kind == HttpOutcome::kBroken) {
+    evidence_.AddBrokenOff(now, route);
+  } else if (outcome->kind != HttpOutcome::kNotSent) {
+    const bool good =
+        outcome->kind == HttpOutcome::kAnswered && outcome->response.status < 500 &&
+        ClassifyAnswer(context_.settings.headers, outcome->response) == AnswerKind::kAnswer;
+    evidence_.AddResponse(now, route, taken, !good);
+  }
+}
+
 void TargetTask::CountSlotUse(Exchange& exchange, bool succeeded) {
   if (!exchange.called) {
     return;
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -16,6 +16,7 @@
 #include "connect_probe.h"
 #include "daemon_context.h"
 #include "http_client.h"
+#include "rollout_evidence.h"
 #include "target_call.h"
 #include "target_state.h"
 #include "transit_delay.h"
@@ -71,6 +72,9 @@
   size_t in_flight() const { return exchanges_.size(); }
   /// Sets the fields of this member's gossip record that depend on the target.
   void FillRecord(MemberRecord& record) const;
+  /// The encoded report on the responses of the target that is due while a rollout of its service
+  /// is in progress, or nullopt.
+  std::optional<std::string> TakeRolloutReport();
 
  private:
   struct Exchange;
@@ -79,6 +83,11 @@
   void StartAttempt(const AttemptMessage& message, Reply reply, ExchangePtr* started);
   HttpRequest HealthRequest() const;
   bool Serves(const ServiceName& service) const;
+  const Rollout* FindRollout() const;
+  /// Whether the target's version may run the request, by the service's rollout.
+  bool VersionMayRun(const AttemptMessage& message) const;
+  void UpdateEvidence();
+  void CountEvidence(const Exchange& exchange, const HttpOutcome* outcome);
   ServicePolicy EffectivePolicy() const;
   void OnCancelled(const ExchangePtr& exchange);
   void ApplyDecisions(const std::vector<AdmissionDecision>& decisions);
@@ -119,6 +128,7 @@
   CancelOutgoing cancel_outgoing_;
   std::function<void()> state_changed_;
   SlotUse slot_use_;
+  RolloutEvidence evidence_;
   TimerId timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with the task
 };
--- a/src/units.h
+++ b/src/units.h
@@ -56,6 +56,8 @@
 using RouteName = StrongString<struct RouteNameTag>;
 using PresetName = StrongString<struct PresetNameTag>;
 using TargetId = StrongString<struct TargetIdTag>;
+/// Version of the program that a target runs; empty if it has not said.
+using TargetVersion = StrongString<struct TargetVersionTag>;
 using OperationId = StrongString<struct OperationIdTag>;
 using IdempotencyKey = StrongString<struct IdempotencyKeyTag>;
 
