--- a/src/rollout_controller.cc
+++ b/src/rollout_controller.cc
@@ -9,25 +9,35 @@
 #include <cmath>
 
 namespace endivecleat {
+
+/// How far the bad responses must exceed the expected ones: standard deviations, and a number.
+struct RolloutCertainty {
+  double deviations;
+  double excess;
+};
+
 namespace {
 
 using std::chrono::milliseconds;
 
 // Distances from the median of the old version, in latency buckets: about 2.4, 4 and 7 times as
 // long. Targets of one version differ in speed by up to 1.5 times the mean.
-constexpr std::array<size_t, 3> kSlowDistances = {5, 8, 11};
+constexpr std::array<size_t, 3> kSlowDistances = {6, 9, 12};
 // With fewer responses of the old version on a route, there is no median to compare with.
-constexpr uint64_t kMinOldResponses = 10;
+constexpr uint64_t kMinOldResponses = 30;
 constexpr double kFailureMargin = 1.5;  // times the rate of the old version
 constexpr double kFailureAllowance = 0.012;
 constexpr double kSlowMargin = 2;
 constexpr double kSlowAllowance = 0.025;
-constexpr double kDeviations = 3;
-constexpr double kMinExcess = 2;
 // Bad responses of a single target until the version is blamed although no other has shown any.
 constexpr uint64_t kBadOfOneTarget = 20;
 constexpr uint64_t kEnoughOfAnotherTarget = 30;
 
+// More bad responses than these revert a version.
+constexpr RolloutCertainty kCertain = {.deviations = 3, .excess = 2};
+// More than these keep the share as it is until more is known, as long as there is time.
+constexpr RolloutCertainty kSuspicion = {.deviations = 1.5, .excess = 0.8};
+
 constexpr Duration kSliceTime = milliseconds(250);
 constexpr Duration kRecentTime = milliseconds(3'000);
 constexpr size_t kMaxSlices = 64;
@@ -84,8 +94,8 @@
   return slow;
 }
 
-bool Exceeds(double bad, double expected) {
-  return bad > expected + kDeviations * std::sqrt(expected) + kMinExcess;
+bool Exceeds(double bad, double expected, const RolloutCertainty& certainty) {
+  return bad > expected + certainty.deviations * std::sqrt(expected) + certainty.excess;
 }
 
 double RateOf(uint64_t part, uint64_t whole) {
@@ -166,7 +176,8 @@
   return recent;
 }
 
-std::string RolloutController::Fault(const Routes& routes) const {
+std::string RolloutController::Fault(const Routes& routes,
+                                     const RolloutCertainty& certainty) const {
   double failures = 0;
   double expected_failures = 0;
   std::array<double, kSlowDistances.size()> slow = {};
@@ -178,7 +189,7 @@
     const double expected =
         responses *
         (kFailureAllowance + kFailureMargin * RateOf(old_route.failures, old_route.responses));
-    if (Exceeds(static_cast<double>(route.failures), expected)) {
+    if (Exceeds(static_cast<double>(route.failures), expected, certainty)) {
       return "failures on route " + name;
     }
     failures += static_cast<double>(route.failures);
@@ -195,18 +206,18 @@
       const double expected_here =
           answers *
           (kSlowAllowance + kSlowMargin * RateOf(CountSlow(old_route, first), old_answers));
-      if (Exceeds(slow_here, expected_here)) {
+      if (Exceeds(slow_here, expected_here, certainty)) {
         return "slow on route " + name;
       }
       slow.at(index) += slow_here;
       expected_slow.at(index) += expected_here;
     }
   }
-  if (Exceeds(failures, expected_failures)) {
+  if (Exceeds(failures, expected_failures, certainty)) {
     return "failures";
   }
   for (size_t index = 0; index < kSlowDistances.size(); ++index) {
-    if (Exceeds(slow.at(index), expected_slow.at(index))) {
+    if (Exceeds(slow.at(index), expected_slow.at(index), certainty)) {
       return "slow";
     }
   }
@@ -253,7 +264,7 @@
     return std::nullopt;
   }
   for (const Routes& routes : {total_new_, Recent(now, kRecentTime, true)}) {
-    if (const std::string fault = Fault(routes); !fault.empty() && IsSpread()) {
+    if (const std::string fault = Fault(routes, kCertain); !fault.empty() && IsSpread()) {
       return RolloutStep{RolloutState::kReverted, 0, fault};
     }
   }
@@ -304,7 +315,10 @@
                ? std::optional(RolloutStep{RolloutState::kComplete, kWholeShare, "good"})
                : std::nullopt;
   }
-  if (in_step < kStepTime) {
+  const bool suspected =
+      left > kFewTargetsBefore && (!Fault(total_new_, kSuspicion).empty() ||
+                                   !Fault(Recent(now, kRecentTime, true), kSuspicion).empty());
+  if (in_step < kStepTime || suspected) {
     return std::nullopt;
   }
   const bool enough = in_step_responses >= kStepResponses;
--- a/src/rollout_controller.h
+++ b/src/rollout_controller.h
@@ -31,6 +31,8 @@
   std::string reason;  // for the log
 };
 
+struct RolloutCertainty;
+
 class RolloutController {
  public:
   /// The share of an order, before anything is known of the new version.
@@ -67,7 +69,7 @@
   static void AddTo(Routes& sum, const Routes& more);
   Routes Recent(TimePoint now, Duration time, bool new_version) const;
   /// Why the responses in `routes` count as those of a bad version; empty if they do not.
-  std::string Fault(const Routes& routes) const;
+  std::string Fault(const Routes& routes, const RolloutCertainty& certainty) const;
   /// Whether the bad responses are those of the version and not of a single target.
   bool IsSpread() const;
   Verdict VerdictOn(const Routes& routes) const;
