Rollouts on the wire: tests with a control instance, two daemons and two targets

Cause: the leader saw no target of the new version, since a member's own version was not copied into its record, so that each order was reverted at its deadline.

--- a/src/membership.cc
+++ b/src/membership.cc
@@ -139,6 +139,7 @@
   next.target = self.target;
   next.state = self.state;
   next.slots = self.slots;
+  next.target_version = self.target_version;
   const bool record_changed = next != table_.self();
   next.free_slots = self.free_slots;
   next.config_version = self.config_version;
--- /dev/null
+++ b/test/platform/rollout_test.cc
@@ -0,0 +1,302 @@
+// Tests rollouts on the wire: a control instance, two daemons and two stand-in targets in one
+// process over loopback. Guards against orders that are lost or accepted twice, documents of
+// operators that meet a version conflict with a step, and requests that reach a version which the
+// order does not allow.
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+#include "network_fixture.h"
+#include "platform_fixture.h"
+#include "rollout_order.h"
+#include "target_adapter.h"
+#include "temporary_folder.h"
+#include "wall_clock.h"
+
+using namespace endivecleat;            // NOLINT(google-build-using-namespace)
+using namespace endivecleat::platform;  // NOLINT(google-build-using-namespace)
+using namespace endivecleat::test;      // NOLINT(google-build-using-namespace)
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+TEST_GROUP(PlatformRollout) {
+  struct Machine {
+    std::string ip;
+    const char* version = nullptr;
+    int failing_percent = 0;
+    size_t requests = 0;
+    uint64_t sequence = 0;
+    std::unique_ptr<HttpServer> target;
+    std::unique_ptr<PlatformDaemon> daemon;
+  };
+
+  EventLoop loop;
+  TemporaryFolder folder;
+  std::random_device random;
+  const std::string network =
+      "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
+  const uint16_t port = static_cast<uint16_t>(12'000 + random() % 15'000);
+  const std::string seed = network + "1:" + std::to_string(port);
+  const uint64_t started = WallNow().value() - 60'000;  // of the targets
+  std::unique_ptr<ControlThread> control;
+  std::array<Machine, 2> machines;  // of the old and of the new version
+  TimePoint next_report{};
+
+  void setup() override {
+    StartControl();
+    int status = 0;
+    for (int attempt = 0; status != 200 && attempt < 100; ++attempt) {
+      status = Operator("PUT", "/-/config", Configuration()).status;
+      RunFor(loop, milliseconds(100));
+    }
+    LONGS_EQUAL(200, status);
+  }
+
+  void teardown() override {
+    for (Machine& machine : machines) {
+      machine.daemon.reset();
+      machine.target.reset();
+    }
+    control.reset();
+  }
+
+  void StartControl() {
+    control.reset();
+    Json settings = Settings(network + "1", port, seed);
+    settings["ledger"] = false;
+    settings["data_folder"] = folder.path();
+    settings["heartbeat"] = "200ms";
+    settings["election_timeout"] = "1s";
+    settings["listen"]["operators"] = network + "1:" + std::to_string(port + 1);
+    settings["adapter"] = {{"operators", seed}, {"grace_s", 6}};
+    control = std::make_unique<ControlThread>(
+        ParseControlSettings(settings.dump(), folder.path().string()));
+  }
+
+  void StartMachine(size_t index, const char* version) {
+    Machine& machine = machines.at(index);
+    machine.ip = network + std::to_string(index + 2);
+    machine.version = version;
+    machine.target = std::make_unique<HttpServer>(
+        loop, Address{machine.ip, static_cast<uint16_t>(port + 6)}, HttpServerLimits{},
+        [this, &machine](const HttpRequest& request, const ResponseSink& sink) {
+          OnRequest(machine, request, sink);
+        });
+    const auto at = [&](int offset) { return machine.ip + ":" + std::to_string(port + offset); };
+    Json settings = Settings(machine.ip, port, seed);
+    settings["service"] = "ruta-cuadrilla";
+    settings["headers"] = {{"timeout", "Timeout-Ms"},
+                           {"request_id", "Request-Id"},
+                           {"answer_mark", "Response-Stamp"},
+                           {"diagnostics", false}};
+    settings["listen"]["callers"] = at(1);
+    settings["listen"]["local"] = at(3);
+    settings["adapter"] = {
+        {"announcements", at(4)}, {"readiness", at(5)}, {"target", at(6)}, {"grace_s", 6}};
+    machine.daemon = std::make_unique<PlatformDaemon>(
+        loop, ParseDaemonSettings(settings.dump(), folder.path().string()), 2 + index);
+  }
+
+  void OnRequest(Machine & machine, const HttpRequest& request, const ResponseSink& sink) {
+    HttpResponse response{.status = 200, .headers = {}, .body = "served"};
+    if (request.path == "/healthz") {
+      response.headers.Add("Instance-Id", std::string("i-") + machine.version);
+      response.headers.Add("Server-Load", "0,0,9");
+    } else {
+      ++machine.requests;
+      response.status = static_cast<int>(random() % 100) < machine.failing_percent ? 500 : 200;
+      response.headers.Add("Request-Id", request.headers.ValueOr("request-id", ""));
+      response.headers.Add("Response-Stamp", "1");
+    }
+    sink.Send(std::move(response));
+  }
+
+  HttpResponse Send(const Address& to, const std::string& method, const std::string& path,
+                    const std::string& body) {
+    HttpClient client(loop, to, 1);
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.headers.Add("Host", "ficu95.example");
+    request.headers.Add("Request-Id", "request");
+    request.headers.Add("Timeout-Ms", "500");
+    request.body = body;
+    HttpResponse response;
+    bool done = false;
+    client.Send(std::move(request), std::chrono::seconds(5), [&](const HttpOutcome& outcome) {
+      response = outcome.response;
+      done = true;
+    });
+    CHECK(RunUntil(loop, [&] { return done; }));
+    return response;
+  }
+  HttpResponse Operator(const std::string& method, const std::string& path,
+                        const std::string& body = "") {
+    return Send({network + "1", port}, method, path, body);
+  }
+  int Order(const std::string& service, const std::string& version, int seconds) {
+    const Json body = {{"service", service}, {"targetVersion", version}, {"durationS", seconds}};
+    return Operator("POST", "/-/rollouts", body.dump()).status;
+  }
+  std::string State() {
+    const HttpResponse response = Operator("GET", "/-/rollouts/ruta-cuadrilla");
+    const Json body = Json::parse(response.body, nullptr, false);
+    return body.is_object() ? body.value("state", "") : std::to_string(response.status);
+  }
+
+  void ReportTargets() {
+    if (loop.now() < next_report) {
+      return;
+    }
+    next_report = loop.now() + milliseconds(1'000);
+    for (Machine& machine : machines) {
+      if (machine.daemon) {
+        const Json body = {{"service", "ruta-cuadrilla"},
+                           {"address", machine.ip + ":" + std::to_string(port + 6)},
+                           {"zone", "cant-a"},
+                           {"version", machine.version},
+                           {"slots", 9},
+                           {"state", "ready"},
+                           {"coldLeftMs", 0},
+                           {"seq", ++machine.sequence},
+                           {"born", started}};
+        Send({machine.ip, static_cast<uint16_t>(port + 4)}, "PUT",
+             std::string("/-/instances/i-") + machine.version, body.dump());
+      }
+    }
+  }
+  /// Sends one request to a daemon, usually the one beside the old target.
+  int Read(size_t daemon = 0) {
+    ReportTargets();
+    RunFor(loop, milliseconds(5));
+    return Send({machines.at(daemon).ip, static_cast<uint16_t>(port + 1)}, "GET", "/bins", "")
+        .status;
+  }
+  bool ReadUntil(const std::function<bool()>& condition, Duration time) {
+    const TimePoint end = loop.now() + time;
+    while (!condition()) {
+      if (loop.now() > end) {
+        return false;
+      }
+      Read();
+    }
+    return true;
+  }
+  void ReadFor(Duration time) {
+    ReadUntil([] { return false; }, time);
+  }
+  /// Starts the old target and waits until it serves.
+  void StartOld() {
+    StartMachine(0, "v1");
+    CHECK(ReadUntil([this] { return machines.at(0).requests > 20; }, std::chrono::seconds(15)));
+  }
+  void CheckDecided(const char* state) {
+    std::string seen;
+    TimePoint next{};
+    CHECK(ReadUntil(
+        [&] {
+          if (loop.now() >= next) {
+            next = loop.now() + milliseconds(200);
+            seen = State();
+          }
+          return seen != "serving";
+        },
+        std::chrono::seconds(15)));
+    STRCMP_EQUAL(state, seen.c_str());
+  }
+};
+
+TEST(PlatformRollout, OrdersAreAcceptedOnceAndSurviveARestart) {
+  LONGS_EQUAL(404, Operator("GET", "/-/rollouts/ruta-cuadrilla").status);
+  LONGS_EQUAL(400, Order("unknown", "v2", 60));
+  LONGS_EQUAL(400, Operator("POST", "/-/rollouts", "{").status);
+  LONGS_EQUAL(400, Operator("POST", "/-/rollouts", R"({"service":"ruta-cuadrilla"})").status);
+  LONGS_EQUAL(400, Order("ruta-cuadrilla", "v2", 0));
+  LONGS_EQUAL(404, Operator("GET", "/-/rollouts/ruta-cuadrilla").status);
+  LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 60));
+  LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 60));  // sent again
+  LONGS_EQUAL(409, Order("ruta-cuadrilla", "v3", 60));
+  const HttpResponse answer = Operator("GET", "/-/rollouts/ruta-cuadrilla");
+  CHECK(Json::parse(answer.body) == (Json{{"state", "serving"}, {"targetVersion", "v2"}}));
+  StartControl();
+  std::string state = "503";
+  for (int attempt = 0; state != "serving" && attempt < 100; ++attempt) {
+    RunFor(loop, milliseconds(100));
+    state = State();
+  }
+  STRCMP_EQUAL("serving", state.c_str());
+}
+
+TEST(PlatformRollout, DocumentsOfOperatorsKeepTheOrder) {
+  LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 60));
+  Json document = Json::parse(Configuration());
+  document["version"] = "00000004";
+  document["baseVersion"] = "00000003";
+  LONGS_EQUAL(200, Operator("PUT", "/-/config", document.dump()).status);
+  LONGS_EQUAL(200, Operator("PUT", "/-/config", document.dump()).status);
+  const Json stored = Json::parse(Operator("GET", "/-/config").body);
+  CHECK(stored.at("version") == "00000004");
+  LONGS_EQUAL(3, stored.size());
+  CHECK(stored.dump().find("v2") == std::string::npos);
+  STRCMP_EQUAL("serving", State().c_str());
+}
+
+TEST(PlatformRollout, GoodVersionGetsAllRequests) {
+  StartOld();
+  LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 10));
+  ReadFor(milliseconds(500));
+  StartMachine(1, "v2");
+  CheckDecided("complete");
+  const size_t before = machines.at(0).requests;
+  const size_t before_new = machines.at(1).requests;
+  ReadFor(milliseconds(1'000));
+  LONGS_EQUAL(before, machines.at(0).requests);
+  CHECK(machines.at(1).requests > before_new);
+}
+
+TEST(PlatformRollout, FailingVersionIsReverted) {
+  StartOld();
+  LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 10));
+  StartMachine(1, "v2");
+  machines.at(1).failing_percent = 50;
+  CheckDecided("reverted");
+  CHECK(machines.at(1).requests > 0);
+  ReadFor(milliseconds(500));
+  const size_t after = machines.at(1).requests;
+  ReadFor(milliseconds(1'000));
+  LONGS_EQUAL(after, machines.at(1).requests);
+  LONGS_EQUAL(200, Read());
+}
+
+// Without an order, versions may be mixed.
+TEST(PlatformRollout, VersionsAreMixedWithoutAnOrder) {
+  StartOld();
+  StartMachine(1, "v0");
+  CHECK(ReadUntil([this] { return Read(1) == 200 && machines.at(1).requests > 20; },
+                  std::chrono::seconds(15)));
+  CHECK(machines.at(0).requests > 20);
+}
+
+// The order is held while its targets are missing; the old ones go on.
+TEST(PlatformRollout, OrderWithoutTargetsStaysServing) {
+  StartOld();
+  LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 3));
+  ReadFor(milliseconds(2'000));
+  STRCMP_EQUAL("serving", State().c_str());
+  LONGS_EQUAL(200, Read());
+}
+
+TEST_GROUP(RolloutOrderDecoding){};
+
+TEST(RolloutOrderDecoding, ReadsEachField) {
+  const RolloutOrder order =
+      DecodeRolloutOrder(R"({"service":"billsvc","targetVersion":"2.1","durationS":12.5})");
+  CHECK(order.service == ServiceName("billsvc"));
+  CHECK(order.version == TargetVersion("2.1"));
+  CHECK(order.time == milliseconds(12'500));
+}
--- a/test/platform/target_adapter_test.cc
+++ b/test/platform/target_adapter_test.cc
@@ -8,10 +8,9 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
-#include <thread>
 
 #include "network_fixture.h"
-#include "operator_adapter.h"
+#include "platform_fixture.h"
 #include "startup_confirmation.h"
 #include "temporary_folder.h"
 #include "wall_clock.h"
@@ -28,65 +27,6 @@
 // Longer than the interval between two health checks.
 constexpr Duration kSettlingTime = std::chrono::seconds(2);
 
-Json Settings(const std::string& ip, uint16_t port, const std::string& seed) {
-  return {{"instance", ip},
-          {"region", "cantabrico"},
-          {"data_centre", "cant-a"},
-          {"closed_network", true},
-          {"discovery", {{"seeds", {seed}}, {"bootstrap", true}, {"tolerated_losses", 0}}},
-          {"log", {{"level", "error"}, {"target", "stdout"}}},
-          {"in_force_within", "2500ms"},
-          {"listen", {{"peers", ip + ":" + std::to_string(port + 2)}}}};
-}
-
-std::string Configuration() {
-  const Json service = {
-      {"type", "services"},
-      {"metadata", {{"name", "ruta-cuadrilla"}}},
-      {"spec",
-       {{"healthPath", "/healthz"}, {"maxConns", 130}, {"protocol", "h1"}, {"tls", false}}}};
-  const Json route = {{"type", "routes"},
-                      {"metadata", {{"name", "r-1"}}},
-                      {"spec",
-                       {{"host", "ficu95.example"},
-                        {"pathPrefix", "/"},
-                        {"routeType", "idempotent"},
-                        {"timeoutMs", 1500},
-                        {"sloMs", 600},
-                        {"priority", 1},
-                        {"service", "ruta-cuadrilla"},
-                        {"attempts", 2}}}};
-  const Json limits = {{"type", "limits"},
-                       {"metadata", Json::object()},
-                       {"spec",
-                        {{"maxHeaderBytes", 16384},
-                         {"maxBodyBytes", 67108864},
-                         {"headerTimeoutMs", 3000},
-                         {"idleTimeoutMs", 15000}}}};
-  return Json{
-      {"version", "00000003"}, {"baseVersion", "00000000"}, {"resources", {route, service, limits}}}
-      .dump();
-}
-
-/// Runs a control instance. It has a loop and a thread of its own, since RunUntil() replaces the
-/// hook that it sets on its loop.
-class ControlThread {
- public:
-  explicit ControlThread(const ControlSettings& settings)
-      : control_(loop_, settings, 1), thread_([this] { loop_.Run(); }) {}
-  ~ControlThread() {
-    loop_.Stop();
-    thread_.join();
-  }
-  ControlThread(const ControlThread&) = delete;
-  ControlThread& operator=(const ControlThread&) = delete;
-
- private:
-  EventLoop loop_;
-  PlatformControl control_;
-  std::thread thread_;
-};
-
 }  // namespace
 
 TEST_GROUP(PlatformDaemonBesideATarget) {
