Rollouts: hold a target whose order may not have arrived; documents and orders at once

Cause: a target of the new version may start before its daemon has the order, and would take any requests then.

Change: without a rollout in its configuration, a daemon holds a target for the time of a distribution if all others have run for 10 s and are of other versions. Ruled out: holding also targets whose version is unknown, since each restart of a daemon would then wait for a report.

--- a/src/rollout_split.cc
+++ b/src/rollout_split.cc
@@ -8,6 +8,8 @@
 namespace endivecleat {
 namespace {
 
+// Targets that start together, as after a restart of all, do not wait for each other.
+constexpr uint64_t kSettledMs = 10'000;
 // With one target alone, a fault of that target could not be told from one of the version.
 constexpr size_t kMinNewTargets = 2;
 
@@ -22,6 +24,19 @@
 
 }  // namespace
 
+bool MayPrecedeOrder(const TargetVersion& version, WallTime own_boot_time,
+                     const std::vector<VersionedTarget>& others) {
+  bool settled = false;
+  for (const VersionedTarget& other : others) {
+    if (other.version == version) {
+      return false;
+    }
+    settled = settled || (!other.version.empty() &&
+                          other.boot_time.value() + kSettledMs < own_boot_time.value());
+  }
+  return settled && !version.empty();
+}
+
 void RolloutSplit::Update(const Rollout* rollout, WallTime now,
                           const std::vector<VersionedTarget>& targets) {
   active_ = rollout != nullptr;
--- a/src/rollout_split.h
+++ b/src/rollout_split.h
@@ -19,6 +19,13 @@
   WallTime boot_time;  // of its daemon
 };
 
+/// Whether a target that appears with this version, without a rollout of its service in the
+/// configuration in force, may be one of an order that has not arrived yet: all targets that have
+/// been there for some time are of other versions. Such a target waits for as long as the
+/// distribution of a configuration may take. `own_boot_time` is that of its daemon.
+bool MayPrecedeOrder(const TargetVersion& version, WallTime own_boot_time,
+                     const std::vector<VersionedTarget>& others);
+
 class RolloutSplit {
  public:
   /// Replaces the targets. A small share goes to a few of the new targets, the longest running
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -7,6 +7,7 @@
 
 #include "errors.h"
 #include "log.h"
+#include "rollout_split.h"
 #include "wall_clock.h"
 
 namespace endivecleat {
@@ -138,7 +139,9 @@
 
 void TargetTask::Announce(const Announcement& announcement) {
   const bool address_changed = client_ == nullptr || client_->target() != announcement.address;
+  const TargetVersion version_before = target_.announcement().version;
   target_.Announce(context_.loop.now(), announcement);
+  HoldUnexpectedVersion(version_before);
   if (address_changed) {
     client_ = std::make_unique<HttpClient>(
         context_.loop, announcement.address,
@@ -235,8 +238,31 @@
              : nullptr;
 }
 
+void TargetTask::HoldUnexpectedVersion(const TargetVersion& before) {
+  const Announcement& announced = target_.announcement();
+  if (announced.version == before || FindRollout() != nullptr) {
+    return;
+  }
+  const Membership& membership = context_.node.membership();
+  std::vector<VersionedTarget> others;
+  for (const MemberRecord& member : membership.members()) {
+    if (member.service == announced.service &&
+        member.instance != context_.settings.common.instance) {
+      others.push_back({member.instance, member.target_version, member.boot_time});
+    }
+  }
+  if (MayPrecedeOrder(announced.version, membership.self().boot_time, others)) {
+    hold_until_ = context_.loop.now() + context_.settings.common.in_force_within;
+    Log(LogLevel::kInfo, "target_version_held",
+        {{"target", announced.target.value()}, {"target_version", announced.version.value()}});
+  }
+}
+
 bool TargetTask::VersionMayRun(const AttemptMessage& message) const {
-  return MayRun(FindRollout(), target_.announcement().version, message.target_version);
+  const Rollout* rollout = FindRollout();
+  return rollout != nullptr || context_.loop.now() >= hold_until_
+             ? MayRun(rollout, target_.announcement().version, message.target_version)
+             : false;
 }
 
 ServicePolicy TargetTask::EffectivePolicy() const {
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -86,6 +86,8 @@
   const Rollout* FindRollout() const;
   /// Whether the target's version may run the request, by the service's rollout.
   bool VersionMayRun(const AttemptMessage& message) const;
+  /// Sets hold_until_ when a target of another version than all others appears without an order.
+  void HoldUnexpectedVersion(const TargetVersion& before);
   void UpdateEvidence();
   void CountEvidence(const Exchange& exchange, const HttpOutcome* outcome);
   ServicePolicy EffectivePolicy() const;
@@ -129,6 +131,7 @@
   std::function<void()> state_changed_;
   SlotUse slot_use_;
   RolloutEvidence evidence_;
+  TimePoint hold_until_ = TimePoint::min();  // without a rollout, no requests are run before then
   TimerId timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with the task
 };
--- a/test/correctness/rollout_test.cc
+++ b/test/correctness/rollout_test.cc
@@ -173,6 +173,22 @@
   CHECK(Contains(split.Excluded(true), "u") && Contains(split.Excluded(false), "o0"));
 }
 
+// A target whose order has not arrived at its daemon yet must not serve; a replaced target, or one
+// of many that start together, must.
+TEST(RolloutVersions, WaitForAnOrderOnlyIfAllOthersAreSettledInOtherVersions) {
+  const TargetVersion version("v2");
+  const WallTime own(100'000);
+  const auto other = [](const char* of, uint64_t boot) {
+    return VersionedTarget{InstanceId("i"), TargetVersion(of), WallTime(boot)};
+  };
+  CHECK(MayPrecedeOrder(version, own, {other("v1", 1'000), other("", 1'000)}));
+  CHECK_FALSE(MayPrecedeOrder(version, own, {other("v1", 1'000), other("v2", 99'000)}));
+  CHECK_FALSE(MayPrecedeOrder(version, own, {other("v1", 95'000)}));
+  CHECK_FALSE(MayPrecedeOrder(version, own, {other("", 1'000)}));
+  CHECK_FALSE(MayPrecedeOrder(TargetVersion(), own, {other("v1", 1'000)}));
+  CHECK_FALSE(MayPrecedeOrder(version, own, {}));
+}
+
 // Without targets of one version, the other one takes all requests while a rollout is serving.
 TEST(RolloutVersions, AreNotDividedWithoutTargets) {
   const Rollout rollout = MakeRollout(RolloutState::kServing, 300);
--- a/test/platform/rollout_test.cc
+++ b/test/platform/rollout_test.cc
@@ -139,6 +139,11 @@
                         const std::string& body = "") {
     return Send({network + "1", port}, method, path, body);
   }
+  static std::string Hexadecimal(uint64_t number) {
+    std::array<char, 17> digits{};
+    std::snprintf(digits.data(), digits.size(), "%08x", static_cast<unsigned>(number));
+    return digits.data();
+  }
   int Order(const std::string& service, const std::string& version, int seconds) {
     const Json body = {{"service", service}, {"targetVersion", version}, {"durationS", seconds}};
     return Operator("POST", "/-/rollouts", body.dump()).status;
@@ -246,6 +251,43 @@
   STRCMP_EQUAL("serving", State().c_str());
 }
 
+// A step changes the version on which a document is based; the operator must not see that.
+TEST(PlatformRollout, DocumentsAndOrdersAtTheSameTimeAreBothAccepted) {
+  uint64_t number = 3;
+  for (int round = 0; round < 6; ++round) {
+    Json document = Json::parse(Configuration());
+    document["baseVersion"] = Hexadecimal(number);
+    document["version"] = Hexadecimal(++number);
+    const Json order = {{"service", "ruta-cuadrilla"},
+                        {"targetVersion", "v" + std::to_string(round)},
+                        {"durationS", 1}};
+    std::vector<int> statuses;
+    HttpClient client(loop, {network + "1", port}, 2);
+    const auto send = [&](const char* method, const char* path, const std::string& body) {
+      HttpRequest request;
+      request.method = method;
+      request.path = path;
+      request.body = body;
+      client.Send(std::move(request), std::chrono::seconds(5),
+                  [&](const HttpOutcome& outcome) { statuses.push_back(outcome.response.status); });
+    };
+    if (round % 2 == 0) {
+      send("POST", "/-/rollouts", order.dump());
+      send("PUT", "/-/config", document.dump());
+    } else {
+      send("PUT", "/-/config", document.dump());
+      send("POST", "/-/rollouts", order.dump());
+    }
+    CHECK(RunUntil(loop, [&] { return statuses.size() == 2; }));
+    LONGS_EQUAL(200, statuses[0]);
+    LONGS_EQUAL(200, statuses[1]);
+    while (State() == "serving") {
+      RunFor(loop, milliseconds(50));
+    }
+  }
+  CHECK(Json::parse(Operator("GET", "/-/config").body).at("version") == Hexadecimal(number));
+}
+
 TEST(PlatformRollout, GoodVersionGetsAllRequests) {
   StartOld();
   LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 10));
