--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -20,6 +20,11 @@
 constexpr char kOfferHeader[] = "endivecleat-offer";
 // Internal header field: the sender's boot clock in microseconds.
 constexpr char kSentHeader[] = "endivecleat-sent";
+// Internal header field: the length of a body that follows, or empty if it is not known.
+constexpr char kBodyHeader[] = "endivecleat-body";
+// Precedes the service of an attempt whose body follows. No service has such a name, so a daemon
+// that does not know uploads refuses the attempt as one for another service.
+constexpr std::string_view kUploadPrefix = "+upload ";
 constexpr Duration kMaxOfferDuration = std::chrono::hours(24);
 constexpr Duration kMaxUptime = std::chrono::years(100);
 
@@ -41,9 +46,14 @@
   }
 }
 
-void WriteRequest(ByteWriter& writer, HttpRequest request, const std::string& offer,
-                  const std::optional<TimePoint>& sent_at) {
+void WriteRequest(ByteWriter& writer, const AttemptMessage& message, const std::string& offer) {
+  HttpRequest request = message.request;
+  const std::optional<TimePoint>& sent_at = message.sent_at;
   request.headers.Set(kOfferHeader, offer);
+  if (message.body_follows) {
+    request.headers.Set(kBodyHeader,
+                        message.body_length ? std::to_string(*message.body_length) : "");
+  }
   if (sent_at) {
     request.headers.Set(kSentHeader, std::to_string(sent_at->time_since_epoch().count()));
   }
@@ -132,6 +142,20 @@
   }
 }
 
+void TakeBodyLength(AttemptMessage& message) {
+  const std::string text = message.request.headers.ValueOr(kBodyHeader, "");
+  message.request.headers.Remove(kBodyHeader);
+  if (!message.body_follows || text.empty()) {
+    return;
+  }
+  uint64_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    throw UserError(ResultCode::kMessageMalformed, "invalid length of a body in an attempt");
+  }
+  message.body_length = length;
+}
+
 /// Moves the internal header field into the message.
 void TakeOffer(AttemptMessage& message) {
   const std::string text = message.request.headers.ValueOr(kOfferHeader, "");
@@ -151,7 +175,8 @@
 std::string EncodeAttempt(const AttemptMessage& message) {
   ByteWriter writer;
   writer.WriteVarint(kAttemptFormatVersion);
-  writer.WriteString(message.service.value());
+  writer.WriteString((message.body_follows ? std::string(kUploadPrefix) : std::string()) +
+                     message.service.value());
   writer.WriteVarint(static_cast<uint64_t>(message.kind));
   writer.WriteString(message.key.value());
   writer.WriteString(message.digest);
@@ -161,7 +186,7 @@
   writer.WriteVarint(message.priority.value());
   writer.WriteVarint(
       message.objective_left ? static_cast<uint64_t>(message.objective_left->count()) + 1 : 0);
-  WriteRequest(writer, message.request, FormatOffer(message), message.sent_at);
+  WriteRequest(writer, message, FormatOffer(message));
   return writer.Take();
 }
 
@@ -169,7 +194,10 @@
   ByteReader reader(bytes);
   AttemptMessage message;
   reader.ExpectVarint(kAttemptFormatVersion);
-  message.service = ServiceName(reader.ReadString());
+  std::string service = reader.ReadString();
+  message.body_follows = service.starts_with(kUploadPrefix);
+  message.service =
+      ServiceName(message.body_follows ? service.substr(kUploadPrefix.size()) : std::move(service));
   message.kind =
       static_cast<CallKind>(reader.ReadVarintUpTo(static_cast<uint64_t>(CallKind::kAtMostOnce)));
   message.key = IdempotencyKey(reader.ReadString());
@@ -186,6 +214,7 @@
   reader.ExpectEnd();
   TakeOffer(message);
   TakeSentAt(message);
+  TakeBodyLength(message);
   return message;
 }
 
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -32,6 +32,10 @@
   Duration objective{};                    // the route's whole objective; 0 if it has none
   std::optional<Duration> max_wait;        // for a slot of this target; nullopt: no limit
   std::optional<TimePoint> sent_at;        // by the boot clock of the sender
+  // The body follows in upload frames (PeerNetwork::SendBody) and has this length, if it is known.
+  // A daemon of the version before refuses such an attempt without running it.
+  bool body_follows = false;
+  std::optional<uint64_t> body_length;
   HttpRequest request;
 };
 
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -144,12 +144,21 @@
   StartOrRefuse(exchange);
 }
 
+const CompiledRoute* CallerTask::FindRoute(const HttpRequest& request) const {
+  return context_.configuration
+             ? context_.configuration->FindRoute(request.method, HostWithoutPort(request.headers),
+                                                 request.path)
+             : nullptr;
+}
+
+// The digest of an at-most-once request needs its whole body.
+bool CallerTask::StreamsBody(const HttpRequest& head) const {
+  const CompiledRoute* route = FindRoute(head);
+  return route != nullptr && route->large_requests && !route->at_most_once;
+}
+
 bool CallerTask::MayRunConcurrently(const HttpRequest& request) const {
-  if (!context_.configuration) {
-    return false;
-  }
-  const CompiledRoute* route = context_.configuration->FindRoute(
-      request.method, HostWithoutPort(request.headers), request.path);
+  const CompiledRoute* route = FindRoute(request);
   return route != nullptr && route->idempotent && !route->large_requests && !route->large_responses;
 }
 
@@ -194,6 +203,9 @@
     Start(exchange);
   } catch (const UserError& error) {
     exchange->sink.Send(ErrorResponse(error.code(), error.what()));
+    if (exchange->request.body_stream) {
+      exchange->request.body_stream->Cancel();
+    }
   }
 }
 
@@ -413,9 +425,14 @@
   for (const CallEffect& effect : effects) {
     if (const auto* choose = std::get_if<ChooseCandidate>(&effect)) {
       const TimePoint now = context_.loop.now();
-      Execute(exchange, exchange->call->Chosen(
-                            now, exchange->state->balancer.Choose(
-                                     now, choose->tried, TermsOf(*exchange, choose->may_wait))));
+      // A body of which a part was passed on cannot be sent again.
+      const auto& body = exchange->request.body_stream;
+      Execute(exchange,
+              exchange->call->Chosen(
+                  now, body && body->opened()
+                           ? std::nullopt
+                           : exchange->state->balancer.Choose(
+                                 now, choose->tried, TermsOf(*exchange, choose->may_wait))));
     } else if (const auto* send = std::get_if<SendAttempt>(&effect)) {
       Send(exchange, *send);
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
@@ -491,7 +508,10 @@
   }
   const Duration timeout = std::max(message.time_left, Duration(0)) + kNetworkGrace;
   message.sent_at = BootClockNow();
-  exchange->peer_requests[effect.attempt] = context_.node.network().Request(
+  const std::shared_ptr<BodyStream> body = message.request.body_stream;
+  message.body_follows = body != nullptr;
+  message.body_length = body ? body->length() : std::nullopt;
+  const PeerRequestId sent = context_.node.network().Request(
       effect.endpoint.address, PeerChannel::kCall, EncodeAttempt(message), timeout,
       [this, exchange, effect](const PeerOutcome& outcome) {
         if (outcome.kind != PeerOutcome::kAnswered) {
@@ -504,6 +524,10 @@
           OnAttemptLost(exchange, effect, true);
         }
       });
+  exchange->peer_requests[effect.attempt] = sent;
+  if (body) {
+    context_.node.network().SendBody(sent, body);
+  }
 }
 
 void CallerTask::OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
@@ -559,6 +583,9 @@
   LogCall(exchange, code, answer);
   if (code != ResultCode::kOk || answer == nullptr) {
     exchange.sink.Send(ErrorResponse(code, "", RetryAfter(exchange, code)));
+    if (exchange.request.body_stream) {
+      exchange.request.body_stream->Cancel();
+    }
     return;
   }
   HttpResponse response;
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -35,6 +35,8 @@
   /// Whether the request may run at the same time as others of its connection: it is idempotent and
   /// has no large body or response.
   bool MayRunConcurrently(const HttpRequest& request) const;
+  /// Whether the body of a request is passed on while it arrives.
+  bool StreamsBody(const HttpRequest& head) const;
   /// Cancels calls because the incoming calls that they were made for were cancelled.
   void Cancel(const std::vector<RequestNumber>& calls);
   /// A configuration version has come into force. Starts the requests that were held for it.
@@ -70,6 +72,7 @@
   /// Updates every service's candidates from the membership and the data centre summaries.
   void RefreshCandidates();
   Duration CallerTimeout(const HttpRequest& request) const;
+  const CompiledRoute* FindRoute(const HttpRequest& request) const;
   std::optional<ResultCode> Prepare(Exchange& exchange);
   std::optional<ResultCode> PrepareAtMostOnce(Exchange& exchange);
   TimePoint ComputeDeadline(Exchange& exchange) const;
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -35,6 +35,8 @@
   HttpServerLimits limits;
   limits.concurrent_requests = settings.pipelined_requests;
   limits.concurrent_bytes = settings.pipelined_bytes.value();
+  limits.message.streamed_body = settings.upload_body;
+  limits.body_timeout = settings.upload_timeout;
   return limits;
 }
 
@@ -99,6 +101,8 @@
                     }) {
   caller_server_.AllowConcurrency(
       [this](const HttpRequest& request) { return callers_.MayRunConcurrently(request); });
+  caller_server_.StreamBodies(
+      [this](const HttpRequest& head) { return callers_.StreamsBody(head); });
   target_.SetStateListener([this] { UpdateSelf(); });
   target_.SetCancelOutgoing(
       [this](const std::vector<RequestNumber>& calls) { callers_.Cancel(calls); });
@@ -290,6 +294,13 @@
       static_cast<double>(caller_server_.pipelining().concurrent));
   set("endivecleat_pipelined_waited", "Pipelined requests that waited for earlier ones",
       static_cast<double>(caller_server_.pipelining().waited));
+  const UploadCounts& uploads = caller_server_.uploads();
+  set("endivecleat_uploads_started", "Request bodies that were passed on while they arrived",
+      static_cast<double>(uploads.started));
+  set("endivecleat_uploads_completed", "Such bodies that were received in full",
+      static_cast<double>(uploads.completed));
+  set("endivecleat_uploads_stalled", "Such bodies that ended since their sender made no progress",
+      static_cast<double>(uploads.stalled));
   set("endivecleat_members", "Members of the data centre that are alive",
       static_cast<double>(node_.membership().members().size()));
 }
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -13,6 +13,8 @@
 #include <optional>
 #include <utility>
 
+#include "body_sender.h"
+
 namespace endivecleat {
 namespace {
 
@@ -23,6 +25,9 @@
 // a request sent while the server closes the connection is lost.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
 
+// After its response, a target may read the rest of a body for this long.
+constexpr Duration kMaxRestOfBodyTime = std::chrono::seconds(30);
+
 /// How long the connection may be reused once idle, from the Keep-Alive field of the response.
 Duration ReuseTime(const HeaderList& headers) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -81,11 +86,14 @@
     reader_.ResetFor(method_);
     output_.Append(SerializeRequestHead(call.request, client_.target_.text()));
     has_body_ = !call.request.body.empty();
+    body_.Set(call.request.body_stream);
+    streamed_ = body_.active();
+    sending_rest_ = false;
     output_.Append(std::move(call.request.body));
     if (connecting_) {
       return true;
     }
-    const SocketStatus status = output_.Flush(descriptor_);
+    const SocketStatus status = Flush();
     UpdateWatch();
     return !HasEnded(status) || output_.written() > 0;
   }
@@ -94,6 +102,7 @@
   void Unassign(Call& call) {
     call.connection = nullptr;
     call_.reset();
+    body_.Forget();
     if (has_body_) {
       call.request.body = output_.TakeLast();
     }
@@ -103,6 +112,7 @@
   void Remove() {
     const std::shared_ptr<Connection> self = shared_from_this();
     CloseSocket();
+    body_.Cancel();
     std::erase(client_.idle_, id_);
     client_.connections_.erase(id_);
   }
@@ -125,11 +135,14 @@
       return;
     }
     if (!call_) {
-      Remove();  // any event on an idle connection is a close or unsolicited data
+      if (sending_rest_ && (events & ~static_cast<uint32_t>(EPOLLOUT)) == 0) {
+        ContinueBody();
+        return;
+      }
+      Remove();  // any other event on an idle connection is a close or unsolicited data
       return;
     }
-    if ((events & EPOLLOUT) != 0 && HasEnded(output_.Flush(descriptor_)) &&
-        (events & (EPOLLIN | EPOLLRDHUP)) == 0) {
+    if ((events & EPOLLOUT) != 0 && HasEnded(Flush()) && (events & (EPOLLIN | EPOLLRDHUP)) == 0) {
       Fail();
       return;
     }
@@ -146,7 +159,7 @@
       return;
     }
     connecting_ = false;
-    if (HasEnded(output_.Flush(descriptor_))) {
+    if (HasEnded(Flush())) {
       Fail();
       return;
     }
@@ -214,13 +227,19 @@
   }
 
   void Complete(SocketStatus status, HttpResponse response) {
-    const bool reusable = !HasEnded(status) && reader_.keep_alive() && output_.empty() &&
-                          input_.empty() && !desynchronized_;
+    // A target that responds early still gets the rest of a streamed body.
+    sending_rest_ = streamed_ && (body_.active() || !output_.empty());
+    const bool reusable = !HasEnded(status) && reader_.keep_alive() &&
+                          (output_.empty() || sending_rest_) && input_.empty() && !desynchronized_;
     reusable_until_ = client_.loop_.now() + ReuseTime(response.headers);
     HttpOutcome outcome{HttpOutcome::kAnswered, std::move(response)};
     has_served_ = true;
+    ++served_calls_;
     const CallId id = *std::exchange(call_, std::nullopt);
-    if (reusable) {
+    if (reusable && sending_rest_) {
+      UpdateWatch();
+      LimitRestOfBody();
+    } else if (reusable) {
       UpdateWatch();
       client_.idle_.push_back(id_);
     } else {
@@ -239,6 +258,81 @@
     client_.Finish(id, std::move(outcome));
   }
 
+  /// Writes what the socket accepts, and fills the output with the streamed body meanwhile.
+  SocketStatus Flush() {
+    SocketStatus status = output_.Flush(descriptor_);
+    while (status == SocketStatus::kOpen && output_.written() > 0 && body_.active()) {
+      if (!body_.opened()) {
+        body_.Open([weak = weak_from_this()] {
+          if (const auto connection = weak.lock()) {
+            connection->OnBodyReadable();
+          }
+        });
+      }
+      if (body_.cancelled()) {
+        OnBodyReadable();  // it was cancelled before it was opened
+      }
+      if (!body_.Fill(output_)) {
+        break;
+      }
+      status = output_.Flush(descriptor_);
+    }
+    return status;
+  }
+
+  /// The stream has more of the body, or has ended or was cancelled. Posted, since the stream may
+  /// be in use by its writer.
+  void OnBodyReadable() {
+    if (std::exchange(body_event_posted_, true)) {
+      return;
+    }
+    client_.loop_.Post([weak = weak_from_this()] {
+      const auto connection = weak.lock();
+      if (!connection || connection->descriptor_ < 0) {
+        return;
+      }
+      connection->body_event_posted_ = false;
+      if (connection->body_.cancelled() && connection->call_) {
+        connection->Fail();
+      } else if (connection->body_.cancelled()) {
+        connection->Remove();
+      } else if (connection->call_) {
+        if (HasEnded(connection->Flush())) {
+          connection->OnReadable();  // the target may have responded before it closed
+        } else {
+          connection->UpdateWatch();
+        }
+      } else if (connection->sending_rest_) {
+        connection->ContinueBody();
+      }
+    });
+  }
+
+  /// Sends more of the body after the response has arrived.
+  void ContinueBody() {
+    if (HasEnded(Flush())) {
+      Remove();
+      return;
+    }
+    UpdateWatch();
+    if (!body_.active() && output_.empty()) {
+      sending_rest_ = false;
+      client_.idle_.push_back(id_);
+      client_.DispatchWaitingCalls();
+    }
+  }
+
+  /// A target that has responded must read the rest of the body within a time limit.
+  void LimitRestOfBody() {
+    client_.loop_.RunAfter(kMaxRestOfBodyTime, [weak = weak_from_this(), served = served_calls_] {
+      const auto connection = weak.lock();
+      if (connection && connection->descriptor_ >= 0 && connection->served_calls_ == served &&
+          connection->sending_rest_) {
+        connection->Remove();
+      }
+    });
+  }
+
   void UpdateWatch() {
     const uint32_t wanted =
         EPOLLIN | EPOLLRDHUP | (output_.empty() ? 0U : static_cast<uint32_t>(EPOLLOUT));
@@ -258,6 +352,11 @@
   std::string input_;
   OutputQueue output_;  // bytes of the current call only
   bool has_body_ = false;
+  BodySender body_;            // of the current call, or the rest of the body of the last one
+  bool streamed_ = false;      // the body of the current or last call is streamed
+  bool sending_rest_ = false;  // the response has arrived, and the rest of the body is being sent
+  bool body_event_posted_ = false;
+  uint64_t served_calls_ = 0;
   std::optional<CallId> call_;
   std::string method_;              // of the current call
   std::string expected_echo_;       // expected value of the echoed header; empty: not checked
--- a/src/http_codec.cc
+++ b/src/http_codec.cc
@@ -4,11 +4,13 @@
 #include "http_codec.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
 #include <optional>
 #include <string_view>
 
@@ -119,11 +121,96 @@
 
 }  // namespace
 
-struct RequestReader::Parser : http::request_parser<http::string_body> {};
+namespace {
+
+// A body that grows as it arrives. The string_body of Beast reserves the announced length at once.
+struct GrowingBody {
+  using value_type = std::string;
+
+  class reader {  // NOLINT(readability-identifier-naming): the name is required by Beast
+   public:
+    template <bool is_request, class Fields>
+    reader(http::header<is_request, Fields>& /*header*/, value_type& body) : body_(body) {}
+
+    static void init(const boost::optional<uint64_t>& /*length*/, boost::beast::error_code& error) {
+      error = {};
+    }
+    template <class Buffers>
+    size_t put(const Buffers& buffers, boost::beast::error_code& error) {
+      error = {};
+      const size_t before = body_.size();
+      for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      return body_.size() - before;
+    }
+    static void finish(boost::beast::error_code& error) { error = {}; }
 
-RequestReader::RequestReader(MessageLimits limits) : limits_(limits) {
+   private:
+    value_type& body_;
+  };
+};
+
+template <class Message>
+HttpRequest CopyHead(const Message& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  const std::string target(message.target());
+  const size_t query = target.find('?');
+  request.path = target.substr(0, query);
+  request.query = query == std::string::npos ? "" : target.substr(query + 1);
+  request.headers = CopyHeaders(message);
+  return request;
+}
+
+}  // namespace
+
+struct RequestReader::Parser : http::request_parser<GrowingBody> {};
+
+RequestReader::RequestReader(MessageLimits limits) : limits_(limits) { ResetParser(); }
+
+void RequestReader::ResetParser() {
   parser_ = std::make_unique<Parser>();
-  ConfigureParser(*parser_, limits_);
+  MessageLimits limits = limits_;
+  if (stream_policy_) {
+    // The smaller limit is checked once it is known whether the body is streamed.
+    limits.body = std::max(limits.body, limits.streamed_body);
+  }
+  ConfigureParser(*parser_, limits);
+  streamed_head_.reset();
+}
+
+void RequestReader::SetStreamPolicy(StreamPolicy policy) {
+  stream_policy_ = std::move(policy);
+  ResetParser();
+}
+
+std::optional<uint64_t> RequestReader::content_length() const {
+  const auto length = parser_->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+std::string RequestReader::TakeBody() { return std::exchange(parser_->get().body(), {}); }
+
+bool RequestReader::streamed_keep_alive() const { return parser_->keep_alive(); }
+
+bool RequestReader::BodyTooLarge() const {
+  return !streamed_head_ && parser_->get().body().size() > limits_.body.value();
+}
+
+ReadStatus RequestReader::CheckBodyPolicy() {
+  if (!stream_policy_ || parser_->is_done()) {
+    return ReadStatus::kNeedMore;
+  }
+  const uint64_t length = content_length().value_or(UINT64_MAX);
+  if (length > kMinStreamedBytes) {
+    HttpRequest head = CopyHead(parser_->get());
+    if (stream_policy_(head)) {
+      streamed_head_ = std::make_unique<HttpRequest>(std::move(head));
+      return ReadStatus::kNeedMore;
+    }
+  }
+  return content_length() && length > limits_.body.value() ? Fail(413) : ReadStatus::kNeedMore;
 }
 
 RequestReader::~RequestReader() = default;
@@ -157,17 +244,20 @@
   }
   if (!header_checked_) {
     header_checked_ = true;
-    if (const ReadStatus status = CheckHeader(); status == ReadStatus::kError) {
-      return status;
+    if (CheckHeader() == ReadStatus::kError || CheckBodyPolicy() == ReadStatus::kError) {
+      return ReadStatus::kError;
     }
   }
   while (!parser_->is_done() && !input.empty()) {
     const auto error = FeedParser(*parser_, input);
     if (error == http::error::need_more) {
+      if (BodyTooLarge()) {
+        return Fail(413);
+      }
       return input.size() > kMaxPendingBytes ? Fail(400) : ReadStatus::kNeedMore;
     }
-    if (error) {
-      return Fail(StatusFor(error));
+    if (error || BodyTooLarge()) {
+      return Fail(error ? StatusFor(error) : 413);
     }
   }
   return parser_->is_done() ? ReadStatus::kComplete : ReadStatus::kNeedMore;
@@ -206,17 +296,10 @@
 HttpRequest RequestReader::Take() {
   keep_alive_ = parser_->keep_alive();
   auto message = parser_->release();
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  const std::string target(message.target());
-  const size_t query = target.find('?');
-  request.path = target.substr(0, query);
-  request.query = query == std::string::npos ? "" : target.substr(query + 1);
-  request.headers = CopyHeaders(message);
+  HttpRequest request = CopyHead(message);
   request.body = std::move(message.body());
 
-  parser_ = std::make_unique<Parser>();
-  ConfigureParser(*parser_, limits_);
+  ResetParser();
   started_ = false;
   header_checked_ = false;
   expect_continue_ = false;
@@ -309,7 +392,11 @@
   }
   AppendFields(head, request.headers);
   const http::verb verb = http::string_to_verb(request.method);
-  if (!request.body.empty() || RequiresContentLength(verb)) {
+  if (request.body_stream && !request.body_stream->length()) {
+    AppendField(head, "Transfer-Encoding", "chunked");
+  } else if (request.body_stream) {
+    AppendField(head, "Content-Length", std::to_string(*request.body_stream->length()));
+  } else if (!request.body.empty() || RequiresContentLength(verb)) {
     AppendField(head, "Content-Length", std::to_string(request.body.size()));
   }
   return head.append("\r\n");
--- a/src/http_codec.h
+++ b/src/http_codec.h
@@ -3,7 +3,9 @@
 #ifndef ENDIVECLEAT_HTTP_CODEC_H_
 #define ENDIVECLEAT_HTTP_CODEC_H_
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http_message.h"
@@ -18,11 +20,17 @@
 struct MessageLimits {
   ByteCount body{4U << 20U};
   ByteCount header{32U << 10U};  // start line and header fields together
+  ByteCount streamed_body{0};    // of a request whose body is passed on while it arrives
 };
 
 /// Parses the consecutive requests of one connection.
 class RequestReader {
  public:
+  /// Decides from the head whether the body of a request is passed on while it arrives.
+  using StreamPolicy = std::function<bool(const HttpRequest& head)>;
+  /// A body that is known to have no more bytes than this is never streamed.
+  static constexpr size_t kMinStreamedBytes = 64U << 10U;
+
   explicit RequestReader(MessageLimits limits);
   ~RequestReader();
 
@@ -31,10 +39,22 @@
   ReadStatus Feed(std::string& input);
   HttpRequest Take();
 
+  /// Without a policy, no body is streamed.
+  void SetStreamPolicy(StreamPolicy policy);
+  /// Whether the head of the current request has been read and its body is streamed. From then on,
+  /// streamed_head() and TakeBody() may be called, and after kComplete Take() ends the request.
+  bool streamed() const { return streamed_head_ != nullptr; }
+  const HttpRequest& streamed_head() const { return *streamed_head_; }
+  std::optional<uint64_t> content_length() const;
+  /// Returns the part of the body that was read since the last call.
+  std::string TakeBody();
+
   /// The status with which to reject the request after kError: 400, 411, 413, 431 or 501.
   int error_status() const { return error_status_; }
   /// Whether the connection may be kept open after the request last taken.
   bool keep_alive() const { return keep_alive_; }
+  /// Whether it may be kept open after the request whose body is streamed.
+  bool streamed_keep_alive() const;
   /// Whether any byte of the next request has been consumed.
   bool started() const { return started_; }
   /// Returns true once for a request whose sender waits for "100 Continue" before it sends the
@@ -46,9 +66,14 @@
 
   ReadStatus Fail(int status);
   ReadStatus CheckHeader();
+  ReadStatus CheckBodyPolicy();
+  bool BodyTooLarge() const;
+  void ResetParser();
 
   MessageLimits limits_;
+  StreamPolicy stream_policy_;
   std::unique_ptr<Parser> parser_;
+  std::unique_ptr<HttpRequest> streamed_head_;
   bool started_ = false;
   bool header_checked_ = false;
   bool expect_continue_ = false;
--- a/src/http_connection.cc
+++ b/src/http_connection.cc
@@ -13,6 +13,8 @@
 
 // Reading pauses while this many received bytes wait for earlier requests to finish.
 constexpr size_t kMaxBufferedInputBytes = 256U << 10U;
+// The same for a body whose stream is full.
+constexpr size_t kMaxBufferedBodyInputBytes = 16U << 10U;
 // The next pipelined request is not processed while more bytes of responses are unsent.
 constexpr size_t kMaxBufferedOutputBytes = 256U << 10U;
 // Duration of the lingering close: input is discarded for this long after the connection was shut
@@ -76,6 +78,9 @@
       descriptor_(descriptor),
       peer_ip_(std::move(peer_ip)),
       reader_(server.limits_.message) {
+  if (server_.stream_policy_) {
+    reader_.SetStreamPolicy(server_.stream_policy_);
+  }
   last_progress_ = server_.loop_.now();
   watch_ = server_.loop_.Watch(descriptor_, events_, [this](uint32_t events) { OnEvents(events); });
 }
@@ -87,6 +92,9 @@
   CloseSocket();
   server_.connections_.erase(id_);
   CancelPending();
+  if (const auto body = ReleaseBody()) {
+    body->Cancel();
+  }
 }
 
 void HttpServer::Connection::CloseIfIdle() {
@@ -110,10 +118,15 @@
     if (now - *lingering_since_ >= kLingerTime) {
       Close();
     }
+  } else if (WaitsForBody() && now - body_progress_ >= limits.body_timeout) {
+    ++server_.uploads_.stalled;
+    Close();
   } else if (!output_.empty()) {
     if (now - last_progress_ >= limits.transfer_timeout) {
       Close();
     }
+  } else if (body_) {
+    last_progress_ = now;
   } else if (reader_.started()) {
     last_progress_ = now;
     if (now - request_started_at_ >= limits.transfer_timeout) {
@@ -134,8 +147,13 @@
 /// Whether the next request may be read now. A request counts as read by the server once it is in
 /// pending_: from then on it is answered, unless the client disconnects.
 bool HttpServer::Connection::MayRead() const {
-  if (descriptor_ < 0 || lingering_since_ || close_after_response_ ||
-      output_.size() > kMaxBufferedOutputBytes) {
+  if (descriptor_ < 0 || lingering_since_) {
+    return false;
+  }
+  if (body_) {
+    return body_->has_room();
+  }
+  if (close_after_response_ || output_.size() > kMaxBufferedOutputBytes) {
     return false;
   }
   if (pending_.empty()) {
@@ -162,17 +180,17 @@
   const std::deque<Pending> cancelled = std::exchange(pending_, {});
   for (const Pending& pending : cancelled) {
     if (pending.exchange) {
-      pending.exchange->send = nullptr;
-      pending.exchange->disconnected = true;
+      Disconnect(*pending.exchange);
     }
   }
-  for (const Pending& pending : cancelled) {
-    if (!pending.exchange) {
-      continue;
-    }
-    if (const auto on_disconnect = std::exchange(pending.exchange->on_disconnect, nullptr)) {
-      on_disconnect();
-    }
+}
+
+/// Marks the client as disconnected from the request and runs its task.
+void HttpServer::Connection::Disconnect(ResponseSink::Exchange& exchange) {
+  exchange.send = nullptr;
+  exchange.disconnected = true;
+  if (const auto on_disconnect = std::exchange(exchange.on_disconnect, nullptr)) {
+    on_disconnect();
   }
 }
 
@@ -279,6 +297,13 @@
     request_started_at_ = server_.loop_.now();
   }
   SendContinue();
+  if (body_) {
+    return OnBodyRead(status);
+  }
+  if (reader_.streamed() && status != ReadStatus::kError) {
+    AddStreamed(arrived);
+    return body_ != nullptr && OnBodyRead(status);
+  }
   if (status == ReadStatus::kError) {
     AddRejection(reader_.error_status());
     return true;
@@ -289,25 +314,115 @@
   continue_held_ = false;  // the client did not wait for it
   HttpRequest request = reader_.Take();
   request.received_at = arrived;
-  AddRequest(std::move(request), received_bytes_ - input_.size() - request_begin_);
+  AddRequest(std::move(request), received_bytes_ - input_.size() - request_begin_,
+             reader_.keep_alive());
   return true;
 }
 
+/// Adds a request whose body is streamed, before any of the body is passed on.
+void HttpServer::Connection::AddStreamed(TimePoint arrived) {
+  ++server_.uploads_.started;
+  body_ = std::make_shared<BodyStream>(reader_.content_length());
+  body_progress_ = server_.loop_.now();
+  body_->SetWriterListener([weak = weak_from_this(), body = std::weak_ptr(body_)] {
+    const auto connection = weak.lock();
+    if (connection && connection->body_ && connection->body_ == body.lock()) {
+      connection->body_progress_ = connection->server_.loop_.now();
+      connection->ProcessRequests();
+    }
+  });
+  HttpRequest request = reader_.streamed_head();
+  request.received_at = arrived;
+  request.body_stream = body_;
+  AddRequest(std::move(request), received_bytes_ - input_.size() - request_begin_,
+             reader_.streamed_keep_alive());
+}
+
+/// Passes on what was read of the body. Returns true at its end, where another request may follow.
+bool HttpServer::Connection::OnBodyRead(ReadStatus status) {
+  const std::string bytes = reader_.TakeBody();
+  if (!bytes.empty()) {
+    body_progress_ = server_.loop_.now();
+  }
+  const std::shared_ptr<BodyStream> body = body_;
+  body->Write(bytes);
+  if (descriptor_ < 0) {
+    return false;
+  }
+  if (status == ReadStatus::kError) {
+    RejectStreamed(reader_.error_status());
+    return true;
+  }
+  if (status == ReadStatus::kComplete) {
+    ++server_.uploads_.completed;
+    reader_.Take();
+    ReleaseBody();
+    continue_held_ = false;
+    body->End();
+    return true;
+  }
+  if (body->dropped() > server_.limits_.discarded_body_bytes) {
+    // The client gets the response, which closes the connection.
+    ReleaseBody();
+    if (pending_.empty()) {
+      close_after_response_ = true;
+    } else {
+      pending_.back().keep_alive = false;
+    }
+  }
+  return false;
+}
+
+/// Ends a request whose body is malformed or too large. It may be running, but callers do not
+/// repeat requests that are rejected for their body.
+void HttpServer::Connection::RejectStreamed(int status) {
+  ReleaseBody()->Cancel();
+  if (pending_.empty() || !pending_.back().exchange || pending_.back().response) {
+    close_after_response_ = true;
+    return;
+  }
+  Pending& pending = pending_.back();
+  const auto exchange = std::exchange(pending.exchange, nullptr);
+  pending.undelivered.reset();
+  pending.response = ErrorResponse(status);
+  pending.keep_alive = false;
+  --unanswered_;
+  --server_.in_flight_;
+  Disconnect(*exchange);
+}
+
+/// Stops receiving the body.
+std::shared_ptr<BodyStream> HttpServer::Connection::ReleaseBody() {
+  if (body_) {
+    body_->SetWriterListener(nullptr);
+    server_.in_flight_ -= std::exchange(body_outlives_response_, false) ? 1 : 0;
+  }
+  return std::exchange(body_, nullptr);
+}
+
+/// Whether the connection waits for the client to send more of a body.
+bool HttpServer::Connection::WaitsForBody() const {
+  return body_ != nullptr && body_->has_room() && !continue_held_;
+}
+
 /// An interim response follows the responses to the requests before it.
 void HttpServer::Connection::SendContinue() {
   continue_held_ = reader_.TakeExpectContinue() || continue_held_;
-  if (continue_held_ && pending_.empty()) {
+  // A streamed request precedes its body in pending_.
+  if (continue_held_ && pending_.size() <= (body_ ? 1 : 0)) {
     continue_held_ = false;
+    body_progress_ = server_.loop_.now();
     output_.Append("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
 
-void HttpServer::Connection::AddRequest(HttpRequest request, size_t bytes) {
+void HttpServer::Connection::AddRequest(HttpRequest request, size_t bytes, bool keep_alive) {
   request.peer_ip = peer_ip_;
   Pending pending;
-  pending.concurrent = server_.may_run_concurrently_ && server_.may_run_concurrently_(request);
+  pending.concurrent = !request.body_stream && server_.may_run_concurrently_ &&
+                       server_.may_run_concurrently_(request);
   pending.is_head = request.method == "HEAD";
-  pending.keep_alive = reader_.keep_alive();
+  pending.keep_alive = keep_alive;
   pending.bytes = bytes;
   pending.exchange = std::make_shared<ResponseSink::Exchange>();
   pending.exchange->send = [weak = weak_from_this(),
@@ -366,6 +481,10 @@
       ++unsent_responses_;
     }
     const bool last = pending_.empty();
+    if (last && body_ && !body_outlives_response_) {
+      body_outlives_response_ = true;
+      ++server_.in_flight_;
+    }
     const bool keep_alive = pending.keep_alive && !(last && server_.draining());
     QueueResponse(std::move(pending), keep_alive);
     if (!keep_alive) {
@@ -396,6 +515,9 @@
 /// Returns true when the output was drained and pipelined input can be processed again.
 bool HttpServer::Connection::FlushResponses() {
   if (output_.empty()) {
+    if (close_after_response_ && !body_ && pending_.empty() && !lingering_since_) {
+      StartLingeringClose();  // the response was sent before the body had ended
+    }
     return false;
   }
   const size_t before = output_.size();
@@ -411,7 +533,7 @@
     return false;
   }
   server_.in_flight_ -= std::exchange(unsent_responses_, 0);
-  if (close_after_response_) {
+  if (close_after_response_ && !body_) {
     StartLingeringClose();
     return false;
   }
@@ -429,7 +551,8 @@
     return;
   }
   uint32_t wanted = EPOLLRDHUP;
-  if (lingering_since_ || input_.size() < kMaxBufferedInputBytes) {
+  const size_t max_input = body_ ? kMaxBufferedBodyInputBytes : kMaxBufferedInputBytes;
+  if (lingering_since_ || input_.size() < max_input) {
     wanted |= EPOLLIN;
   }
   if (!output_.empty()) {
--- a/src/http_connection.h
+++ b/src/http_connection.h
@@ -61,6 +61,7 @@
   bool MayRead() const;
   void CloseSocket();
   void CancelPending();
+  static void Disconnect(ResponseSink::Exchange& exchange);
   void OnEvents(uint32_t events);
   void OnReadable();
   void RecordArrival(size_t bytes);
@@ -68,8 +69,13 @@
   void ProcessRequests();
   bool DeliverWaiting();
   bool ReadRequest();
+  void AddStreamed(TimePoint arrived);
+  bool OnBodyRead(ReadStatus status);
+  void RejectStreamed(int status);
+  std::shared_ptr<BodyStream> ReleaseBody();
+  bool WaitsForBody() const;
   void SendContinue();
-  void AddRequest(HttpRequest request, size_t bytes);
+  void AddRequest(HttpRequest request, size_t bytes, bool keep_alive);
   void Deliver(Pending& pending, HttpRequest request);
   void SendResponse(const std::weak_ptr<ResponseSink::Exchange>& exchange, HttpResponse response);
   void QueueReadyResponses();
@@ -92,12 +98,17 @@
   std::deque<Arrival> arrivals_;  // of the bytes in input_
   uint64_t request_begin_ = 0;    // position in the input of the request being read
   OutputQueue output_;
-  std::deque<Pending> pending_;        // in the order of the requests
-  size_t pending_bytes_ = 0;           // sum over pending_
-  size_t unanswered_ = 0;              // entries of pending_ that were not rejected
-  size_t unsent_responses_ = 0;        // responses with bytes in output_
-  bool continue_held_ = false;         // "100 Continue" is due after the responses before it
-  bool close_after_response_ = false;  // no request is read after the response in output_
+  std::deque<Pending> pending_;  // in the order of the requests
+  size_t pending_bytes_ = 0;     // sum over pending_
+  size_t unanswered_ = 0;        // entries of pending_ that were not rejected
+  size_t unsent_responses_ = 0;  // responses with bytes in output_
+  // The body being received, from when its request is read until the body ends; null otherwise. The
+  // response may be sent before that.
+  std::shared_ptr<BodyStream> body_;
+  TimePoint body_progress_;
+  bool body_outlives_response_ = false;  // counted in the server's in_flight_
+  bool continue_held_ = false;           // "100 Continue" is due after the responses before it
+  bool close_after_response_ = false;    // no request is read after the response in output_
   bool processing_ = false;
   std::optional<TimePoint> lingering_since_;
   TimePoint last_progress_;  // last successful write, or last check with a request in flight
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -6,12 +6,14 @@
 #include <algorithm>
 #include <cctype>
 #include <initializer_list>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "body_stream.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -87,7 +89,10 @@
   std::string query;
   HeaderList headers;
   std::string body;
-  std::string peer_ip;      // set by HttpServer, ignored by HttpClient
+  std::string peer_ip;  // set by HttpServer, ignored by HttpClient
+  // The body of an upload, if the request is delivered before its body is complete. `body` is empty
+  // then.
+  std::shared_ptr<BodyStream> body_stream{};
   TimePoint received_at{};  // arrival of the last byte; set by HttpServer, ignored by HttpClient
 };
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -32,6 +32,19 @@
   /// while a limit is reached. They apply only where requests may run concurrently.
   size_t concurrent_requests = 16;
   size_t concurrent_bytes = 256U << 10U;
+  /// A streamed body that makes no progress for this long, although the server waits for it, ends
+  /// its connection.
+  Duration body_timeout = std::chrono::seconds(10);
+  /// What is read of a streamed body that nobody wants before the connection is closed. A client
+  /// that sends little more keeps its connection.
+  size_t discarded_body_bytes = 256U << 10U;
+};
+
+/// Streamed bodies since the start of the server.
+struct UploadCounts {
+  uint64_t started = 0;
+  uint64_t completed = 0;  ///< received in full
+  uint64_t stalled = 0;    ///< ended by body_timeout
 };
 
 /// Pipelined requests since the start of the server: read before an earlier request of the same
@@ -88,6 +101,11 @@
   /// call, each request waits until those before it are answered.
   void AllowConcurrency(Classifier classifier) { may_run_concurrently_ = std::move(classifier); }
 
+  /// Delivers requests for which the policy returns true before their body is complete, with
+  /// HttpRequest::body_stream. Bodies that are known to be small are delivered whole. Applies to
+  /// connections that are accepted later.
+  void StreamBodies(RequestReader::StreamPolicy policy) { stream_policy_ = std::move(policy); }
+
   /// Disables keep-alive: the next response that has no request behind it on its connection carries
   /// "Connection: close", and no request is read in addition to those in flight.
   void DisableKeepAlive() { keep_alive_disabled_ = true; }
@@ -105,6 +123,7 @@
   size_t connections() const { return connections_.size(); }
 
   const PipeliningCounts& pipelining() const { return pipelining_; }
+  const UploadCounts& uploads() const { return uploads_; }
 
  private:
   class Connection;  // defined in http_connection.h
@@ -118,11 +137,13 @@
   HttpServerLimits limits_;
   Handler handler_;
   Classifier may_run_concurrently_;
+  RequestReader::StreamPolicy stream_policy_;
   TcpListener listener_;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
   uint64_t next_connection_id_ = 1;
   size_t in_flight_ = 0;
   PipeliningCounts pipelining_;
+  UploadCounts uploads_;
   bool stopping_ = false;
   bool keep_alive_disabled_ = false;
   TimerId timeout_check_timer_;
--- a/src/peer_frame.cc
+++ b/src/peer_frame.cc
@@ -48,13 +48,14 @@
   out.append(payload);
 }
 
-std::optional<PeerFrameKind> ReadKind(uint32_t first) {
+bool IsBulk(PeerFrameKind kind) {
+  return kind == PeerFrameKind::kBulkResponse || kind == PeerFrameKind::kUploadData;
+}
+
+PeerFrameKind ReadKind(uint32_t first) {
   const unsigned number =
       ((first >> kKindShift) & kKindMask) | ((first & kHighKindBit) != 0 ? kHighKindValue : 0U);
-  const auto kind = static_cast<PeerFrameKind>(number);
-  const bool known = number < kHighKindValue || kind == PeerFrameKind::kAcknowledgement ||
-                     kind == PeerFrameKind::kBulkResponse;
-  return known ? std::optional(kind) : std::nullopt;
+  return static_cast<PeerFrameKind>(number);
 }
 
 }  // namespace
@@ -65,7 +66,7 @@
     return false;
   }
   queued_bytes_ += bytes;
-  auto& frames = frame.kind == PeerFrameKind::kBulkResponse ? bulk_ : frames_;
+  auto& frames = IsBulk(frame.kind) ? bulk_ : frames_;
   frames.push_back({std::move(frame), std::move(hold)});
   return true;
 }
@@ -98,6 +99,15 @@
   bulk_.erase(found);
 }
 
+void FrameQueue::DropUpload(uint32_t stream) {
+  std::erase_if(bulk_, [&](const QueuedFrame& queued) {
+    const bool dropped =
+        queued.frame.kind == PeerFrameKind::kUploadData && queued.frame.stream == stream;
+    queued_bytes_ -= dropped ? queued.frame.payload.size() + kFragmentHeaderBytes : 0;
+    return dropped;
+  });
+}
+
 void FrameQueue::TakeFragments(uint32_t epoch, size_t bytes, std::string& out,
                                std::array<uint64_t, kPeerChannelCount>& counts) {
   const size_t limit = out.size() + bytes;
@@ -154,21 +164,21 @@
     const uint32_t first = ReadBigEndian(rest.substr(0, 1));
     const size_t length = ReadBigEndian(rest.substr(1, 3));
     const size_t channel = first & kChannelMask;
-    const std::optional<PeerFrameKind> kind = ReadKind(first);
-    if (channel >= kPeerChannelCount || !kind || length > kMaxFragmentBytes) {
+    const PeerFrameKind kind = ReadKind(first);
+    if (channel >= kPeerChannelCount || length > kMaxFragmentBytes) {
       return false;
     }
     if (rest.size() < kFragmentHeaderBytes + length) {
       break;
     }
     const Fragment fragment = {
-        static_cast<PeerChannel>(channel), *kind,
+        static_cast<PeerChannel>(channel), kind,
         (first & kLastFragmentBit) != 0,   ReadBigEndian(rest.substr(4, 4)),
         ReadBigEndian(rest.substr(8, 4)),  rest.substr(kFragmentHeaderBytes, length)};
     counts[channel] += kFragmentHeaderBytes + length;
     consumed += kFragmentHeaderBytes + length;
     const bool current = fragment.epoch == epoch_;
-    if (current && *kind == PeerFrameKind::kBulkResponse && on_bulk) {
+    if (current && IsBulk(kind) && on_bulk) {
       on_bulk(fragment.channel, fragment.stream);
     }
     if (!AddFragment(fragment, deliver)) {
--- a/src/peer_frame.h
+++ b/src/peer_frame.h
@@ -32,15 +32,18 @@
 };
 constexpr size_t kPeerChannelCount = 8;
 
-/// The values are part of the wire format. A process of the version before knows the first four; it
-/// gets no others, since it does not state in the handshake that it acknowledges.
+/// The values are part of the wire format. A process of an earlier version that does not state in
+/// the handshake that it acknowledges knows the first four only, and gets no others. The frames of
+/// an upload are exchanged only for a request whose attempt announces a body (call_message.h).
 enum class PeerFrameKind : uint8_t {
   kMessage = 0,
   kRequest = 1,
   kResponse = 2,
   kCancel = 3,
   kAcknowledgement = 4,  // of one fragment of a large response; without a payload
+  kUploadData = 5,       // a piece of a request's body, acknowledged; empty at the end of the body
   kBulkResponse = 6,     // a large response, whose fragments are acknowledged
+  kUploadCredit = 7,     // bytes of the body that may be sent, in decimal; 0: no more is wanted
 };
 
 /// One message on a link. A response or a cancel carries the stream number of its request.
@@ -77,6 +80,8 @@
   /// Drops what is left of a large response that nobody waits for. If a fragment of it has been
   /// taken, an empty last fragment follows, so that the receiver drops what it has.
   void CancelBulk(uint32_t stream);
+  /// Drops the queued pieces of an upload.
+  void DropUpload(uint32_t stream);
 
   /// Appends fragments to `out` until `bytes` bytes have been added or no frame but large responses
   /// is left; the last fragment may exceed `bytes`. Adds the encoded size of each fragment to its
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -13,6 +13,7 @@
 
 #include "peer_frame.h"
 #include "peer_network.h"
+#include "peer_upload.h"
 #include "seeded_random.h"
 #include "units.h"
 
@@ -50,6 +51,8 @@
   // Empty after the response or a cancel.
   std::function<bool(std::string payload, std::shared_ptr<void> hold)> send;
   std::function<void()> on_cancel;
+  // Starts to receive the body of the request; empty without the link.
+  std::function<std::shared_ptr<BodyStream>(std::optional<uint64_t> length)> receive_body;
   bool cancelled = false;
 };
 
@@ -86,6 +89,9 @@
   std::map<uint32_t, PeerRequestId> sent_requests;  // sent on this link, without a response yet
   // Received on this link and not responded to yet. Both maps are keyed by stream.
   std::map<uint32_t, std::shared_ptr<PeerResponder::State>> received_requests;
+  // Bodies that are sent or received; they may outlive the response.
+  std::map<uint32_t, std::shared_ptr<UploadSender>> sent_uploads;
+  std::map<uint32_t, std::shared_ptr<UploadReceiver>> received_uploads;
 };
 
 /// Logs that a link has closed or could not be opened, and what was under way on it.
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -378,12 +378,14 @@
 
 void PeerNetwork::Impl::CloseIfDetachedAndDone(PeerLink& link) {
   const auto connection = connections_.find(link.id);
-  if (link.detached && link.sent_requests.empty() && connection != connections_.end()) {
+  if (link.detached && link.sent_requests.empty() && link.sent_uploads.empty() &&
+      !link.send_queue.has_bulk() && connection != connections_.end()) {
     lws_set_timeout(connection->second, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
   }
 }
 
 void PeerNetwork::Impl::CancelReceivedRequests(PeerLink& link) {
+  const auto uploads = std::move(link.received_uploads);
   const auto requests = std::move(link.received_requests);
   for (const auto& [stream, state] : requests) {
     CancelRequest(*state);
@@ -433,6 +435,8 @@
   if (link.send_queue.has_bulk()) {
     WaitForBulkWindow(link.id);  // behind the other links, which get their turn first
     WakeBulkLinks();
+  } else {
+    CloseIfDetachedAndDone(link);
   }
   return 0;
 }
@@ -508,10 +512,7 @@
 }
 
 void PeerNetwork::Impl::OnFrame(PeerLink& link, PeerFrame frame) {
-  const bool is_response =
-      frame.kind == PeerFrameKind::kResponse || frame.kind == PeerFrameKind::kBulkResponse;
-  if (link.outbound != is_response) {
-    // Only the side that opened the link sends requests, and only the other side responds.
+  if (!HasDirection(link, frame.kind)) {
     ++dropped_frames_;
     return;
   }
@@ -528,6 +529,12 @@
     case PeerFrameKind::kBulkResponse:
       OnResponse(link, std::move(frame));
       break;
+    case PeerFrameKind::kUploadData:
+      OnUploadData(link, frame);
+      break;
+    case PeerFrameKind::kUploadCredit:
+      OnUploadCredit(link, frame);
+      break;
     case PeerFrameKind::kAcknowledgement:
       OnAcknowledgement(link);
       break;
@@ -548,6 +555,11 @@
            Reply(id, {channel, stream, PeerFrameKind::kResponse, std::move(payload)},
                  std::move(hold));
   };
+  state->receive_body = [this, alive = std::weak_ptr<bool>(alive_), id = link.id,
+                         channel = frame.channel,
+                         stream = frame.stream](std::optional<uint64_t> length) {
+    return alive.expired() ? nullptr : ReceiveBody(id, channel, stream, length);
+  };
   link.received_requests.emplace(frame.stream, state);
   handler_.on_request(link.peer, frame.channel, std::move(frame.payload), PeerResponder(state));
 }
@@ -559,6 +571,10 @@
   }
   PeerLink& link = *found->second;
   link.received_requests.erase(frame.stream);
+  const auto upload = link.received_uploads.find(frame.stream);
+  if (upload != link.received_uploads.end() && !upload->second->body()->opened()) {
+    CancelReceivedUpload(link, frame.stream);  // the response refuses the request
+  }
   if (link.peer_acknowledges && frame.channel == PeerChannel::kCall &&
       frame.payload.size() >= kMinBulkResponseBytes) {
     frame.kind = PeerFrameKind::kBulkResponse;
@@ -568,6 +584,7 @@
 
 void PeerNetwork::Impl::OnCancelFrame(PeerLink& link, uint32_t stream) {
   link.send_queue.CancelBulk(stream);
+  CancelReceivedUpload(link, stream);
   const auto node = link.received_requests.extract(stream);
   if (!node.empty()) {
     CancelRequest(*node.mapped());
@@ -582,6 +599,10 @@
   }
   const PeerRequestId id = found->second;
   link.sent_requests.erase(found);
+  const auto upload = link.sent_uploads.find(frame.stream);
+  if (upload != link.sent_uploads.end() && !upload->second->accepted()) {
+    link.sent_uploads.erase(upload);
+  }
   CloseIfDetachedAndDone(link);
   Finish(id, {PeerOutcome::kAnswered, std::move(frame.payload)});
 }
@@ -595,6 +616,7 @@
   }
   PeerLink& link = *found->second;
   link.sent_requests.erase(entry.stream);
+  CancelSentUpload(link, entry.stream);
   if (link.send_queue.Remove(PeerFrameKind::kRequest, entry.stream)) {
     return true;
   }
@@ -688,6 +710,10 @@
   }
 }
 
+std::shared_ptr<BodyStream> PeerResponder::ReceiveBody(std::optional<uint64_t> length) const {
+  return state_->receive_body ? state_->receive_body(length) : nullptr;
+}
+
 bool PeerResponder::cancelled() const { return state_->cancelled; }
 
 PeerNetwork::PeerNetwork(EventLoop& loop, const Address& listen, std::string token,
@@ -707,6 +733,10 @@
   return impl_->Request(to, channel, std::move(payload), timeout, std::move(callback));
 }
 
+void PeerNetwork::SendBody(PeerRequestId request, std::shared_ptr<BodyStream> body) {
+  impl_->SendBody(request, std::move(body));
+}
+
 void PeerNetwork::Cancel(PeerRequestId request) { impl_->Cancel(request); }
 
 bool PeerNetwork::ReplaceLinkIfSilent(PeerRequestId request) {
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -9,9 +9,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "body_stream.h"
 #include "event_loop.h"
 #include "peer_frame.h"
 #include "units.h"
@@ -47,6 +49,11 @@
 
   bool cancelled() const;
 
+  /// Receives the body that the sender of the request streams with PeerNetwork::SendBody. The
+  /// sender sends none of it before the stream is opened. Must be called by the handler of the
+  /// request. The stream is cancelled when the request is cancelled or the link closes.
+  std::shared_ptr<BodyStream> ReceiveBody(std::optional<uint64_t> length) const;
+
   /// Defined in peer_link.h.
   struct State;
   explicit PeerResponder(std::shared_ptr<State> state) : state_(std::move(state)) {}
@@ -109,6 +116,11 @@
   PeerRequestId Request(const Address& to, PeerChannel channel, std::string payload,
                         Duration timeout, Callback callback);
 
+  /// Streams the body of a request that was just sent, as far as the peer allows. Nothing is read
+  /// from the body before the peer opens it. It goes on after the response unless the peer has not
+  /// opened it by then. The peer must have been told by the request's payload.
+  void SendBody(PeerRequestId request, std::shared_ptr<BodyStream> body);
+
   /// Drops the request without running its callback, and sends a cancel frame to the peer if any
   /// part of the request was written.
   void Cancel(PeerRequestId request);
--- a/src/peer_network_impl.h
+++ b/src/peer_network_impl.h
@@ -96,6 +96,8 @@
 
   bool ReplaceLinkIfSilent(PeerRequestId id);
 
+  void SendBody(PeerRequestId id, std::shared_ptr<BodyStream> body);
+
   bool SendDatagram(const Address& to, const std::string& datagram) {
     if (!SendUdp(datagram_socket_, to, datagram)) {
       return false;
@@ -155,6 +157,16 @@
   void OnCancelFrame(PeerLink& link, uint32_t stream);
   bool Reply(uint64_t link_id, PeerFrame frame, std::shared_ptr<void> hold);
   void OnAcknowledgement(PeerLink& link);
+  // Uploads, in peer_network_upload.cc.
+  std::shared_ptr<BodyStream> ReceiveBody(uint64_t link_id, PeerChannel channel, uint32_t stream,
+                                          std::optional<uint64_t> length);
+  void OnUploadCredit(PeerLink& link, const PeerFrame& frame);
+  void OnUploadData(PeerLink& link, const PeerFrame& frame);
+  void PumpUpload(uint64_t link_id, PeerChannel channel, uint32_t stream);
+  void EndUploadIfDone(PeerLink& link, PeerChannel channel, uint32_t stream);
+  void CancelSentUpload(PeerLink& link, uint32_t stream);
+  void CancelReceivedUpload(PeerLink& link, uint32_t stream);
+  static bool HasDirection(const PeerLink& link, PeerFrameKind kind);
   void WakeBulkLinks();
   void WaitForBulkWindow(uint64_t link_id);
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr uint64_t kMaxPipelinedRequests = 256;
+constexpr uint64_t kMaxUploadBytes = 16ULL << 30U;
 constexpr uint64_t kMaxPipelinedBytes = 16U << 20U;
 constexpr double kMaxRetryBurst = 1e6;
 constexpr size_t kMinTokenLength = 16;  // characters; shorter tokens are too easy to guess
@@ -249,6 +250,13 @@
     settings.pipelined_bytes = ByteCount(
         entry.ReadNumber("bytes", 1, kMaxPipelinedBytes, settings.pipelined_bytes.value()));
   });
+  reader.ReadObject("uploads", Presence::kOptional, [&](JsonReader& entry) {
+    settings.upload_body =
+        ByteCount(entry.ReadNumber("body", 1, kMaxUploadBytes, settings.upload_body.value()));
+    settings.upload_timeout =
+        entry.ReadDuration("no_progress_timeout", std::chrono::milliseconds(100),
+                           std::chrono::minutes(10), settings.upload_timeout);
+  });
   settings.shared_retry_burst = reader.ReadDecimal("shared_retry_burst", 0, kMaxRetryBurst, 0);
   for (const std::string& address_text : reader.ReadStrings("neighbours", Presence::kOptional)) {
     const std::optional<Address> address = ParseAddress(address_text);
--- a/src/settings.h
+++ b/src/settings.h
@@ -87,6 +87,10 @@
   // Pipelined requests of one caller's connection that may run at the same time, and their bytes.
   uint64_t pipelined_requests = 16;
   ByteCount pipelined_bytes{256U << 10U};
+  // Limit on a body that is passed on while it arrives, and the time after which it ends if its
+  // sender makes no progress.
+  ByteCount upload_body{64U << 20U};
+  Duration upload_timeout = std::chrono::seconds(10);
   ServiceName service;  // service of the local target, sent as the origin of this instance's calls
   std::vector<Address> neighbours;  // peers to join the gossip group through if no seed is a member
 };
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -93,6 +93,9 @@
     DeductTransit(message, transit_delay_.Arrived(BootClockNow(), CallingProcess(message.attempt),
                                                   *message.sent_at));
   }
+  if (message.body_follows) {
+    message.request.body_stream = replier.ReceiveBody(message.body_length);
+  }
   ExchangePtr exchange;
   StartAttempt(
       message,
