--- a/apps/standin_target/standin_target.cc
+++ b/apps/standin_target/standin_target.cc
@@ -2,7 +2,9 @@
 // requests, and appends the key of each at-most-once request that it runs to a journal, so that a
 // duplicate run is detectable. /healthz returns 200, /crash exits the process, /slow takes 300 ms;
 // all other paths are served after the service time. Responses echo the path, and for a POST with
-// an Idempotency-Key also the key and how often it ran.
+// an Idempotency-Key also the key and how often it ran. Bodies of paths that begin with /upload are
+// read in pieces and not kept: the response tells their size and checksum. /upload/early responds
+// before it reads the body. The journal gets a line for each body that has ended.
 #include <popt.h>
 #include <unistd.h>
 
@@ -23,6 +25,7 @@
 namespace {
 
 using endivecleat::Address;
+using endivecleat::BodyStream;
 using endivecleat::Duration;
 using endivecleat::EventLoop;
 using endivecleat::HttpClient;
@@ -38,6 +41,10 @@
 
 constexpr Duration kAnnounceInterval = std::chrono::seconds(2);
 constexpr Duration kAnnounceTimeout = std::chrono::seconds(1);
+constexpr uint64_t kMaxUploadBytes = 256U << 20U;
+// FNV-1a, 64 bits.
+constexpr uint64_t kChecksumStart = 0xcbf29ce484222325U;
+constexpr uint64_t kChecksumFactor = 0x100000001b3U;
 constexpr Duration kSlowServiceTime = std::chrono::milliseconds(300);
 
 struct Options {
@@ -55,6 +62,13 @@
   int linger_ms = 2000;
 };
 
+uint64_t Checksum(uint64_t checksum, const std::string& bytes) {
+  for (const char byte : bytes) {
+    checksum = (checksum ^ static_cast<unsigned char>(byte)) * kChecksumFactor;
+  }
+  return checksum;
+}
+
 int64_t WallClockMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
@@ -70,10 +84,11 @@
                                                        : ParseAddress(options.announce).value()),
         token_(ReadTokenFile(options.token_file)),
         announce_client_(loop, ParseAddress(options.daemon).value(), 1),
-        server_(loop, listen_address_, HttpServerLimits{},
+        server_(loop, listen_address_, Limits(),
                 [this](const HttpRequest& request, const ResponseSink& sink) {
                   Handle(request, sink);
                 }) {
+    server_.StreamBodies([](const HttpRequest& request) { return IsUpload(request); });
     if (options.journal != nullptr) {
       journal_.open(options.journal, std::ios::app);
     }
@@ -92,6 +107,50 @@
   }
 
  private:
+  /// The body of an upload, while it is read.
+  struct Upload {
+    std::shared_ptr<BodyStream> body;
+    uint64_t bytes = 0;
+    uint64_t checksum = kChecksumStart;
+  };
+
+  static HttpServerLimits Limits() {
+    HttpServerLimits limits;
+    limits.message.streamed_body = endivecleat::ByteCount(kMaxUploadBytes);
+    return limits;
+  }
+
+  static bool IsUpload(const HttpRequest& request) { return request.path.starts_with("/upload"); }
+
+  void HandleUpload(const HttpRequest& request, const ResponseSink& sink) {
+    auto upload = std::make_shared<Upload>(Upload{request.body_stream});
+    const bool early = request.path == "/upload/early";
+    if (early) {
+      sink.Send({200, {}, "early"});
+    }
+    upload->body->SetReaderListener([this, upload, sink, early] {
+      loop_.Post([this, upload, sink, early] { ReadUpload(*upload, sink, early); });
+    });
+    upload->body->Open();
+    ReadUpload(*upload, sink, early);
+  }
+
+  void ReadUpload(Upload& upload, const ResponseSink& sink, bool early) {
+    const std::string piece = upload.body->Read(SIZE_MAX);
+    upload.bytes += piece.size();
+    upload.checksum = Checksum(upload.checksum, piece);
+    if (!upload.body->finished() && !upload.body->cancelled()) {
+      return;
+    }
+    upload.body->SetReaderListener(nullptr);
+    const std::string text = std::to_string(upload.bytes) + " " + std::to_string(upload.checksum) +
+                             (upload.body->finished() ? "" : " cancelled");
+    journal_ << "uploaded " << text << std::endl;
+    if (!early) {
+      sink.Send({200, {}, text});
+    }
+  }
+
   void Handle(const HttpRequest& request, const ResponseSink& sink) {
     if (request.path == "/healthz") {
       sink.Send({200, {}, "ok\n"});
@@ -100,6 +159,10 @@
     if (request_log_.is_open()) {
       request_log_ << WallClockMs() << " " << request.method << " " << request.path << std::endl;
     }
+    if (request.body_stream) {
+      HandleUpload(request, sink);
+      return;
+    }
     if (request.path == "/crash") {
       _exit(1);
     }
