--- a/src/call_message.h
+++ b/src/call_message.h
@@ -34,6 +34,10 @@
   std::optional<TimePoint> sent_at;        // by the boot clock of the sender
   // The version of a rollout for which the target was chosen; empty if none applies.
   TargetVersion target_version;
+  // The body follows in upload frames (PeerNetwork::SendBody) and has this length, if it is known.
+  // A daemon of the version before refuses such an attempt without running it.
+  bool body_follows = false;
+  std::optional<uint64_t> body_length;
   HttpRequest request;
 };
 
