Send an upload whole to a daemon of the version before

Cause: such a daemon refuses an attempt whose body follows, so during an upgrade an upload found no target there. Change: a daemon that knows uploads refuses them with another code when it lacks the service; after the old code the caller's daemon reads the body, up to the service's limit for bodies, and sends the attempt again with it. A stalled upload is logged.

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -13,6 +13,7 @@
 #include "log.h"
 #include "tenant_identity.h"
 #include "wall_clock.h"
+#include "whole_body.h"
 
 namespace endivecleat {
 namespace {
@@ -535,11 +536,43 @@
   const TimePoint now = context_.loop.now();
   const auto* answer = std::get_if<TargetAnswer>(&reply.outcome);
   exchange->attempts->Ended(now, effect.attempt, ResultOf(reply), reply.load);
+  if (SendWhole(exchange, effect, reply)) {
+    return;
+  }
   Execute(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
                                       : exchange->call->Refused(now, effect.attempt,
                                                                 std::get<Refusal>(reply.outcome)));
 }
 
+// A daemon that knows uploads refuses them with kTargetUnreachable if it lacks the service.
+bool CallerTask::SendWhole(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
+                           const AttemptReply& reply) {
+  const std::shared_ptr<BodyStream> body = exchange->request.body_stream;
+  const auto* refusal = std::get_if<Refusal>(&reply.outcome);
+  const ByteCount limit = exchange->service->policy.body_limit;
+  if (!body || body->opened() || exchange->call->finished() || refusal == nullptr ||
+      refusal->code != ResultCode::kNoReadyTarget || body->length().value_or(0) > limit.value()) {
+    return false;
+  }
+  ReadWholeBody(body, limit, [this, exchange, effect](std::optional<std::string> whole) {
+    // Posted, since the stream may be in use by its writer.
+    context_.loop.Post([this, exchange, effect, whole = std::move(whole)]() mutable {
+      if (exchange->call->finished()) {
+        return;
+      }
+      if (!whole) {
+        Execute(exchange, exchange->call->Refused(context_.loop.now(), effect.attempt,
+                                                  {ResultCode::kBodyTooLarge, false}));
+        return;
+      }
+      exchange->request.body = std::move(*whole);
+      exchange->request.body_stream = nullptr;
+      Send(exchange, effect);
+    });
+  });
+  return true;
+}
+
 void CallerTask::OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                                bool was_sent) {
   const TimePoint now = context_.loop.now();
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -90,6 +90,10 @@
   void Send(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect);
   void OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                const AttemptReply& reply);
+  /// Sends the attempt again with its whole body if a daemon of the version before refused it for
+  /// its body. Returns false if that is not the case.
+  bool SendWhole(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
+                 const AttemptReply& reply);
   void OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                      bool sent);
   void CancelSent(Exchange& exchange, const CancelAttempt& effect);
--- a/src/http_connection.cc
+++ b/src/http_connection.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "log.h"
+
 namespace endivecleat {
 namespace {
 
@@ -120,6 +122,8 @@
     }
   } else if (WaitsForBody() && now - body_progress_ >= limits.body_timeout) {
     ++server_.uploads_.stalled;
+    Log(LogLevel::kWarning, "upload_stalled",
+        {{"client", peer_ip_}, {"answered", pending_.empty()}, {"opened", body_->opened()}});
     Close();
   } else if (!output_.empty()) {
     if (now - last_progress_ >= limits.transfer_timeout) {
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -184,8 +184,12 @@
 
 void TargetTask::StartAttempt(const AttemptMessage& message, Reply reply, ExchangePtr* started) {
   if (!Serves(message.service)) {
-    const ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
-                                                                  : ResultCode::kNoReadyTarget;
+    ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
+                                                            : ResultCode::kNoReadyTarget;
+    if (message.body_follows) {
+      // kNoReadyTarget is how a daemon of the version before refuses every upload.
+      code = ResultCode::kTargetUnreachable;
+    }
     reply({Refusal{code, false}, Load()}, nullptr);
     return;
   }
--- a/test/correctness/call_message_test.cc
+++ b/test/correctness/call_message_test.cc
@@ -43,6 +43,43 @@
   }
 }
 
+TEST(AttemptSent, AnnouncesABodyThatFollows) {
+  message.service = ServiceName("desk");
+  message.body_follows = true;
+  AttemptMessage received = DecodeAttempt(EncodeAttempt(message));
+  CHECK(received.body_follows);
+  CHECK_FALSE(received.body_length.has_value());
+  CHECK(received.service == ServiceName("desk"));
+  message.body_length = uint64_t{67108864};
+  received = DecodeAttempt(EncodeAttempt(message));
+  CHECK(received.body_length == uint64_t{67108864});
+  LONGS_EQUAL(1, received.request.headers.size());
+}
+
+// A daemon of the version before takes the whole text for the name of the service. It must not be
+// one that a configuration may contain: the daemon would run the request without its body.
+TEST(AttemptSent, WithABodyThatFollowsNamesNoServiceOfADaemonOfTheVersionBefore) {
+  message.service = ServiceName("desk");
+  message.body_follows = true;
+  const std::string bytes = EncodeAttempt(message);
+  CHECK(bytes.find("+upload desk") != std::string::npos);
+  message.body_follows = false;
+  CHECK(EncodeAttempt(message).find("upload") == std::string::npos);
+}
+
+TEST(AttemptSent, IsRejectedWithAnInvalidLengthOfItsBody) {
+  const auto with_length = [this](const std::string& text) {
+    message.request.headers.Set("endivecleat-body", text);
+    std::string bytes = EncodeAttempt(message);
+    bytes.replace(1, 1, "\x08+upload ");  // in place of the length of the empty name of the service
+    return bytes;
+  };
+  LONGS_EQUAL(12, *DecodeAttempt(with_length("12")).body_length);
+  for (const char* text : {"-1", "x", "12x"}) {
+    CHECK_THROWS(UserError, DecodeAttempt(with_length(text)));
+  }
+}
+
 TEST(AttemptSent, HasLessTimeLeftAfterAWaitOnTheWay) {
   DeductTransit(message, milliseconds(100));
   CHECK(message.time_left == milliseconds(700));
