--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -14,6 +14,7 @@
 #include "quota_task.h"
 #include "tenant_identity.h"
 #include "wall_clock.h"
+#include "whole_body.h"
 
 namespace endivecleat {
 namespace {
@@ -647,11 +648,43 @@
   exchange->may_have_run |=
       refusal == nullptr || refusal->reached_target || !GuaranteesNotRun(refusal->code);
   exchange->attempts->Ended(now, effect.attempt, ResultOf(reply), reply.load);
+  if (SendWhole(exchange, effect, reply)) {
+    return;
+  }
   Execute(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
                                       : exchange->call->Refused(now, effect.attempt,
                                                                 std::get<Refusal>(reply.outcome)));
 }
 
+// A daemon that knows uploads refuses them with kTargetUnreachable if it lacks the service.
+bool CallerTask::SendWhole(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
+                           const AttemptReply& reply) {
+  const std::shared_ptr<BodyStream> body = exchange->request.body_stream;
+  const auto* refusal = std::get_if<Refusal>(&reply.outcome);
+  const ByteCount limit = exchange->service->policy.body_limit;
+  if (!body || body->opened() || exchange->call->finished() || refusal == nullptr ||
+      refusal->code != ResultCode::kNoReadyTarget || body->length().value_or(0) > limit.value()) {
+    return false;
+  }
+  ReadWholeBody(body, limit, [this, exchange, effect](std::optional<std::string> whole) {
+    // Posted, since the stream may be in use by its writer.
+    context_.loop.Post([this, exchange, effect, whole = std::move(whole)]() mutable {
+      if (exchange->call->finished()) {
+        return;
+      }
+      if (!whole) {
+        Execute(exchange, exchange->call->Refused(context_.loop.now(), effect.attempt,
+                                                  {ResultCode::kBodyTooLarge, false}));
+        return;
+      }
+      exchange->request.body = std::move(*whole);
+      exchange->request.body_stream = nullptr;
+      Send(exchange, effect);
+    });
+  });
+  return true;
+}
+
 void CallerTask::OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                                bool was_sent) {
   const TimePoint now = context_.loop.now();
