Serve tenants fairly at a target's queue, and carry the tenant and the load in messages

Cause: within a priority, waiting requests were served by their start times alone, so that the burst of one tenant filled the queue and all others paid for it; deferrable requests got no slot at all while urgent ones came.

Ruled out: deficit round robin with a quantum of service time (serves a whole quantum of one tenant at a time, which is the queue's whole length for long requests); equal counts of requests (a tenant with long requests then takes most of the slots); strict precedence for requests without a tenant (a flood on an open route would starve all tenants).

Change: start-time fair queueing by tenant, by service time, within each priority (fair_queue.h). Requests without a tenant are one flow with the weight of all waiting tenants; without tenants the order is the former one. The tenant and the newest understood reply format travel in header fields of the request; a reply gets the expected wait and the service time only if the sender understands them. The concurrency limit is in place and off by default; it is not measured yet.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -1,5 +1,5 @@
-// Priority queues over a counted set of slots. The expected wait is estimated from moving averages
-// of service times and the requests ahead.
+// A fair queue per priority over a counted set of slots. The expected wait is estimated from moving
+// averages of service times and the requests ahead.
 #include "admission.h"
 
 #include <algorithm>
@@ -26,6 +26,7 @@
 void Admission::Open(TimePoint now) {
   if (state_ != State::kOpen) {
     opened_at_ = now;
+    concurrency_limit_.Reset(now);
   }
   state_ = State::kOpen;
 }
@@ -34,9 +35,9 @@
   state_ = State::kClosed;
   std::vector<AdmissionDecision> decisions;
   for (const auto& [priority, queue] : queues_) {
-    for (const auto& [start_by, entry] : queue) {
-      decisions.push_back({entry.request.number, ResultCode::kTargetUnreachable});
-    }
+    queue.ForEach([&](const WaitingRequest& request) {
+      decisions.push_back({request.number, ResultCode::kTargetUnreachable});
+    });
   }
   queues_.clear();
   queued_ = 0;
@@ -48,9 +49,9 @@
     state_ = State::kDraining;
     drain_deadline_ = now + kMaxWaitAfterDrain;
     for (auto& [priority, queue] : queues_) {
-      for (auto& [start_by, entry] : queue) {
-        entry.expires_at = std::min(entry.expires_at, drain_deadline_);
-      }
+      queue.ForEach([&](WaitingRequest& request) {
+        request.expires_at = std::min(request.expires_at, drain_deadline_);
+      });
     }
   }
 }
@@ -73,14 +74,23 @@
     return decisions;
   }
   const bool free_slot = running() < slots(now) && queued() == 0;
+  if (free_slot) {
+    queues_.clear();  // nobody waits, so what tenants have used cost no one anything
+  }
+  const bool counts_share = !request.tenant.empty() && request.max_wait != Duration{};
+  if (counts_share) {
+    share_.Offered(now, request.priority);
+  }
   const Duration max_wait = MaxWait(now, request);
   const bool too_long = max_wait == Duration{} || ExpectedWait(now, request) > max_wait;
-  if (!free_slot && (too_long || !MakeRoomFor(request, decisions))) {
+  if (!free_slot && (too_long || !MakeRoomFor(now, request, decisions))) {
     decisions.push_back({request.number, ResultCode::kOverloaded});
     return decisions;
   }
   const TimePoint expires_at = std::min(request.deadline, now + max_wait);
-  queues_[request.priority].emplace(StartBy(now, request), QueueEntry{request, expires_at});
+  queues_[request.priority].Add(
+      StartBy(now, request), {request.number, request.tenant, request.objective, request.deadline,
+                              expires_at, counts_share});
   ++queued_;
   FillSlots(now, decisions);
   return decisions;
@@ -89,22 +99,42 @@
 std::vector<AdmissionDecision> Admission::Finish(TimePoint now, RequestNumber number) {
   const auto found = running_.find(number);
   ENDIVECLEAT_CHECK(found != running_.end(), "a request finished that was not running");
-  service_times_.Add(found->second.objective, now - found->second.started);
+  const Running& ended = found->second;
+  service_times_.Add(ended.objective, now - ended.started);
+  if (const auto queue = queues_.find(ended.priority);
+      !ended.tenant.empty() && queue != queues_.end()) {
+    queue->second.Correct(ended.tenant, now - ended.started - ended.charged);
+  }
   UpdateLoad(now);
   running_.erase(found);
   return Tick(now);
 }
 
+void Admission::Answered(TimePoint now, RequestNumber number, bool refused) {
+  const auto found = running_.find(number);
+  if (!adaptive_limit_ || found == running_.end()) {
+    return;
+  }
+  const Running& answered = found->second;
+  if (refused) {
+    concurrency_limit_.Refused(now, policy_slots(now));
+    return;
+  }
+  const auto at_both_ends = static_cast<double>(answered.concurrency + running());
+  concurrency_limit_.Answered(now, policy_slots(now), answered.objective, now - answered.started,
+                              at_both_ends / 2);
+}
+
+void Admission::Reported(TimePoint now, const LoadField& load) {
+  if (adaptive_limit_) {
+    concurrency_limit_.Reported(now, policy_slots(now), load);
+  }
+}
+
 void Admission::Cancel(RequestNumber number) {
-  for (auto it = queues_.begin(); it != queues_.end(); ++it) {
-    Queue& queue = it->second;
-    const size_t erased = std::erase_if(
-        queue, [&](const auto& item) { return item.second.request.number == number; });
-    if (erased > 0) {
-      queued_ -= erased;
-      if (queue.empty()) {
-        queues_.erase(it);
-      }
+  for (auto& [priority, queue] : queues_) {
+    if (queue.Remove(number)) {
+      --queued_;
       return;
     }
   }
@@ -120,9 +150,8 @@
 TimePoint Admission::next_timer(TimePoint now) const {
   TimePoint next = TimePoint::max();
   for (const auto& [priority, queue] : queues_) {
-    for (const auto& [start_by, entry] : queue) {
-      next = std::min(next, entry.expires_at);
-    }
+    queue.ForEach(
+        [&](const WaitingRequest& request) { next = std::min(next, request.expires_at); });
   }
   const TimePoint warm_up_end = opened_at_ + policy_.warm_up;
   if (queued() > 0 && now < warm_up_end) {
@@ -134,6 +163,15 @@
 }
 
 size_t Admission::slots(TimePoint now) const {
+  const size_t limit = policy_slots(now);
+  return adaptive_limit_ && limit > 1 ? concurrency_limit_.limit(now, limit) : limit;
+}
+
+Duration Admission::ServiceTime(Duration objective) const {
+  return adaptive_limit_ ? concurrency_limit_.ServiceTime(objective) : Duration{};
+}
+
+size_t Admission::policy_slots(TimePoint now) const {
   const size_t all_slots = std::min(policy_.slots.value(), policy_.connections.value());
   const Duration age = now - opened_at_;
   if (state_ == State::kClosed) {
@@ -153,37 +191,61 @@
 
 void Admission::Expire(TimePoint now, std::vector<AdmissionDecision>& decisions) {
   for (auto& [priority, queue] : queues_) {
-    queued_ -= std::erase_if(queue, [&](const auto& item) {
-      const QueueEntry& entry = item.second;
-      if (entry.expires_at > now) {
-        return false;
-      }
-      const bool deadline_passed = entry.request.deadline <= now;
-      decisions.push_back({entry.request.number, deadline_passed ? ResultCode::kDeadlinePassed
-                                                                 : ResultCode::kOverloaded});
-      return true;
+    if (queue.empty()) {
+      continue;
+    }
+    const size_t before = queue.size();
+    queue.RemoveExpired(now, [&](const WaitingRequest& request) {
+      const bool deadline_passed = request.deadline <= now;
+      decisions.push_back({request.number, deadline_passed ? ResultCode::kDeadlinePassed
+                                                           : ResultCode::kOverloaded});
     });
+    queued_ -= before - queue.size();
   }
-  std::erase_if(queues_, [](const auto& item) { return item.second.empty(); });
 }
 
 void Admission::FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions) {
   UpdateLoad(now);
   const size_t limit = slots(now);
+  const auto cost_of = [this](Duration objective) { return Cost(objective); };
   while (running() < limit && queued() > 0) {
-    Queue& queue = queues_.begin()->second;
-    const AdmissionRequest request = queue.begin()->second.request;
-    queue.erase(queue.begin());
+    const auto next = NextQueue(now);
+    const Priority priority = next->first;
+    const WaitingRequest request = next->second.Pop(cost_of);
     --queued_;
-    if (queue.empty()) {
-      queues_.erase(queues_.begin());
+    if (!request.tenant.empty()) {
+      if (!request.counts_share) {
+        share_.Offered(now, priority);
+      }
+      share_.Served(now, priority);
     }
-    const bool added = running_.emplace(request.number, Running{now, request.objective}).second;
+    const bool added =
+        running_
+            .emplace(request.number, Running{now, request.objective, priority, request.tenant,
+                                             Cost(request.objective), running() + 1})
+            .second;
     ENDIVECLEAT_CHECK(added, "duplicate request number");
     decisions.push_back({request.number, std::nullopt});
   }
 }
 
+// The most urgent queue, or a less urgent one whose tenants' share of what is served is due.
+Admission::Queues::iterator Admission::NextQueue(TimePoint now) {
+  auto next = queues_.end();
+  for (auto queue = queues_.begin(); queue != queues_.end(); ++queue) {
+    const bool due = queue->second.has_tenants() && IsDue(now, queue->first);
+    if (!queue->second.empty() && (next == queues_.end() || due)) {
+      next = queue;
+    }
+  }
+  ENDIVECLEAT_CHECK(next != queues_.end(), "no request waits");
+  return next;
+}
+
+bool Admission::IsDue(TimePoint now, Priority priority) const {
+  return share_.IsDue(now, priority);
+}
+
 double Admission::mean_load(TimePoint now) const {
   const double elapsed = std::chrono::duration<double>(now - load_updated_at_).count();
   const double constant = std::chrono::duration<double>(kLoadAveragingTime).count();
@@ -232,38 +294,51 @@
   if (limit == 0) {
     return Duration{};
   }
-  const TimePoint start_by = StartBy(now, request);
+  const auto cost_of = [this](Duration objective) { return Cost(objective); };
+  const auto own = queues_.find(request.priority);
+  const bool own_waits = own != queues_.end() && !own->second.empty();
   Duration ahead = service_times_.mean();  // until one of the running requests ends
-  for (const auto& [priority, queue] : queues_) {
-    const auto end = priority < request.priority   ? queue.end()
-                     : priority > request.priority ? queue.begin()
-                                                   : queue.upper_bound(start_by);
-    for (auto entry = queue.begin(); entry != end; ++entry) {
-      ahead += service_times_.Of(entry->second.request.objective);
+  const bool next = !request.tenant.empty() && !own_waits && IsDue(now, request.priority);
+  for (auto queue = queues_.begin(); !next && queue != queues_.end(); ++queue) {
+    if (queue->first > request.priority) {
+      break;
     }
+    ahead += queue == own ? queue->second.WorkAhead(request.tenant, StartBy(now, request), cost_of)
+                          : queue->second.Work(cost_of);
   }
   return ahead / static_cast<Duration::rep>(limit);
 }
 
-// When the queue is full, evicts the last request of the lowest priority if the new one is more
-// urgent. The evicted request has not run, so its caller may retry it on another target.
-bool Admission::MakeRoomFor(const AdmissionRequest& request,
+// When the queue is full, evicts a request of the lowest priority if the new one is more urgent, or
+// of the tenant with the longest queue if they are equally urgent. The only request of a priority
+// that is due stays. The evicted request has not run, so its caller may retry it on another target.
+bool Admission::MakeRoomFor(TimePoint now, const AdmissionRequest& request,
                             std::vector<AdmissionDecision>& decisions) {
   if (queued() < policy_.queue_length.value()) {
     return true;
   }
-  if (queues_.empty() || queues_.rbegin()->first <= request.priority) {
-    return false;
-  }
-  Queue& queue = queues_.rbegin()->second;
-  const auto last = std::prev(queue.end());
-  decisions.push_back({last->second.request.number, ResultCode::kOverloaded});
-  queue.erase(last);
-  --queued_;
-  if (queue.empty()) {
-    queues_.erase(std::prev(queues_.end()));
+  const auto own = queues_.find(request.priority);
+  const bool own_waits = own != queues_.end() && !own->second.empty();
+  const bool is_due = !request.tenant.empty() && !own_waits && IsDue(now, request.priority);
+  for (auto queue = queues_.rbegin(); queue != queues_.rend(); ++queue) {
+    FairQueue& waiting = queue->second;
+    const bool keeps_place =
+        waiting.size() == 1 && waiting.has_tenants() && IsDue(now, queue->first);
+    if (waiting.empty() || keeps_place) {
+      continue;
+    }
+    const bool yields =
+        is_due || queue->first > request.priority ||
+        (queue->first == request.priority && waiting.EvictsInFavourOf(request.tenant));
+    if (!yields) {
+      return false;
+    }
+    const WaitingRequest evicted = waiting.Evict();
+    --queued_;
+    decisions.push_back({evicted.number, ResultCode::kOverloaded});
+    return true;
   }
-  return true;
+  return false;
 }
 
 }  // namespace endivecleat
--- a/src/admission.h
+++ b/src/admission.h
@@ -1,10 +1,11 @@
 // Admission control for one target. The daemon next to the target passes every request through it,
 // so its limits hold exactly. Under overload, requests wait in a bounded queue ordered by priority
 // and then by the time at which they have to start, so that a short call that a running request
-// needs goes before work that has time. A request that is expected to wait past its objective is
-// refused at once, and so is one that may wait here for less time than that because its sender can
-// try another target. A request whose caller has no time left to retry waits, since refusing it
-// wastes the work already done.
+// needs goes before work that has time. Tenants share the slots fairly within a priority, and no
+// priority of tenants falls below a quarter of the share of requests that is served. A request that
+// is expected to wait past its objective is refused at once, and so is one that may wait here for
+// less time than that because its sender can try another target. A request whose caller has no time
+// left to retry waits, since refusing it wastes the work already done.
 #ifndef ENDIVECLEAT_ADMISSION_H_
 #define ENDIVECLEAT_ADMISSION_H_
 
@@ -14,8 +15,11 @@
 #include <vector>
 
 #include "call_types.h"
+#include "concurrency_limit.h"
+#include "fair_queue.h"
 #include "result_code.h"
 #include "service_policy.h"
+#include "service_share.h"
 #include "service_times.h"
 #include "units.h"
 
@@ -35,6 +39,8 @@
   // The longest wait that the sender accepts here; 0: only a slot that is free now. nullopt: no
   // limit of the sender's.
   std::optional<Duration> max_wait;
+  // Whose request it is; empty for calls of targets and in deployments without tenants.
+  TenantName tenant;
 };
 
 /// The decision about one request. Without a code, the request is admitted and holds a slot until
@@ -75,6 +81,11 @@
   std::vector<AdmissionDecision> Submit(TimePoint now, const AdmissionRequest& request);
   /// The target has finished the request; frees its slot.
   std::vector<AdmissionDecision> Finish(TimePoint now, RequestNumber number);
+  /// The target has answered the running request, or refused it (`refused`). Tells the concurrency
+  /// limit; the slot stays taken until Finish.
+  void Answered(TimePoint now, RequestNumber number, bool refused);
+  /// The target has stated its load.
+  void Reported(TimePoint now, const LoadField& load);
   /// The caller cancelled the request. Removes it from the queue; has no effect if it runs.
   void Cancel(RequestNumber number);
   /// Refuses expired requests and fills slots that opened since the last call.
@@ -82,12 +93,23 @@
   /// When Tick should be called next; TimePoint::max() if nothing is due.
   TimePoint next_timer(TimePoint now) const;
 
-  /// Limit on running requests: grows linearly from one to all slots during the warm-up.
+  /// Whether the concurrency limit lowers the slots of a target that slows down under load.
+  void SetAdaptiveLimit(bool enabled) { adaptive_limit_ = enabled; }
+
+  /// Limit on running requests: grows linearly from one to all slots during the warm-up, and is
+  /// lowered by the concurrency limit.
   size_t slots(TimePoint now) const;
   size_t free_slots(TimePoint now) const;
+  /// The slots without the concurrency limit.
+  size_t policy_slots(TimePoint now) const;
   /// Moving average over about a second of the requests that run or wait. Reports of load that
   /// arrive seconds late carry it: an instantaneous count would be of no use by then.
   double mean_load(TimePoint now) const;
+  /// Expected time until a slot is free for the request. 0 while no service time is known.
+  Duration ExpectedWait(TimePoint now, const AdmissionRequest& request) const;
+  /// How long the target takes for requests with this objective; 0 while unknown, and without the
+  /// concurrency limit.
+  Duration ServiceTime(Duration objective) const;
   size_t running() const { return running_.size(); }
   size_t queued() const { return queued_; }
   /// Whether a draining target can be stopped without interrupting a request.
@@ -96,24 +118,27 @@
 
  private:
   enum class State { kClosed, kOpen, kDraining };
-  struct QueueEntry {
-    AdmissionRequest request;
-    TimePoint expires_at;  // the earlier of the deadline and arrival + MaxWait
-  };
-  using Queue = std::multimap<TimePoint, QueueEntry>;  // by the time to start; FIFO for equal times
+  using Queues = std::map<Priority, FairQueue>;
   struct Running {
     TimePoint started;
     Duration objective;
+    Priority priority;
+    TenantName tenant;
+    Duration charged{};  // the cost that its tenant was charged
+    size_t concurrency;  // requests that ran after it was started
   };
 
   void Expire(TimePoint now, std::vector<AdmissionDecision>& decisions);
   TimePoint StartBy(TimePoint now, const AdmissionRequest& request) const;
   Duration Reserve(const AdmissionRequest& request) const;
-  Duration ExpectedWait(TimePoint now, const AdmissionRequest& request) const;
   Duration MaxWait(TimePoint now, const AdmissionRequest& request) const;
   void UpdateLoad(TimePoint now);
   void FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions);
-  bool MakeRoomFor(const AdmissionRequest& request, std::vector<AdmissionDecision>& decisions);
+  Duration Cost(Duration objective) const { return service_times_.Of(objective); }
+  bool IsDue(TimePoint now, Priority priority) const;
+  Queues::iterator NextQueue(TimePoint now);
+  bool MakeRoomFor(TimePoint now, const AdmissionRequest& request,
+                   std::vector<AdmissionDecision>& decisions);
 
   // The newest request has a weight of 1/16 in the moving averages of service times.
   static constexpr Duration::rep kServiceTimeDivisor = 16;
@@ -122,8 +147,11 @@
   State state_ = State::kClosed;
   TimePoint opened_at_{};
   std::map<RequestNumber, Running> running_;  // never more than slots(now) when one is added
-  std::map<Priority, Queue> queues_;          // no queue is empty
+  Queues queues_;                             // empty ones keep what their tenants have used
   size_t queued_ = 0;                         // sum over queues_
+  ServiceShare share_;                        // of requests with a tenant
+  bool adaptive_limit_ = false;
+  ConcurrencyLimit concurrency_limit_;
   ServiceTimes service_times_{Duration{}, kServiceTimeDivisor};
   double mean_load_ = 0;  // at load_updated_at_
   TimePoint load_updated_at_{};
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -35,6 +35,10 @@
 struct TargetLoad {
   uint64_t busy = 0;
   uint64_t slots = 1;
+  // How long the target takes for requests like the one that was sent; 0: unknown.
+  Duration service_time{};
+  // With a refusal of a full target: how long the request would have waited for a slot there.
+  Duration wait{};
 
   bool operator==(const TargetLoad&) const = default;
 };
--- a/src/call_headers.h
+++ b/src/call_headers.h
@@ -19,6 +19,7 @@
   std::string not_run;         // in an answer: the target did not run the request
   std::string answer_mark;     // in every answer made by a target; a success without it is invalid
   std::string tenant;  // name of the tenant that the request's API key belongs to; set or removed
+  std::string load;    // in answers of a target: its load, see load_field.h
   bool diagnostics = true;  // adds traceparent, x-forwarded-for and the result code fields
 };
 
--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr uint64_t kAttemptFormatVersion = 2;
-constexpr uint64_t kReplyFormatVersion = 2;
 constexpr uint64_t kMaxStatus = 999;
 constexpr uint64_t kMaxResultCode = 999;
 // Internal header field: the objective and the longest wait in microseconds, separated by a space;
@@ -20,6 +19,10 @@
 constexpr char kOfferHeader[] = "endivecleat-offer";
 // Internal header field: the sender's boot clock in microseconds.
 constexpr char kSentHeader[] = "endivecleat-sent";
+// Internal header fields: the name of the tenant, and the newest format of a reply that the sender
+// understands. Without the latter, the sender is of the release before.
+constexpr char kTenantHeader[] = "endivecleat-tenant";
+constexpr char kReplyHeader[] = "endivecleat-reply";
 constexpr Duration kMaxOfferDuration = std::chrono::hours(24);
 constexpr Duration kMaxUptime = std::chrono::years(100);
 
@@ -41,12 +44,25 @@
   }
 }
 
-void WriteRequest(ByteWriter& writer, HttpRequest request, const std::string& offer,
-                  const std::optional<TimePoint>& sent_at) {
+/// The request with the internal header fields. A caller's own field of such a name is removed.
+HttpRequest WithInternalHeaders(const AttemptMessage& message, const std::string& offer) {
+  HttpRequest request = message.request;
   request.headers.Set(kOfferHeader, offer);
-  if (sent_at) {
-    request.headers.Set(kSentHeader, std::to_string(sent_at->time_since_epoch().count()));
+  if (message.sent_at) {
+    request.headers.Set(kSentHeader, std::to_string(message.sent_at->time_since_epoch().count()));
   }
+  request.headers.Remove(kTenantHeader);
+  if (!message.tenant.empty()) {
+    request.headers.Add(kTenantHeader, message.tenant.value());
+  }
+  request.headers.Remove(kReplyHeader);
+  if (message.reply_format > kMinReplyFormat) {
+    request.headers.Add(kReplyHeader, std::to_string(message.reply_format));
+  }
+  return request;
+}
+
+void WriteRequest(ByteWriter& writer, const HttpRequest& request) {
   writer.WriteString(request.method);
   writer.WriteString(request.path);
   writer.WriteString(request.query);
@@ -132,6 +148,28 @@
   }
 }
 
+/// A newer sender understands the formats of this release too.
+void TakeTenantAndReplyFormat(AttemptMessage& message) {
+  HeaderList& headers = message.request.headers;
+  message.tenant = TenantName(headers.ValueOr(kTenantHeader, ""));
+  headers.Remove(kTenantHeader);
+  const std::string format = headers.ValueOr(kReplyHeader, "");
+  message.reply_format = format.empty() || format == std::to_string(kMinReplyFormat)
+                             ? kMinReplyFormat
+                             : kMaxReplyFormat;
+  headers.Remove(kReplyHeader);
+}
+
+Duration ReadDuration(ByteReader& reader) {
+  const auto longest = static_cast<uint64_t>(kMaxOfferDuration.count());
+  return Duration(static_cast<Duration::rep>(reader.ReadVarintUpTo(longest)));
+}
+
+void WriteDuration(ByteWriter& writer, Duration duration) {
+  writer.WriteVarint(
+      static_cast<uint64_t>(std::clamp(duration, Duration{}, kMaxOfferDuration).count()));
+}
+
 /// Moves the internal header field into the message.
 void TakeOffer(AttemptMessage& message) {
   const std::string text = message.request.headers.ValueOr(kOfferHeader, "");
@@ -161,7 +199,7 @@
   writer.WriteVarint(message.priority.value());
   writer.WriteVarint(
       message.objective_left ? static_cast<uint64_t>(message.objective_left->count()) + 1 : 0);
-  WriteRequest(writer, message.request, FormatOffer(message), message.sent_at);
+  WriteRequest(writer, WithInternalHeaders(message, FormatOffer(message)));
   return writer.Take();
 }
 
@@ -186,6 +224,7 @@
   reader.ExpectEnd();
   TakeOffer(message);
   TakeSentAt(message);
+  TakeTenantAndReplyFormat(message);
   return message;
 }
 
@@ -196,11 +235,15 @@
   }
 }
 
-std::string EncodeAttemptReply(const AttemptReply& reply) {
+std::string EncodeAttemptReply(const AttemptReply& reply, uint64_t format) {
   ByteWriter writer;
-  writer.WriteVarint(kReplyFormatVersion);
+  writer.WriteVarint(format);
   writer.WriteVarint(reply.load.busy);
   writer.WriteVarint(reply.load.slots);
+  if (format > kMinReplyFormat) {
+    WriteDuration(writer, reply.load.service_time);
+    WriteDuration(writer, reply.load.wait);
+  }
   writer.WriteVarint(reply.outcome.index());
   if (const auto* answer = std::get_if<TargetAnswer>(&reply.outcome)) {
     WriteAnswer(writer, *answer);
@@ -216,9 +259,16 @@
 AttemptReply DecodeAttemptReply(std::string_view bytes) {
   ByteReader reader(bytes);
   AttemptReply reply;
-  reader.ExpectVarint(kReplyFormatVersion);
+  const uint64_t format = reader.ReadVarintUpTo(kMaxReplyFormat);
+  if (format < kMinReplyFormat) {
+    throw UserError(ResultCode::kMessageMalformed, "unknown format of a reply");
+  }
   reply.load.busy = reader.ReadVarint();
   reply.load.slots = reader.ReadVarint();
+  if (format > kMinReplyFormat) {
+    reply.load.service_time = ReadDuration(reader);
+    reply.load.wait = ReadDuration(reader);
+  }
   if (reader.ReadVarintUpTo(1) == 0) {
     reply.outcome = ReadAnswer(reader);
   } else {
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -1,7 +1,7 @@
 // Messages of a call between the caller's daemon (CallerTask) and the daemon beside the target
-// (TargetTask), and their binary encoding. The objective, the longest wait and the time of sending
-// travel in header fields of the request, so that daemons of the version before accept the message
-// during an upgrade.
+// (TargetTask), and their binary encoding. The objective, the longest wait, the tenant, the time of
+// sending and the format of the reply travel in header fields of the request, so that daemons of
+// the version before accept the message during an upgrade.
 #ifndef ENDIVECLEAT_CALL_MESSAGE_H_
 #define ENDIVECLEAT_CALL_MESSAGE_H_
 
@@ -14,10 +14,16 @@
 #include "call_types.h"
 #include "http_message.h"
 #include "service_policy.h"
+#include "tenant_table.h"
 #include "units.h"
 
 namespace endivecleat {
 
+/// Formats of AttemptReply: 2 is that of the release before; 3 adds the expected wait and the
+/// service time of the target.
+inline constexpr uint64_t kMinReplyFormat = 2;
+inline constexpr uint64_t kMaxReplyFormat = 3;
+
 /// One attempt of a call, sent by the caller's daemon.
 struct AttemptMessage {
   ServiceName service;
@@ -28,10 +34,12 @@
   std::string request_id;  // set by the caller, for logs; empty if the caller sent none
   Duration time_left{};    // until the deadline
   Priority priority{1};
-  std::optional<Duration> objective_left;  // time left of the latency objective
-  Duration objective{};                    // the route's whole objective; 0 if it has none
-  std::optional<Duration> max_wait;        // for a slot of this target; nullopt: no limit
-  std::optional<TimePoint> sent_at;        // by the boot clock of the sender
+  std::optional<Duration> objective_left;   // time left of the latency objective
+  Duration objective{};                     // the route's whole objective; 0 if it has none
+  std::optional<Duration> max_wait;         // for a slot of this target; nullopt: no limit
+  std::optional<TimePoint> sent_at;         // by the boot clock of the sender
+  TenantName tenant;                        // empty without one
+  uint64_t reply_format = kMaxReplyFormat;  // newest that the sender understands
   HttpRequest request;
 };
 
@@ -45,7 +53,8 @@
 };
 
 std::string EncodeAttempt(const AttemptMessage& message);
-std::string EncodeAttemptReply(const AttemptReply& reply);
+/// `format`: the reply_format of the attempt.
+std::string EncodeAttemptReply(const AttemptReply& reply, uint64_t format = kMaxReplyFormat);
 
 /// Both throw UserError (kMessageMalformed).
 AttemptMessage DecodeAttempt(std::string_view bytes);
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -451,6 +451,9 @@
   message.time_left = exchange.call_request.deadline - context_.loop.now();
   const RoutePolicy& route = exchange.route->policy;
   message.priority = PriorityOf(exchange);
+  if (exchange.tenant != nullptr) {
+    message.tenant = exchange.tenant->name;
+  }
   if (route.objective > Duration{}) {
     const Duration passed = context_.loop.now() - exchange.started;
     message.objective_left = std::max(route.objective - passed, Duration(0));
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -165,6 +165,7 @@
     read("not_run", headers.not_run);
     read("answer_mark", headers.answer_mark);
     read("tenant", headers.tenant);
+    read("load", headers.load);
     headers.diagnostics = entry.ReadBool("diagnostics", headers.diagnostics);
     if (headers.timeout.empty()) {
       entry.ReportProblem("timeout", "must name a header field");
@@ -241,6 +242,7 @@
   SetSeedPorts(settings.common, settings.peer_address.port);
   settings.service = ServiceName(reader.ReadString("service", Presence::kOptional));
   settings.headers = ReadHeaders(reader);
+  settings.adaptive_limit = reader.ReadBool("adaptive_limit", settings.adaptive_limit);
   settings.shared_retry_burst = reader.ReadDecimal("shared_retry_burst", 0, kMaxRetryBurst, 0);
   for (const std::string& address_text : reader.ReadStrings("neighbours", Presence::kOptional)) {
     const std::optional<Address> address = ParseAddress(address_text);
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -77,6 +77,7 @@
 
 TargetTask::TargetTask(DaemonContext& context)
     : context_(context), target_(TargetSettings{}), admission_(ServicePolicy{}) {
+  admission_.SetAdaptiveLimit(context.settings.adaptive_limit);
   timer_ = context_.loop.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
@@ -96,8 +97,9 @@
   ExchangePtr exchange;
   StartAttempt(
       message,
-      [replier](const AttemptReply& reply, std::shared_ptr<void> slot) {
-        replier.Respond(EncodeAttemptReply(reply), std::move(slot));
+      [replier, format = message.reply_format](const AttemptReply& reply,
+                                               std::shared_ptr<void> slot) {
+        replier.Respond(EncodeAttemptReply(reply, format), std::move(slot));
       },
       &exchange);
   if (exchange) {
@@ -174,7 +176,9 @@
   record.service = target_.announcement().service;
   record.target = target_.announcement().target;
   record.state = target_.state();
-  record.slots = static_cast<uint32_t>(admission_.slots(now));
+  // Without the concurrency limit: a change of the slots is sent as a whole record, which is five
+  // times as large as a change of the free ones.
+  record.slots = static_cast<uint32_t>(admission_.policy_slots(now));
   const auto slots = static_cast<double>(admission_.slots(now));
   record.free_slots = static_cast<uint32_t>(std::max(slots - admission_.mean_load(now), 0.0));
 }
@@ -207,12 +211,16 @@
   exchanges_[number] = exchange;
   *started = exchange;
   context_.call_registry.AddIncoming(number, exchange->span.context().trace, exchange->deadline);
-  ApplyDecisions(admission_.Submit(
-      context_.loop.now(), {number, message.priority, exchange->deadline, message.objective_left,
-                            message.objective, message.max_wait}));
+  ApplyDecisions(admission_.Submit(context_.loop.now(), ToAdmissionRequest(*exchange)));
   ArmTimer(exchange);
 }
 
+AdmissionRequest TargetTask::ToAdmissionRequest(const Exchange& exchange) {
+  const AttemptMessage& message = exchange.message;
+  return {exchange.number,   message.priority, exchange.deadline, message.objective_left,
+          message.objective, message.max_wait, message.tenant};
+}
+
 bool TargetTask::Serves(const ServiceName& service) const {
   const Announcement& announced = target_.announcement();
   if (client_ == nullptr || announced.service != service || !context_.configuration) {
@@ -345,6 +353,10 @@
   CountSlotUse(*exchange, outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500);
   switch (outcome.kind) {
     case HttpOutcome::kAnswered:
+      ReportLoad(outcome.response);
+      admission_.Answered(
+          now, exchange->number,
+          ClassifyAnswer(context_.settings.headers, outcome.response) == AnswerKind::kNotRun);
       OnAnswer(exchange, outcome.response);
       return;
     case HttpOutcome::kNotSent:
@@ -362,6 +374,17 @@
   }
 }
 
+void TargetTask::ReportLoad(const HttpResponse& response) {
+  const std::string& name = context_.settings.headers.load;
+  if (name.empty()) {
+    return;
+  }
+  const auto load = ParseLoadField(response.headers.ValueOr(name, ""));
+  if (load) {
+    admission_.Reported(context_.loop.now(), *load);
+  }
+}
+
 void TargetTask::CountSlotUse(Exchange& exchange, bool succeeded) {
   if (!exchange.called) {
     return;
@@ -459,7 +482,13 @@
   if (large && std::exchange(exchange->slot_is_free, false)) {
     slot = HoldSlot(*exchange);
   }
-  reply({std::move(outcome), Load()}, std::move(slot));
+  TargetLoad load = Load();
+  load.service_time = admission_.ServiceTime(exchange->message.objective);
+  if (const auto* refusal = std::get_if<Refusal>(&outcome);
+      refusal != nullptr && refusal->code == ResultCode::kOverloaded && !refusal->reached_target) {
+    load.wait = admission_.ExpectedWait(context_.loop.now(), ToAdmissionRequest(*exchange));
+  }
+  reply({std::move(outcome), load}, std::move(slot));
 }
 
 // A large response keeps its slot until it has left this process: while the network link is the
@@ -539,6 +568,9 @@
                                {"status", int64_t{outcome.response.status}},
                                {"running", static_cast<uint64_t>(admission_.running())}});
                         }
+                        if (outcome.kind == HttpOutcome::kAnswered) {
+                          ReportLoad(outcome.response);
+                        }
                         target_.ProbeResult(context_.loop.now(), ProbePassed(outcome));
                         ApplyState();
                       });
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -77,6 +77,8 @@
   using ExchangePtr = std::shared_ptr<Exchange>;
 
   void StartAttempt(const AttemptMessage& message, Reply reply, ExchangePtr* started);
+  static AdmissionRequest ToAdmissionRequest(const Exchange& exchange);
+  void ReportLoad(const HttpResponse& response);
   HttpRequest HealthRequest() const;
   bool Serves(const ServiceName& service) const;
   ServicePolicy EffectivePolicy() const;
--- a/test/correctness/call_message_test.cc
+++ b/test/correctness/call_message_test.cc
@@ -51,3 +51,54 @@
   CHECK(message.time_left == Duration{});
   CHECK(message.objective_left == Duration{});
 }
+
+// Guards against tenants that share nothing fairly because the daemon beside the target does not
+// know them, against a caller that names a tenant itself, and against daemons of the release before
+// that cannot read a reply.
+TEST_GROUP(AttemptTenant) {
+  AttemptMessage message;
+  AttemptReply reply;
+  void setup() override {
+    message.attempt = AttemptId("run-7/1");
+    message.tenant = TenantName("north grid");
+    reply.outcome = Refusal{ResultCode::kOverloaded};
+    reply.load = {12, 9, milliseconds(89), milliseconds(140)};
+  }
+};
+
+TEST(AttemptTenant, TravelsInAHeaderFieldThatTheTargetDoesNotGet) {
+  const AttemptMessage received = DecodeAttempt(EncodeAttempt(message));
+  STRCMP_EQUAL("north grid", received.tenant.value().c_str());
+  LONGS_EQUAL(kMaxReplyFormat, received.reply_format);
+  LONGS_EQUAL(0, received.request.headers.size());
+}
+
+TEST(AttemptTenant, IsNotTakenFromTheCaller) {
+  message.tenant = TenantName();
+  message.request.headers.Add("Endivecleat-Tenant", "south grid");
+  message.request.headers.Add("Endivecleat-Reply", "9");
+  const AttemptMessage received = DecodeAttempt(EncodeAttempt(message));
+  CHECK(received.tenant.empty());
+  LONGS_EQUAL(0, received.request.headers.size());
+}
+
+TEST(AttemptTenant, GetsTheFormerReplyWithoutTheFieldOfTheReplyFormat) {
+  message.reply_format = kMinReplyFormat;
+  LONGS_EQUAL(kMinReplyFormat, DecodeAttempt(EncodeAttempt(message)).reply_format);
+  const std::string former = EncodeAttemptReply(reply, kMinReplyFormat);
+  // Format, busy, slots, kind of outcome, code 403 in two bytes, target died, reached the target.
+  LONGS_EQUAL(8, former.size());
+  LONGS_EQUAL(2, former[0]);
+  const AttemptReply received = DecodeAttemptReply(former);
+  CHECK((received.load == TargetLoad{12, 9}));
+  CHECK(received.outcome == reply.outcome);
+}
+
+TEST(AttemptTenant, ReplyCarriesTheServiceTimeAndTheWait) {
+  const AttemptReply received = DecodeAttemptReply(EncodeAttemptReply(reply));
+  CHECK(received.load == reply.load);
+  CHECK(received.outcome == reply.outcome);
+  std::string newer = EncodeAttemptReply(reply);
+  newer[0] = 4;
+  CHECK_THROWS(UserError, DecodeAttemptReply(newer));
+}
