Learn the speed and the load limit of each target, and choose by the speed

Cause: a daemon sees few answers of each of many targets, so a slow target with free slots looked as good as a fast one; and a target that slows down before its slots are used took requests that could only be late.

Ruled out: one caller's latencies alone (with 80 targets it has one sample of each in seconds); a gradient limit over latency alone (a machine that is slow at any load loses its slots: 3 times the usual time took the limit from 8 to 1); the average over all answers as the usual time (it follows a target that is full, which then seems to be as usual).

Change: ConcurrencyLimit compares the service times of each objective with those at a low load, by a regression over the concurrency, and moves the limit by AIMD towards the knee of the throughput, between one slot and all of them. The mean service time for the request's objective travels with each reply that its sender understands, and Balancer uses it in place of its own samples. Setting adaptive_limit, on by default; headers.load names the load field.

--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -314,6 +314,17 @@
   estimate.updated_at = now;
 }
 
+// The target's daemon sees all of its answers, this one only a few of them.
+void Balancer::SetServiceTime(TimePoint now, Target& target, Duration objective,
+                              Duration service_time) {
+  service_times_.Add(objective, service_time);
+  const bool crosses_regions = target.candidate.locality == Locality::kOtherRegion;
+  target.service_times[objective] = {
+      .average = service_time + (crosses_regions ? kOtherRegionRoundTrip : Duration{}),
+      .samples = kMaxServiceSamples,
+      .updated_at = now};
+}
+
 double Balancer::Busy(const Target& target) {
   return static_cast<double>(std::max(target.candidate.load.busy, target.in_flight));
 }
@@ -362,8 +373,10 @@
   // A cancelled attempt would have taken longer still.
   const bool cancelled = result == AttemptResult::kCancelled;
   const bool answered = result == AttemptResult::kAnswered;
-  if (taken && (answered || (cancelled && static_cast<double>(taken->count()) >
-                                              ServiceTime(now, target, objective)))) {
+  if (load && load->service_time > Duration{}) {
+    SetServiceTime(now, target, objective, load->service_time);
+  } else if (taken && (answered || (cancelled && static_cast<double>(taken->count()) >
+                                                     ServiceTime(now, target, objective)))) {
     AddServiceTime(now, target, objective, *taken);
   }
   const bool error = result == AttemptResult::kErrorStatus;
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -156,6 +156,7 @@
   void CountOffer(TimePoint now, const Target& target, bool full, std::optional<Duration> taken);
   double ServiceTime(TimePoint now, const Target& target, Duration objective) const;
   void AddServiceTime(TimePoint now, Target& target, Duration objective, Duration service_time);
+  void SetServiceTime(TimePoint now, Target& target, Duration objective, Duration service_time);
   static double Busy(const Target& target);
   static bool IsKnownFull(TimePoint now, const Target& target);
   static double WaitInServiceTimes(const Target& target);
--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -228,6 +228,19 @@
   return message;
 }
 
+TargetAnswer ToAnswer(const HttpResponse& response) {
+  TargetAnswer answer;
+  answer.status = response.status;
+  HeaderList headers = response.headers;
+  RemoveHopByHopHeaders(headers);
+  headers.Remove("content-length");
+  for (const Header& header : headers) {
+    answer.headers.emplace_back(header.name, header.value);
+  }
+  answer.body = response.body;
+  return answer;
+}
+
 void DeductTransit(AttemptMessage& message, Duration waited) {
   message.time_left = std::max(message.time_left - waited, Duration{});
   if (message.objective_left) {
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -43,6 +43,9 @@
   HttpRequest request;
 };
 
+/// The answer to pass on, without the header fields of the connection to the target.
+TargetAnswer ToAnswer(const HttpResponse& response);
+
 /// Takes the time that the message waited on its way off its time left and its objective.
 void DeductTransit(AttemptMessage& message, Duration waited);
 
--- a/src/concurrency_limit.h
+++ b/src/concurrency_limit.h
@@ -4,6 +4,7 @@
 #ifndef ENDIVECLEAT_CONCURRENCY_LIMIT_H_
 #define ENDIVECLEAT_CONCURRENCY_LIMIT_H_
 
+#include <map>
 #include <optional>
 
 #include "load_field.h"
@@ -37,33 +38,41 @@
 
  private:
   /// Sums over recent answers, weighted by age, for a regression of the service time, relative to
-  /// the average of its route, over the concurrency.
+  /// that of its route at a low load, over the concurrency.
   struct Sums {
     double weight = 0;
     double load = 0;
     double load_squared = 0;
+    double low_load = 0;  // the concurrency at which the requests' route was seen at a low load
     double time = 0;
     double time_squared = 0;
     double product = 0;
     void Scale(double factor);
   };
 
+  void AddAtLowLoad(Duration objective, double taken, double concurrency);
+  void AddRatio(TimePoint now, double ratio, double concurrency, double low_concurrency);
   double Knee() const;
   double Current(TimePoint now, size_t slots) const;
   void Decrease(TimePoint now, size_t slots, double least);
   bool Due(TimePoint now) const;
 
-  // The newest answer has a weight of 1/32 in the averages that answers are compared with, and of
-  // 1/8 in those that tell how long the target takes now.
-  static constexpr Duration::rep kUsualDivisor = 32;
+  /// Averages over the answers to requests with one objective at up to half of the slots.
+  struct LowLoad {
+    double time = 0;  // microseconds
+    double concurrency = 0;
+    uint64_t answers = 0;
+  };
+
+  // The newest answer has a weight of 1/8 in the averages that tell how long the target takes now.
   static constexpr Duration::rep kRecentDivisor = 8;
 
   Sums sums_;
   TimePoint sums_at_{};
-  std::optional<double> limit_;  // nullopt: all slots
-  TimePoint changed_at_{};       // when limit_ was last evaluated
-  double pace_ = 1;              // how long work takes, by the load field; 1 as usual
-  ServiceTimes usual_{Duration{}, kUsualDivisor};
+  std::optional<double> limit_;           // nullopt: all slots
+  TimePoint changed_at_{};                // when limit_ was last evaluated
+  double pace_ = 1;                       // how long work takes, by the load field; 1 as usual
+  std::map<Duration, LowLoad> low_load_;  // by objective
   ServiceTimes recent_{Duration{}, kRecentDivisor};  // at a pace of 1
 };
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -85,7 +85,7 @@
   double shared_retry_burst = 0;
   // Whether the speed of the local target and the concurrency that it handles well are learned from
   // its answers, and used to limit its slots and to choose among targets.
-  bool adaptive_limit = false;
+  bool adaptive_limit = true;
   CallHeaders headers;
   ServiceName service;  // service of the local target, sent as the origin of this instance's calls
   std::vector<Address> neighbours;  // peers to join the gossip group through if no seed is a member
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -27,19 +27,6 @@
   return outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500;
 }
 
-TargetAnswer ToAnswer(const HttpResponse& response) {
-  TargetAnswer answer;
-  answer.status = response.status;
-  HeaderList headers = response.headers;
-  RemoveHopByHopHeaders(headers);
-  headers.Remove("content-length");
-  for (const Header& header : headers) {
-    answer.headers.emplace_back(header.name, header.value);
-  }
-  answer.body = response.body;
-  return answer;
-}
-
 // The process that an attempt comes from: the part of the id before the number of its call.
 std::string CallingProcess(const AttemptId& attempt) {
   return attempt.value().substr(0, attempt.value().rfind('-'));
