--- a/src/balancer.h
+++ b/src/balancer.h
@@ -35,6 +35,10 @@
 struct TargetLoad {
   uint64_t busy = 0;
   uint64_t slots = 1;
+  // How long the target takes for requests like the one that was sent; 0: unknown.
+  Duration service_time{};
+  // With a refusal of a full target: how long the request would have waited for a slot there.
+  Duration wait{};
 
   bool operator==(const TargetLoad&) const = default;
 };
@@ -152,6 +156,7 @@
   void CountOffer(TimePoint now, const Target& target, bool full, std::optional<Duration> taken);
   double ServiceTime(TimePoint now, const Target& target, Duration objective) const;
   void AddServiceTime(TimePoint now, Target& target, Duration objective, Duration service_time);
+  void SetServiceTime(TimePoint now, Target& target, Duration objective, Duration service_time);
   static double Busy(const Target& target);
   static bool IsKnownFull(TimePoint now, const Target& target);
   static double WaitInServiceTimes(const Target& target);
--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr uint64_t kAttemptFormatVersion = 2;
-constexpr uint64_t kReplyFormatVersion = 2;
 constexpr uint64_t kMaxStatus = 999;
 constexpr uint64_t kMaxResultCode = 999;
 // Internal header field: the objective and the longest wait in microseconds, separated by a space;
@@ -27,6 +26,10 @@
 // Precedes the service of an attempt whose body follows. No service has such a name, so a daemon
 // that does not know uploads refuses the attempt as one for another service.
 constexpr std::string_view kUploadPrefix = "+upload ";
+// Internal header fields: the name of the tenant, and the newest format of a reply that the sender
+// understands. Without the latter, the sender is of the release before.
+constexpr char kTenantHeader[] = "endivecleat-tenant";
+constexpr char kReplyHeader[] = "endivecleat-reply";
 constexpr Duration kMaxOfferDuration = std::chrono::hours(24);
 constexpr Duration kMaxUptime = std::chrono::years(100);
 
@@ -48,21 +51,33 @@
   }
 }
 
-void WriteRequest(ByteWriter& writer, const AttemptMessage& message, const std::string& offer) {
+/// The request with the internal header fields. A caller's own field of such a name is removed.
+HttpRequest WithInternalHeaders(const AttemptMessage& message, const std::string& offer) {
   HttpRequest request = message.request;
-  const std::optional<TimePoint>& sent_at = message.sent_at;
   request.headers.Set(kOfferHeader, offer);
   request.headers.Remove(kVersionHeader);
   if (!message.target_version.empty()) {
-    request.headers.Set(kVersionHeader, message.target_version.value());
+    request.headers.Add(kVersionHeader, message.target_version.value());
   }
   if (message.body_follows) {
     request.headers.Set(kBodyHeader,
                         message.body_length ? std::to_string(*message.body_length) : "");
   }
-  if (sent_at) {
-    request.headers.Set(kSentHeader, std::to_string(sent_at->time_since_epoch().count()));
+  if (message.sent_at) {
+    request.headers.Set(kSentHeader, std::to_string(message.sent_at->time_since_epoch().count()));
   }
+  request.headers.Remove(kTenantHeader);
+  if (!message.tenant.empty()) {
+    request.headers.Add(kTenantHeader, message.tenant.value());
+  }
+  request.headers.Remove(kReplyHeader);
+  if (message.reply_format > kMinReplyFormat) {
+    request.headers.Add(kReplyHeader, std::to_string(message.reply_format));
+  }
+  return request;
+}
+
+void WriteRequest(ByteWriter& writer, const HttpRequest& request) {
   writer.WriteString(request.method);
   writer.WriteString(request.path);
   writer.WriteString(request.query);
@@ -162,6 +177,28 @@
   message.body_length = length;
 }
 
+/// A newer sender understands the formats of this release too.
+void TakeTenantAndReplyFormat(AttemptMessage& message) {
+  HeaderList& headers = message.request.headers;
+  message.tenant = TenantName(headers.ValueOr(kTenantHeader, ""));
+  headers.Remove(kTenantHeader);
+  const std::string format = headers.ValueOr(kReplyHeader, "");
+  message.reply_format = format.empty() || format == std::to_string(kMinReplyFormat)
+                             ? kMinReplyFormat
+                             : kMaxReplyFormat;
+  headers.Remove(kReplyHeader);
+}
+
+Duration ReadDuration(ByteReader& reader) {
+  const auto longest = static_cast<uint64_t>(kMaxOfferDuration.count());
+  return Duration(static_cast<Duration::rep>(reader.ReadVarintUpTo(longest)));
+}
+
+void WriteDuration(ByteWriter& writer, Duration duration) {
+  writer.WriteVarint(
+      static_cast<uint64_t>(std::clamp(duration, Duration{}, kMaxOfferDuration).count()));
+}
+
 /// Moves the internal header field into the message.
 void TakeOffer(AttemptMessage& message) {
   const std::string text = message.request.headers.ValueOr(kOfferHeader, "");
@@ -192,7 +229,7 @@
   writer.WriteVarint(message.priority.value());
   writer.WriteVarint(
       message.objective_left ? static_cast<uint64_t>(message.objective_left->count()) + 1 : 0);
-  WriteRequest(writer, message, FormatOffer(message));
+  WriteRequest(writer, WithInternalHeaders(message, FormatOffer(message)));
   return writer.Take();
 }
 
@@ -223,9 +260,23 @@
   message.target_version = TargetVersion(message.request.headers.ValueOr(kVersionHeader, ""));
   message.request.headers.Remove(kVersionHeader);
   TakeBodyLength(message);
+  TakeTenantAndReplyFormat(message);
   return message;
 }
 
+TargetAnswer ToAnswer(const HttpResponse& response) {
+  TargetAnswer answer;
+  answer.status = response.status;
+  HeaderList headers = response.headers;
+  RemoveHopByHopHeaders(headers);
+  headers.Remove("content-length");
+  for (const Header& header : headers) {
+    answer.headers.emplace_back(header.name, header.value);
+  }
+  answer.body = response.body;
+  return answer;
+}
+
 void DeductTransit(AttemptMessage& message, Duration waited) {
   message.time_left = std::max(message.time_left - waited, Duration{});
   if (message.objective_left) {
@@ -233,11 +284,15 @@
   }
 }
 
-std::string EncodeAttemptReply(const AttemptReply& reply) {
+std::string EncodeAttemptReply(const AttemptReply& reply, uint64_t format) {
   ByteWriter writer;
-  writer.WriteVarint(kReplyFormatVersion);
+  writer.WriteVarint(format);
   writer.WriteVarint(reply.load.busy);
   writer.WriteVarint(reply.load.slots);
+  if (format > kMinReplyFormat) {
+    WriteDuration(writer, reply.load.service_time);
+    WriteDuration(writer, reply.load.wait);
+  }
   writer.WriteVarint(reply.outcome.index());
   if (const auto* answer = std::get_if<TargetAnswer>(&reply.outcome)) {
     WriteAnswer(writer, *answer);
@@ -253,9 +308,16 @@
 AttemptReply DecodeAttemptReply(std::string_view bytes) {
   ByteReader reader(bytes);
   AttemptReply reply;
-  reader.ExpectVarint(kReplyFormatVersion);
+  const uint64_t format = reader.ReadVarintUpTo(kMaxReplyFormat);
+  if (format < kMinReplyFormat) {
+    throw UserError(ResultCode::kMessageMalformed, "unknown format of a reply");
+  }
   reply.load.busy = reader.ReadVarint();
   reply.load.slots = reader.ReadVarint();
+  if (format > kMinReplyFormat) {
+    reply.load.service_time = ReadDuration(reader);
+    reply.load.wait = ReadDuration(reader);
+  }
   if (reader.ReadVarintUpTo(1) == 0) {
     reply.outcome = ReadAnswer(reader);
   } else {
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -1,7 +1,7 @@
 // Messages of a call between the caller's daemon (CallerTask) and the daemon beside the target
-// (TargetTask), and their binary encoding. The objective, the longest wait, the time of sending
-// and the version of a rollout travel in header fields of the request, so that daemons of the
-// version before accept the message during an upgrade.
+// (TargetTask), and their binary encoding. The objective, the longest wait, the tenant, the time of
+// sending, the version of a rollout and the format of the reply travel in header fields of the
+// request, so that daemons of the version before accept the message during an upgrade.
 #ifndef ENDIVECLEAT_CALL_MESSAGE_H_
 #define ENDIVECLEAT_CALL_MESSAGE_H_
 
@@ -14,10 +14,16 @@
 #include "call_types.h"
 #include "http_message.h"
 #include "service_policy.h"
+#include "tenant_table.h"
 #include "units.h"
 
 namespace endivecleat {
 
+/// Formats of AttemptReply: 2 is that of the release before; 3 adds the expected wait and the
+/// service time of the target.
+inline constexpr uint64_t kMinReplyFormat = 2;
+inline constexpr uint64_t kMaxReplyFormat = 3;
+
 /// One attempt of a call, sent by the caller's daemon.
 struct AttemptMessage {
   ServiceName service;
@@ -38,9 +44,14 @@
   // A daemon of the version before refuses such an attempt without running it.
   bool body_follows = false;
   std::optional<uint64_t> body_length;
+  TenantName tenant;                        // empty without one
+  uint64_t reply_format = kMaxReplyFormat;  // newest that the sender understands
   HttpRequest request;
 };
 
+/// The answer to pass on, without the header fields of the connection to the target.
+TargetAnswer ToAnswer(const HttpResponse& response);
+
 /// Takes the time that the message waited on its way off its time left and its objective.
 void DeductTransit(AttemptMessage& message, Duration waited);
 
@@ -51,7 +62,8 @@
 };
 
 std::string EncodeAttempt(const AttemptMessage& message);
-std::string EncodeAttemptReply(const AttemptReply& reply);
+/// `format`: the reply_format of the attempt.
+std::string EncodeAttemptReply(const AttemptReply& reply, uint64_t format = kMaxReplyFormat);
 
 /// Both throw UserError (kMessageMalformed).
 AttemptMessage DecodeAttempt(std::string_view bytes);
--- a/src/settings.h
+++ b/src/settings.h
@@ -83,6 +83,9 @@
   // Burst of the retry budget for all daemons together, divided evenly among them. 0: each daemon
   // has a separate burst.
   double shared_retry_burst = 0;
+  // Whether the speed of the local target and the concurrency that it handles well are learned from
+  // its answers, and used to limit its slots and to choose among targets.
+  bool adaptive_limit = true;
   CallHeaders headers;
   // Pipelined requests of one caller's connection that may run at the same time, and their bytes.
   uint64_t pipelined_requests = 16;
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -31,19 +31,6 @@
   return outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500;
 }
 
-TargetAnswer ToAnswer(const HttpResponse& response) {
-  TargetAnswer answer;
-  answer.status = response.status;
-  HeaderList headers = response.headers;
-  RemoveHopByHopHeaders(headers);
-  headers.Remove("content-length");
-  for (const Header& header : headers) {
-    answer.headers.emplace_back(header.name, header.value);
-  }
-  answer.body = response.body;
-  return answer;
-}
-
 // The process that an attempt comes from: the part of the id before the number of its call.
 std::string CallingProcess(const AttemptId& attempt) {
   return attempt.value().substr(0, attempt.value().rfind('-'));
@@ -84,6 +71,7 @@
       target_(TargetSettings{}),
       admission_(ServicePolicy{}),
       evidence_(context.run_id) {
+  admission_.SetAdaptiveLimit(context.settings.adaptive_limit);
   timer_ = context_.loop.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
@@ -106,8 +94,9 @@
   ExchangePtr exchange;
   StartAttempt(
       message,
-      [replier](const AttemptReply& reply, std::shared_ptr<void> slot) {
-        replier.Respond(EncodeAttemptReply(reply), std::move(slot));
+      [replier, format = message.reply_format](const AttemptReply& reply,
+                                               std::shared_ptr<void> slot) {
+        replier.Respond(EncodeAttemptReply(reply, format), std::move(slot));
       },
       &exchange);
   if (exchange) {
@@ -187,7 +176,9 @@
   record.target = target_.announcement().target;
   record.target_version = target_.announcement().version;
   record.state = target_.state();
-  record.slots = static_cast<uint32_t>(admission_.slots(now));
+  // Without the concurrency limit: a change of the slots is sent as a whole record, which is five
+  // times as large as a change of the free ones.
+  record.slots = static_cast<uint32_t>(admission_.policy_slots(now));
   const auto slots = static_cast<double>(admission_.slots(now));
   record.free_slots = static_cast<uint32_t>(std::max(slots - admission_.mean_load(now), 0.0));
 }
@@ -224,12 +215,16 @@
   exchanges_[number] = exchange;
   *started = exchange;
   context_.call_registry.AddIncoming(number, exchange->span.context().trace, exchange->deadline);
-  ApplyDecisions(admission_.Submit(
-      context_.loop.now(), {number, message.priority, exchange->deadline, message.objective_left,
-                            message.objective, message.max_wait}));
+  ApplyDecisions(admission_.Submit(context_.loop.now(), ToAdmissionRequest(*exchange)));
   ArmTimer(exchange);
 }
 
+AdmissionRequest TargetTask::ToAdmissionRequest(const Exchange& exchange) {
+  const AttemptMessage& message = exchange.message;
+  return {exchange.number,   message.priority, exchange.deadline, message.objective_left,
+          message.objective, message.max_wait, message.tenant};
+}
+
 bool TargetTask::Serves(const ServiceName& service) const {
   const Announcement& announced = target_.announcement();
   if (client_ == nullptr || announced.service != service || !context_.configuration) {
@@ -405,6 +400,10 @@
   CountSlotUse(*exchange, outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500);
   switch (outcome.kind) {
     case HttpOutcome::kAnswered:
+      ReportLoad(outcome.response);
+      admission_.Answered(
+          now, exchange->number,
+          ClassifyAnswer(context_.settings.headers, outcome.response) == AnswerKind::kNotRun);
       OnAnswer(exchange, outcome.response);
       return;
     case HttpOutcome::kNotSent:
@@ -462,6 +461,17 @@
   }
 }
 
+void TargetTask::ReportLoad(const HttpResponse& response) {
+  const std::string& name = context_.settings.headers.load;
+  if (name.empty()) {
+    return;
+  }
+  const auto load = ParseLoadField(response.headers.ValueOr(name, ""));
+  if (load) {
+    admission_.Reported(context_.loop.now(), *load);
+  }
+}
+
 void TargetTask::CountSlotUse(Exchange& exchange, bool succeeded) {
   if (!exchange.called) {
     return;
@@ -503,8 +513,8 @@
        {"queued", static_cast<uint64_t>(admission_.queued())}});
 }
 
-// A broken call is answered when it is known whether the target died: only then can the crash guard
-// stop the request before it reaches a second target.
+// A broken call is answered when it is known whether the target died: only then can the crash
+// guard stop the request before it reaches a second target.
 void TargetTask::AwaitDeathProbe(const ExchangePtr& exchange) {
   awaiting_death_probe_.push_back(exchange);
   if (!death_probe_ && !second_death_probe_timer_) {
@@ -512,7 +522,8 @@
   }
 }
 
-// A process that dies may still accept connections for a moment, so an accepted probe is repeated.
+// A process that dies may still accept connections for a moment, so an accepted probe is
+// repeated.
 void TargetTask::StartDeathProbe(bool last) {
   death_probe_ = std::make_unique<ConnectProbe>(
       context_.loop, target_.announcement().address, kDeathProbeTimeout,
@@ -559,13 +570,19 @@
   if (large && std::exchange(exchange->slot_is_free, false)) {
     slot = HoldSlot(*exchange);
   }
-  reply({std::move(outcome), Load()}, std::move(slot));
+  TargetLoad load = Load();
+  load.service_time = admission_.ServiceTime(exchange->message.objective);
+  if (const auto* refusal = std::get_if<Refusal>(&outcome);
+      refusal != nullptr && refusal->code == ResultCode::kOverloaded && !refusal->reached_target) {
+    load.wait = admission_.ExpectedWait(context_.loop.now(), ToAdmissionRequest(*exchange));
+  }
+  reply({std::move(outcome), load}, std::move(slot));
 }
 
 // A large response keeps its slot until it has left this process: while the network link is the
-// bottleneck, more requests would only wait there, and the wait for a slot shows it to the callers'
-// daemons. The slot is released at the request's deadline at the latest, since a caller's daemon
-// that reads nothing must not keep it.
+// bottleneck, more requests would only wait there, and the wait for a slot shows it to the
+// callers' daemons. The slot is released at the request's deadline at the latest, since a
+// caller's daemon that reads nothing must not keep it.
 std::shared_ptr<void> TargetTask::HoldSlot(const Exchange& exchange) {
   const auto finish = std::make_shared<std::function<void()>>(
       [this, number = exchange.number, alive = std::weak_ptr<bool>(alive_)] {
@@ -639,6 +656,9 @@
                                {"status", int64_t{outcome.response.status}},
                                {"running", static_cast<uint64_t>(admission_.running())}});
                         }
+                        if (outcome.kind == HttpOutcome::kAnswered) {
+                          ReportLoad(outcome.response);
+                        }
                         target_.ProbeResult(context_.loop.now(), ProbePassed(outcome));
                         ApplyState();
                       });
