Forget what a held request selected in an earlier configuration

Cause: a request that is held at the start of a daemon is prepared again when a configuration arrives. If it is refused then (no route, unknown key), its service still pointed into the configuration before, which had been freed: the log line and the metrics copied a string of random length, and the daemon ended with std::bad_alloc or basic_string::_M_create. Ruled out: the transfer and its decoding; the exception came before the link was closed. Change: Prepare clears route, tenant, service and state first.

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -342,6 +342,12 @@
 }
 
 std::optional<ResultCode> CallerTask::Prepare(Exchange& exchange) {
+  // A request that was held is prepared again, maybe with another configuration, and what it
+  // selected in the one before ends with that one.
+  exchange.route = nullptr;
+  exchange.tenant = nullptr;
+  exchange.service = nullptr;
+  exchange.state = nullptr;
   exchange.configuration = context_.configuration;
   if (!exchange.configuration) {
     return ResultCode::kNoConfiguration;
