--- a/src/quota_client.cc
+++ b/src/quota_client.cc
@@ -65,6 +65,9 @@
                              double part) {
   now_ = now;
   version_ = version;
+  if (!started_at_) {
+    started_at_ = now;
+  }
   std::unordered_map<TenantId, TenantState> before = std::exchange(tenants_, {});
   if (tenants != nullptr) {
     for (const Tenant& tenant : tenants->tenants()) {
@@ -433,6 +436,7 @@
   }
   request.owner_run = owner_run_;
   request.stamp = stamp_;
+  request.running_for = std::min(now - started_at_.value_or(now), kQuotaMemberMemory);
   request.lent_for = std::min(now - lent_since_, kQuotaMemberMemory);
   lends_ = true;
   has_lent_ = true;
--- a/src/quota_client.h
+++ b/src/quota_client.h
@@ -206,6 +206,7 @@
   // The share is lent to lent_to_, and must not be used or lent to another owner before.
   bool lends_ = false;
   bool has_lent_ = false;
+  std::optional<TimePoint> started_at_;  // of the first quotas
   bool holds_leased_ = false;  // tokens that an owner leased may be left
   bool introduced_ = false;  // the owner knows what was used in the last window
   InstanceId lent_to_;
--- a/src/quota_limits.h
+++ b/src/quota_limits.h
@@ -35,7 +35,7 @@
 /// the requests of the window are 5 R, and those of before leave it as fast as new ones come.
 inline double UnknownPastLimitOf(const TenantQuota& quota) {
   constexpr double kSeconds = std::chrono::duration<double>(kQuotaWindow).count();
-  constexpr double kPart = 0.8;
+  constexpr double kPart = 0.6;
   return kPart * (WindowLimitOf(quota) - kSeconds * quota.rate_per_second);
 }
 
--- a/src/quota_message.cc
+++ b/src/quota_message.cc
@@ -65,6 +65,7 @@
   writer.WriteVarint(request.owner_run);
   WriteTime(writer, request.stamp);
   writer.WriteVarint(ToMilliseconds(request.lent_for));
+  writer.WriteVarint(ToMilliseconds(request.running_for));
   writer.WriteVarint(request.members);
   writer.WriteVarint(request.version.value());
   writer.WriteVarint(request.entries.size());
@@ -97,6 +98,7 @@
   request.owner_run = reader.ReadVarint();
   request.stamp = ReadTime(reader);
   request.lent_for = ReadMilliseconds(reader);
+  request.running_for = ReadMilliseconds(reader);
   request.members = ReadCount(reader);
   request.version = ConfigVersion(reader.ReadVarint());
   request.entries.resize(reader.ReadCount());
--- a/src/quota_message.h
+++ b/src/quota_message.h
@@ -48,6 +48,7 @@
   uint64_t owner_run = 0;  // from the latest reply of this owner; 0 if there is none
   TimePoint stamp{};       // the same
   Duration lent_for{};     // for how long the share has been lent to this run of the owner alone; ms
+  Duration running_for{};  // since the daemon has quotas; ms
   uint32_t members = 0;    // daemons of the mesh, from the latest reply of any owner; 0: unknown
   ConfigVersion version;   // of the quotas
   std::vector<QuotaEntry> entries;
--- a/src/quota_owner.cc
+++ b/src/quota_owner.cc
@@ -77,12 +77,18 @@
   }
   long_holders_ = 0;
   short_seconds_ = 0;
+  young_holders_ = 0;
+  young_seconds_ = 0;
   for (const auto& [instance, daemon] : daemons_) {
     if (daemon.lends && daemon.lends_since + kPastKnownAfter <= now_) {
       ++long_holders_;
     } else if (daemon.lends) {
       short_seconds_ += Seconds(now_ - daemon.lends_since);
     }
+    if (daemon.lends && daemon.runs_since + kPastKnownAfter > now_) {
+      ++young_holders_;
+      young_seconds_ += Seconds(now_ - daemon.runs_since);
+    }
   }
 }
 
@@ -142,6 +148,7 @@
   }
   // The daemon knows whether it lent its share to others meanwhile.
   daemon.lends_since = now_ - request.lent_for;
+  daemon.runs_since = now_ - request.running_for;
   daemon.lends_until = std::max(daemon.lends_until, request.stamp + kQuotaDelegation);
   Advance(now_);
 }
@@ -307,7 +314,12 @@
   const double of_short = short_holders * UnknownPastLimitOf(quota) +
                           quota.rate_per_second * short_seconds_ +
                           bucket.introduced * static_cast<double>(members());
-  return (limit * static_cast<double>(long_holders_) + std::min(of_short, limit * short_holders)) /
+  // A daemon that was restarted does not report what its run before used.
+  const auto young = static_cast<double>(young_holders_);
+  const double of_young = std::min(
+      young * UnknownPastLimitOf(quota) + quota.rate_per_second * young_seconds_, young * limit);
+  const double most_of_short = of_young + limit * std::max(short_holders - young, 0.0);
+  return (limit * static_cast<double>(long_holders_) + std::min(of_short, most_of_short)) /
          static_cast<double>(members());
 }
 
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -61,6 +61,7 @@
     bool lends = false;
     TimePoint lends_until{};
     TimePoint lends_since{};
+    TimePoint runs_since{};
     TimePoint heard_at{};
     std::unordered_map<TenantId, Lease> leases;
   };
@@ -106,6 +107,8 @@
   size_t holders_ = 0;
   size_t long_holders_ = 0;    // of these, the ones whose requests of the last window are known
   double short_seconds_ = 0;   // sum of the times for which the others have lent their shares
+  size_t young_holders_ = 0;   // holders whose process may have had another run in the window
+  double young_seconds_ = 0;   // sum of the times for which these have run
   double share_seconds_ = 0;   // integral over time of the share that is held
   double lent_shares_ = 0;     // sum of all shares when they were lent
   TimePoint next_sweep_{};
--- a/test/quota_mesh.cc
+++ b/test/quota_mesh.cc
@@ -71,11 +71,35 @@
   if (index >= settings_.controls) {
     machine.client = std::make_unique<QuotaClient>(machine.id, last_run_);
     machine.client->SetOwners(now, OwnersSeenBy(index));
-    ConfigureClient(machine);
+    machine.configured = false;
+    if (IsConnected(index)) {
+      ConfigureClient(machine);
+    }
+  }
+}
+
+// A process that starts has no configuration before it reaches another one.
+bool QuotaMesh::IsConnected(size_t index) const {
+  const Machine& machine = machines_[index];
+  return std::any_of(machine.view.begin(), machine.view.end(), [&](size_t member) {
+    return member != index && network_.Connected(machine.id, machines_[member].id) &&
+           network_.Connected(machines_[member].id, machine.id);
+  });
+}
+
+// Members exchange the records that they have, also of members that they consider dead by now.
+std::set<size_t> QuotaMesh::KnownMembers(size_t index) const {
+  std::set<size_t> known = machines_[index].view;
+  for (const size_t member : machines_[index].view) {
+    if (network_.Connected(machines_[member].id, machines_[index].id)) {
+      known.insert(machines_[member].view.begin(), machines_[member].view.end());
+    }
   }
+  return known;
 }
 
 void QuotaMesh::ConfigureClient(Machine& machine) {
+  machine.configured = true;
   machine.learns_at.reset();
   machine.client->SetTenants(Clock(machine), version_, &tenants_);
 }
@@ -168,7 +192,7 @@
     }
     if (members_due) {
       std::vector<InstanceId> daemons;
-      for (const size_t member : machine.view) {
+      for (const size_t member : KnownMembers(index)) {
         if (member >= settings_.controls) {
           daemons.push_back(machines_[member].id);
         }
@@ -176,6 +200,9 @@
       machine.owner->SetMembers(Clock(machine), daemons);
       if (machine.client) {
         machine.client->SetOwners(Clock(machine), OwnersSeenBy(index));
+        if (!machine.configured && IsConnected(index)) {
+          ConfigureClient(machine);
+        }
       }
     }
     while (!machine.inbox.empty()) {
@@ -272,7 +299,7 @@
       const bool first = static_cast<double>(random_.Below(kScale)) < skew_ * kScale;
       const size_t daemon = first ? tenant % settings_.daemons : random_.Below(settings_.daemons);
       Machine& machine = machines_[settings_.controls + daemon];
-      if (!machine.client || IsFrozen(machine)) {
+      if (!machine.client || !machine.configured || IsFrozen(machine)) {
         continue;  // the caller finds no daemon there
       }
       ++counts_[tenant].sent;
--- a/test/quota_mesh.h
+++ b/test/quota_mesh.h
@@ -101,6 +101,7 @@
     uint64_t in_flight = 0;  // sequence; 0: none
     TimePoint sent_at{};
     std::map<RequestNumber, Pending> waiting;
+    bool configured = false;
     std::optional<TimePoint> learns_at;  // of the newest quotas
     uint64_t bytes = 0;
     uint64_t messages = 0;
@@ -115,6 +116,9 @@
   void Decide(Machine& machine, const QuotaDecision& decision);
   void Granted(Machine& machine, size_t tenant, TimePoint sent_at, const QuotaToken& token);
   void ConfigureClient(Machine& machine);
+  /// Whether it reaches any machine that it considers a member.
+  bool IsConnected(size_t machine) const;
+  std::set<size_t> KnownMembers(size_t machine) const;
   std::vector<InstanceId> OwnersSeenBy(size_t machine) const;
   TimePoint Clock(const Machine& machine) const { return now_ + machine.clock_offset; }
   bool IsFrozen(const Machine& machine) const { return machine.frozen_until > now_; }
