--- a/src/quota_owner.cc
+++ b/src/quota_owner.cc
@@ -136,7 +136,7 @@
 // daemon's promise, which lasts from the sending of the request, therefore lasts at least as long
 // from the stamp on, however long the request was under way.
 void QuotaOwner::UpdateShare(Daemon& daemon, const QuotaRequest& request) {
-  if (stopped_ || request.owner_run != run_ || request.stamp + kQuotaDelegation <= now_) {
+  if (stopped_ || members_.empty() || request.owner_run != run_ || request.stamp + kQuotaDelegation <= now_) {
     return;
   }
   if (!daemon.lends) {
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -33,7 +33,8 @@
   /// `run` must differ between runs of this process and from 0.
   QuotaOwner(uint64_t run, TimePoint now) : run_(run), started_(now), now_(now) {}
 
-  /// The daemons that are members now. Those of the last kQuotaMemberMemory count.
+  /// The daemons that are members now. Those of the last kQuotaMemberMemory count. Before the first
+  /// call the owner takes no share, since it does not know how large one is.
   void SetMembers(TimePoint now, const std::vector<InstanceId>& daemons);
   QuotaReply Receive(TimePoint now, const QuotaRequest& request);
   /// Drops what has expired; to be called every 100 ms.
--- a/src/quota_owner_task.cc
+++ b/src/quota_owner_task.cc
@@ -1,4 +1,5 @@
-// The members are passed on once a second, since they are remembered for minutes.
+// The members are passed on once a second, since they are remembered for minutes; at the start in
+// each tick.
 #include "quota_owner_task.h"
 
 #include <vector>
@@ -9,13 +10,15 @@
 namespace {
 
 constexpr Duration kMembersInterval = std::chrono::seconds(1);
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr Duration kStartTime = std::chrono::seconds(5);
 
 uint64_t RunOf(uint64_t seed) { return seed == 0 ? 1 : seed; }
 
 }  // namespace
 
 QuotaOwnerTask::QuotaOwnerTask(const MeshNode& node, uint64_t seed)
-    : node_(node), owner_(RunOf(seed), BootClockNow()) {}
+    : node_(node), started_(BootClockNow()), owner_(RunOf(seed), started_) {}
 
 void QuotaOwnerTask::OnRequest(const std::string& payload, const PeerResponder& responder) {
   responder.Respond(EncodeQuotaReply(Receive(DecodeQuotaRequest(payload))));
@@ -31,7 +34,11 @@
   if (now < next_members_) {
     return;
   }
-  next_members_ = now + kMembersInterval;
+  // A process that has just started knows itself alone.
+  if (node_.membership().members().size() < 2) {
+    return;
+  }
+  next_members_ = now + (now < started_ + kStartTime ? kTickInterval : kMembersInterval);
   std::vector<InstanceId> daemons;
   for (const MemberRecord& member : node_.membership().members()) {
     if (!member.is_control) {
--- a/src/quota_owner_task.h
+++ b/src/quota_owner_task.h
@@ -29,6 +29,7 @@
 
  private:
   const MeshNode& node_;
+  TimePoint started_;
   QuotaOwner owner_;
   TimePoint next_members_{};
   QuotaOwner::Counts reported_;
--- a/test/correctness/quota_test.cc
+++ b/test/correctness/quota_test.cc
@@ -97,6 +97,7 @@
     client.SetTenants(now, ConfigVersion(version), &table);
   }
   void setup() override {
+    owner.SetMembers(now, {self});
     SetQuota({100, 100}, 1);
     client.SetOwners(now, {control});
     Talk();
@@ -174,6 +175,7 @@
   Pass(seconds(2));
   const InstanceId other("e");
   QuotaOwner second(8, now);
+  second.SetMembers(now, {self});
   client.SetOwners(now, {other});
   const TimePoint silent_since = now;
   while (second.daemons() == 0 && now < silent_since + seconds(20)) {
--- a/test/performance/quota_benchmark.cc
+++ b/test/performance/quota_benchmark.cc
@@ -150,6 +150,7 @@
     }
   }
   endivecleat::QuotaOwner owner(1, TimePoint{} + seconds(1));
+  owner.SetMembers(TimePoint{} + seconds(1), {endivecleat::InstanceId("d")});
   endivecleat::QuotaClient client(endivecleat::InstanceId("d"), 1);
   TimePoint now = TimePoint{} + seconds(100);
   client.SetTenants(now, endivecleat::ConfigVersion(1), &table);
