--- a/src/quota_client.cc
+++ b/src/quota_client.cc
@@ -51,7 +51,7 @@
 constexpr double kSingleTokenRate = 0.35;
 constexpr uint32_t kSmallStock = 4;
 constexpr double kRateSeconds = 12;  // time constant of the measured rate
-constexpr double kBusyRate = 2;     // from here on a denied prefetch is repeated at once
+constexpr double kBusyRate = 2;      // from here on a denied prefetch is repeated at once
 constexpr Duration kPrefetchPause = std::chrono::seconds(2);
 constexpr Duration kPrefetchPauseOfNewTenant = std::chrono::seconds(30);
 constexpr Duration kRenewal = std::chrono::milliseconds(700);  // left when a token is renewed
@@ -85,8 +85,8 @@
         state.rate_at = now;
       }
       const TenantQuota quota = {tenant.quota.rate_per_second * part, tenant.quota.burst * part};
-      const bool lower = quota.rate_per_second < state.quota.rate_per_second ||
-                         quota.burst < state.quota.burst;
+      const bool lower =
+          quota.rate_per_second < state.quota.rate_per_second || quota.burst < state.quota.burst;
       if (lower) {
         for (const Lot& lot : state.lots) {
           state.returned += lot.tokens;
@@ -199,9 +199,9 @@
   if (Lends(now) || members_ == 0 || !has_lent_ || now <= from) {
     return;
   }
-  tenant.own_tokens = std::min(
-      tenant.own_tokens + tenant.quota.rate_per_second / members_ * Seconds(now - from),
-      OwnDepth(id, tenant));
+  tenant.own_tokens =
+      std::min(tenant.own_tokens + tenant.quota.rate_per_second / members_ * Seconds(now - from),
+               OwnDepth(id, tenant));
 }
 
 bool QuotaClient::TakeToken(TimePoint now, TenantId id, TenantState& tenant, QuotaToken& token) {
@@ -302,9 +302,8 @@
 void QuotaClient::Forget(TenantId id, RequestNumber request) {
   const auto found = tenants_.find(id);
   if (found != tenants_.end()) {
-    waiting_ -= std::erase_if(found->second.waiting, [&](const Waiting& waiting) {
-      return waiting.request == request;
-    });
+    waiting_ -= std::erase_if(found->second.waiting,
+                              [&](const Waiting& waiting) { return waiting.request == request; });
   }
 }
 
@@ -395,8 +394,8 @@
     LendShare(now, request);
   }
   AddEntries(now, request);
-  allowance_ = std::min(allowance_ + Seconds(now - allowance_at_) * kMessagesPerSecond,
-                        kMaxAllowance);
+  allowance_ =
+      std::min(allowance_ + Seconds(now - allowance_at_) * kMessagesPerSecond, kMaxAllowance);
   allowance_at_ = now;
   allowance_ = std::max(allowance_ - 1, 0.0);
   in_flight_ = InFlight{request.sequence, now, changes, request.owner_run != 0, std::nullopt};
--- a/src/quota_client.h
+++ b/src/quota_client.h
@@ -118,24 +118,24 @@
   struct TenantState {
     TenantName name;
     TenantQuota quota;
-    std::deque<Lot> lots;       // ascending by expiry
-    uint32_t returned = 0;      // tokens to give back with the next message
-    bool changed = false;       // tokens were used since the latest message
-    uint64_t used = 0;          // tokens, in this run
+    std::deque<Lot> lots;                              // ascending by expiry
+    uint32_t returned = 0;                             // tokens to give back with the next message
+    bool changed = false;                              // tokens were used since the latest message
+    uint64_t used = 0;                                 // tokens, in this run
     std::array<uint32_t, kUseSlots> used_by_second{};  // by second modulo kUseSlots
     uint64_t second = 0;                               // the newest
-    double rate = 0;            // requests per second at this daemon, averaged
-    TimePoint rate_at{};        // time of `rate`
-    bool seen = false;          // a request of the tenant has come
-    TimePoint prefetch_at{};    // earliest time of the next prefetch
+    double rate = 0;          // requests per second at this daemon, averaged
+    TimePoint rate_at{};      // time of `rate`
+    bool seen = false;        // a request of the tenant has come
+    TimePoint prefetch_at{};  // earliest time of the next prefetch
     std::deque<Waiting> waiting;
-    TimePoint refuse_until{};   // the owner has no tokens until then
+    TimePoint refuse_until{};  // the owner has no tokens until then
     Duration wait_hint{};
-    double own_tokens = 0;      // from the own share
+    double own_tokens = 0;  // from the own share
     TimePoint own_filled{};
-    TimePoint refused_at{};     // the latest refusal
-    uint64_t refused = 0;       // since the tenant began to be limited; 0: it is not
-    bool logged = false;        // that it began
+    TimePoint refused_at{};  // the latest refusal
+    uint64_t refused = 0;    // since the tenant began to be limited; 0: it is not
+    bool logged = false;     // that it began
   };
   struct InFlight {
     uint64_t sequence;
@@ -189,7 +189,7 @@
   };
   std::map<InstanceId, Avoided> avoided_;  // owners that did not answer or stop
   std::optional<InstanceId> owner_;
-  std::optional<InstanceId> probed_;  // another owner that answers
+  std::optional<InstanceId> probed_;                 // another owner that answers
   TimePoint other_preferred_at_ = TimePoint::max();  // since when another owner is preferred
   uint64_t owner_run_ = 0;                           // from its latest reply; 0 without one
   TimePoint stamp_{};
@@ -199,16 +199,16 @@
   std::optional<InFlight> in_flight_;
   TimePoint next_period_{};
   TimePoint retry_at_{};
-  bool hurry_ = false;      // the next request is due at once
-  double allowance_ = 15;   // of requests for tokens that are missing
+  bool hurry_ = false;     // the next request is due at once
+  double allowance_ = 15;  // of requests for tokens that are missing
   TimePoint allowance_at_{};
 
   // The share is lent to lent_to_, and must not be used or lent to another owner before.
   bool lends_ = false;
   bool has_lent_ = false;
   std::optional<TimePoint> started_at_;  // of the first quotas
-  bool holds_leased_ = false;  // tokens that an owner leased may be left
-  bool introduced_ = false;  // the owner knows what was used in the last window
+  bool holds_leased_ = false;            // tokens that an owner leased may be left
+  bool introduced_ = false;              // the owner knows what was used in the last window
   InstanceId lent_to_;
   uint64_t lent_to_run_ = 0;
   TimePoint lent_since_{};
--- a/src/quota_message.cc
+++ b/src/quota_message.cc
@@ -93,8 +93,8 @@
   request.from = InstanceId(reader.ReadString());
   request.run = reader.ReadVarint();
   request.sequence = reader.ReadVarint();
-  request.purpose = static_cast<QuotaPurpose>(
-      reader.ReadVarintUpTo(static_cast<uint64_t>(QuotaPurpose::kStop)));
+  request.purpose =
+      static_cast<QuotaPurpose>(reader.ReadVarintUpTo(static_cast<uint64_t>(QuotaPurpose::kStop)));
   request.owner_run = reader.ReadVarint();
   request.stamp = ReadTime(reader);
   request.lent_for = ReadMilliseconds(reader);
--- a/src/quota_message.h
+++ b/src/quota_message.h
@@ -21,15 +21,15 @@
 /// What a daemon reports and requests for one tenant.
 struct QuotaEntry {
   TenantId tenant;
-  TenantQuota quota;       // in the configuration of the daemon; in thousandths on the wire
-  uint64_t used = 0;       // tokens, in this run of the daemon
+  TenantQuota quota;  // in the configuration of the daemon; in thousandths on the wire
+  uint64_t used = 0;  // tokens, in this run of the daemon
   // Of these, the ones of the last window by age: at least 0, 1, 2 ... seconds. Empty if the owner
   // knows them.
   std::vector<uint32_t> recent;
-  uint32_t held = 0;       // unused tokens at the daemon
-  uint32_t returned = 0;   // tokens that it gives back; not in `held`
-  uint32_t urgent = 0;     // tokens for requests that wait for them
-  uint32_t prefetch = 0;   // tokens for requests expected before the next message
+  uint32_t held = 0;      // unused tokens at the daemon
+  uint32_t returned = 0;  // tokens that it gives back; not in `held`
+  uint32_t urgent = 0;    // tokens for requests that wait for them
+  uint32_t prefetch = 0;  // tokens for requests expected before the next message
 
   bool operator==(const QuotaEntry&) const = default;
 };
@@ -47,7 +47,7 @@
   QuotaPurpose purpose = QuotaPurpose::kRequest;
   uint64_t owner_run = 0;  // from the latest reply of this owner; 0 if there is none
   TimePoint stamp{};       // the same
-  Duration lent_for{};     // for how long the share has been lent to this run of the owner alone; ms
+  Duration lent_for{};  // for how long the share has been lent to this run of the owner alone; ms
   Duration running_for{};  // since the daemon has quotas; ms
   uint32_t members = 0;    // daemons of the mesh, from the latest reply of any owner; 0: unknown
   ConfigVersion version;   // of the quotas
@@ -66,10 +66,10 @@
 
 struct QuotaReply {
   uint64_t owner_run = 0;
-  TimePoint stamp{};     // by the owner's clock
-  bool released = false; // the owner does not count the share of the daemon any longer
-  uint32_t members = 0;  // daemons of the mesh
-  Duration lease{};      // of the tokens, from the sending of the request on; in milliseconds
+  TimePoint stamp{};      // by the owner's clock
+  bool released = false;  // the owner does not count the share of the daemon any longer
+  uint32_t members = 0;   // daemons of the mesh
+  Duration lease{};       // of the tokens, from the sending of the request on; in milliseconds
   std::vector<QuotaGrant> grants;
 
   bool operator==(const QuotaReply&) const = default;
--- a/src/quota_owner.cc
+++ b/src/quota_owner.cc
@@ -136,7 +136,8 @@
 // daemon's promise, which lasts from the sending of the request, therefore lasts at least as long
 // from the stamp on, however long the request was under way.
 void QuotaOwner::UpdateShare(Daemon& daemon, const QuotaRequest& request) {
-  if (stopped_ || members_.empty() || request.owner_run != run_ || request.stamp + kQuotaDelegation <= now_) {
+  if (stopped_ || members_.empty() || request.owner_run != run_ ||
+      request.stamp + kQuotaDelegation <= now_) {
     return;
   }
   if (!daemon.lends) {
@@ -250,16 +251,15 @@
   const bool calm = bucket.tokens >= kCalmPart * Depth(bucket.quota);
   const uint32_t available = calm ? room : std::min(room, WholeTokens(bucket.tokens - leased));
   const uint32_t urgent = std::min(entry.urgent, available);
-  const double stock_part =
-      long_holders_ == holders_ ? kMaxStockPart : kMaxStockPartAfterChange;
+  const double stock_part = long_holders_ == holders_ ? kMaxStockPart : kMaxStockPartAfterChange;
   const double usual =
       kUsualPartOfRate * bucket.quota.rate_per_second * Share() * Seconds(kQuotaWindow);
   const double stock_limit =
       std::min(stock_part * limit, limit - kReservedDeviations * std::sqrt(usual));
   // A tenant at its limit gets half of the rest, so that tokens remain for other daemons.
   const uint32_t prefetch =
-      std::min(entry.prefetch, calm ? WholeTokens(stock_limit - taken - urgent)
-                                    : (available - urgent + 1) / 2);
+      std::min(entry.prefetch,
+               calm ? WholeTokens(stock_limit - taken - urgent) : (available - urgent + 1) / 2);
   const uint32_t tokens = urgent + prefetch;
   counts_.granted += tokens;
   counts_.refused += entry.urgent - urgent;
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -106,12 +106,12 @@
   std::map<InstanceId, TimePoint> members_;  // when each was a member last
   uint32_t reported_members_ = 0;            // by daemons soon after the start
   size_t holders_ = 0;
-  size_t long_holders_ = 0;    // of these, the ones whose requests of the last window are known
-  double short_seconds_ = 0;   // sum of the times for which the others have lent their shares
-  size_t young_holders_ = 0;   // holders whose process may have had another run in the window
-  double young_seconds_ = 0;   // sum of the times for which these have run
-  double share_seconds_ = 0;   // integral over time of the share that is held
-  double lent_shares_ = 0;     // sum of all shares when they were lent
+  size_t long_holders_ = 0;   // of these, the ones whose requests of the last window are known
+  double short_seconds_ = 0;  // sum of the times for which the others have lent their shares
+  size_t young_holders_ = 0;  // holders whose process may have had another run in the window
+  double young_seconds_ = 0;  // sum of the times for which these have run
+  double share_seconds_ = 0;  // integral over time of the share that is held
+  double lent_shares_ = 0;    // sum of all shares when they were lent
   TimePoint next_sweep_{};
   Counts counts_;
 };
--- a/src/quota_owner_task.cc
+++ b/src/quota_owner_task.cc
@@ -67,8 +67,8 @@
       .Set(static_cast<double>(owner_.daemons()));
 }
 
-void ReportCount(Metrics& metrics, const std::string& name, const std::string& help,
-                 uint64_t count, uint64_t& reported) {
+void ReportCount(Metrics& metrics, const std::string& name, const std::string& help, uint64_t count,
+                 uint64_t& reported) {
   metrics.Counter(name, help).Increment(static_cast<double>(count - reported));
   reported = count;
 }
--- a/src/quota_owner_task.h
+++ b/src/quota_owner_task.h
@@ -36,8 +36,8 @@
 };
 
 /// Adds to the counter `name` what has been counted since the last call.
-void ReportCount(Metrics& metrics, const std::string& name, const std::string& help,
-                 uint64_t count, uint64_t& reported);
+void ReportCount(Metrics& metrics, const std::string& name, const std::string& help, uint64_t count,
+                 uint64_t& reported);
 
 }  // namespace endivecleat
 
--- a/src/quota_task.cc
+++ b/src/quota_task.cc
@@ -60,8 +60,8 @@
     return {};
   }
   const TimePoint now = BootClockNow();
-  const QuotaAnswer answer = client_.Take(now, TenantIdOf(tenant.name), request,
-                                          now + (deadline - context_.loop.now()));
+  const QuotaAnswer answer =
+      client_.Take(now, TenantIdOf(tenant.name), request, now + (deadline - context_.loop.now()));
   if (answer.verdict == QuotaVerdict::kWait) {
     callbacks_.emplace(request, std::move(done));
     SendRequests();
@@ -139,8 +139,7 @@
 }
 
 void QuotaTask::SendRequests() {
-  while (const std::optional<OutgoingQuotaRequest> outgoing =
-             client_.NextRequest(BootClockNow())) {
+  while (const std::optional<OutgoingQuotaRequest> outgoing = client_.NextRequest(BootClockNow())) {
     Send(*outgoing);
   }
 }
--- a/test/correctness/quota_test.cc
+++ b/test/correctness/quota_test.cc
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-TEST_GROUP(QuotaInCalm) {};
+TEST_GROUP(QuotaInCalm){};
 
 TEST(QuotaInCalm, RefusesNothingFromTheStartOn) {
   for (const double skew : {0.0, 0.5, 0.95}) {
@@ -193,7 +193,7 @@
   CHECK_EQUAL(size_t{0}, owner.daemons());
 }
 
-TEST_GROUP(QuotaMessages) {};
+TEST_GROUP(QuotaMessages){};
 
 TEST(QuotaMessages, DecodeToWhatWasEncoded) {
   QuotaRequest request;
--- a/test/failure/quota_test.cc
+++ b/test/failure/quota_test.cc
@@ -162,7 +162,7 @@
 
 }  // namespace
 
-TEST_GROUP(QuotaUnderFaults) {};
+TEST_GROUP(QuotaUnderFaults){};
 
 // By hand with ENDIVECLEAT_SEEDS=10000 and more.
 TEST(QuotaUnderFaults, NoWindowHasMoreRequestsThanTheQuotaAllows) { ForEachSeed(300, Search); }
--- a/test/performance/quota_benchmark.cc
+++ b/test/performance/quota_benchmark.cc
@@ -117,17 +117,18 @@
     const double peak = std::chrono::duration<double>(kPeak).count();
     const TenantQuota& quota = settings.quotas[hot];
     print(name + "_peak_ran_of_rate",
-          static_cast<double>(after.ran - hot_before.ran) / (quota.rate_per_second * peak), "ratio");
+          static_cast<double>(after.ran - hot_before.ran) / (quota.rate_per_second * peak),
+          "ratio");
     print(name + "_most_of_bound",
           static_cast<double>(mesh.MostInWindow(hot)) / QuotaMesh::Bound(quota), "ratio");
-    const uint64_t others_refused = mesh.total().refused - before.refused -
-                                    (after.refused - hot_before.refused);
+    const uint64_t others_refused =
+        mesh.total().refused - before.refused - (after.refused - hot_before.refused);
     print(name + "_peak_others_refused", static_cast<double>(others_refused), "requests");
     double peak_bytes = 0;
     for (size_t machine = mesh.first_daemon(); machine < mesh.machine_count(); ++machine) {
-      peak_bytes += static_cast<double>(mesh.bytes(machine, kMessageOverhead) -
-                                        bytes_before[machine]) /
-                    peak / static_cast<double>(daemons);
+      peak_bytes +=
+          static_cast<double>(mesh.bytes(machine, kMessageOverhead) - bytes_before[machine]) /
+          peak / static_cast<double>(daemons);
     }
     print(name + "_peak_bytes", peak_bytes, "B/s");
     mesh.Run(seconds(6));
