--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -33,7 +33,8 @@
   /// `run` must differ between runs of this process and from 0.
   QuotaOwner(uint64_t run, TimePoint now) : run_(run), started_(now), now_(now) {}
 
-  /// The daemons that are members now. Those of the last kQuotaMemberMemory count.
+  /// The daemons that are members now. Those of the last kQuotaMemberMemory count. Before the first
+  /// call the owner takes no share, since it does not know how large one is.
   void SetMembers(TimePoint now, const std::vector<InstanceId>& daemons);
   QuotaReply Receive(TimePoint now, const QuotaRequest& request);
   /// Drops what has expired; to be called every 100 ms.
@@ -61,6 +62,7 @@
     bool lends = false;
     TimePoint lends_until{};
     TimePoint lends_since{};
+    TimePoint runs_since{};
     TimePoint heard_at{};
     std::unordered_map<TenantId, Lease> leases;
   };
@@ -104,10 +106,12 @@
   std::map<InstanceId, TimePoint> members_;  // when each was a member last
   uint32_t reported_members_ = 0;            // by daemons soon after the start
   size_t holders_ = 0;
-  size_t long_holders_ = 0;    // of these, the ones whose requests of the last window are known
-  double short_seconds_ = 0;   // sum of the times for which the others have lent their shares
-  double share_seconds_ = 0;   // integral over time of the share that is held
-  double lent_shares_ = 0;     // sum of all shares when they were lent
+  size_t long_holders_ = 0;   // of these, the ones whose requests of the last window are known
+  double short_seconds_ = 0;  // sum of the times for which the others have lent their shares
+  size_t young_holders_ = 0;  // holders whose process may have had another run in the window
+  double young_seconds_ = 0;  // sum of the times for which these have run
+  double share_seconds_ = 0;  // integral over time of the share that is held
+  double lent_shares_ = 0;    // sum of all shares when they were lent
   TimePoint next_sweep_{};
   Counts counts_;
 };
--- a/src/quota_owner_task.h
+++ b/src/quota_owner_task.h
@@ -29,14 +29,15 @@
 
  private:
   const MeshNode& node_;
+  TimePoint started_;
   QuotaOwner owner_;
   TimePoint next_members_{};
   QuotaOwner::Counts reported_;
 };
 
 /// Adds to the counter `name` what has been counted since the last call.
-void ReportCount(Metrics& metrics, const std::string& name, const std::string& help,
-                 uint64_t count, uint64_t& reported);
+void ReportCount(Metrics& metrics, const std::string& name, const std::string& help, uint64_t count,
+                 uint64_t& reported);
 
 }  // namespace endivecleat
 
--- a/test/correctness/quota_test.cc
+++ b/test/correctness/quota_test.cc
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-TEST_GROUP(QuotaInCalm) {};
+TEST_GROUP(QuotaInCalm){};
 
 TEST(QuotaInCalm, RefusesNothingFromTheStartOn) {
   for (const double skew : {0.0, 0.5, 0.95}) {
@@ -97,6 +97,7 @@
     client.SetTenants(now, ConfigVersion(version), &table);
   }
   void setup() override {
+    owner.SetMembers(now, {self});
     SetQuota({100, 100}, 1);
     client.SetOwners(now, {control});
     Talk();
@@ -174,6 +175,7 @@
   Pass(seconds(2));
   const InstanceId other("e");
   QuotaOwner second(8, now);
+  second.SetMembers(now, {self});
   client.SetOwners(now, {other});
   const TimePoint silent_since = now;
   while (second.daemons() == 0 && now < silent_since + seconds(20)) {
@@ -191,7 +193,7 @@
   CHECK_EQUAL(size_t{0}, owner.daemons());
 }
 
-TEST_GROUP(QuotaMessages) {};
+TEST_GROUP(QuotaMessages){};
 
 TEST(QuotaMessages, DecodeToWhatWasEncoded) {
   QuotaRequest request;
