--- a/test/platform/rollout_test.cc
+++ b/test/platform/rollout_test.cc
@@ -11,7 +11,9 @@
 #include <random>
 #include <string>
 
+#include "call_message.h"
 #include "network_fixture.h"
+#include "peer_network.h"
 #include "platform_fixture.h"
 #include "rollout_order.h"
 #include "target_adapter.h"
@@ -200,6 +202,27 @@
     StartMachine(0, "v1");
     CHECK(ReadUntil([this] { return machines.at(0).requests > 20; }, std::chrono::seconds(15)));
   }
+  /// Sends an attempt to the daemon beside a target as a daemon does that knows no order. Returns
+  /// whether the target ran it.
+  bool RunsWithoutOrder(size_t index) {
+    PeerNetwork peers(loop, {network + "9", static_cast<uint16_t>(port + 2)},
+                      "closed-network-without-secrets", {}, 9);
+    AttemptMessage message;
+    message.service = ServiceName("ruta-cuadrilla");
+    message.attempt = AttemptId("caller-1/1");
+    message.time_left = milliseconds(500);
+    message.request.method = "GET";
+    message.request.path = "/bins";
+    message.request.headers.Add("Request-Id", "request");
+    std::optional<AttemptReply> reply;
+    peers.Request({machines.at(index).ip, static_cast<uint16_t>(port + 2)}, PeerChannel::kCall,
+                  EncodeAttempt(message), std::chrono::seconds(5), [&](const PeerOutcome& outcome) {
+                    CHECK(outcome.kind == PeerOutcome::kAnswered);
+                    reply = DecodeAttemptReply(outcome.payload);
+                  });
+    CHECK(RunUntil(loop, [&] { return reply.has_value(); }));
+    return std::holds_alternative<TargetAnswer>(reply->outcome);
+  }
   void CheckDecided(const char* state) {
     std::string seen;
     TimePoint next{};
@@ -293,7 +316,12 @@
   LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 10));
   ReadFor(milliseconds(500));
   StartMachine(1, "v2");
+  ReadFor(milliseconds(1'500));
+  CHECK(RunsWithoutOrder(0));
+  CHECK_FALSE(RunsWithoutOrder(1));  // it would get more than its share
   CheckDecided("complete");
+  CHECK_FALSE(RunsWithoutOrder(0));
+  CHECK(RunsWithoutOrder(1));
   const size_t before = machines.at(0).requests;
   const size_t before_new = machines.at(1).requests;
   ReadFor(milliseconds(1'000));
@@ -309,6 +337,8 @@
   CheckDecided("reverted");
   CHECK(machines.at(1).requests > 0);
   ReadFor(milliseconds(500));
+  CHECK(RunsWithoutOrder(0));
+  CHECK_FALSE(RunsWithoutOrder(1));
   const size_t after = machines.at(1).requests;
   ReadFor(milliseconds(1'000));
   LONGS_EQUAL(after, machines.at(1).requests);
