--- a/test/platform/rollout_test.cc
+++ b/test/platform/rollout_test.cc
@@ -363,6 +363,99 @@
   LONGS_EQUAL(200, Read());
 }
 
+// Three control instances without daemons.
+TEST_GROUP(PlatformRolloutOrders) {
+  static constexpr size_t kControls = 3;
+  EventLoop loop;
+  std::array<TemporaryFolder, kControls> folders;
+  std::random_device random;
+  const std::string network =
+      "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
+  const uint16_t port = static_cast<uint16_t>(12'000 + random() % 15'000);
+  std::array<std::unique_ptr<ControlThread>, kControls> controls;
+
+  Address At(size_t control) const { return {network + std::to_string(control + 1), port}; }
+
+  void Start(size_t control) {
+    Json settings = Settings(At(control).ip, port, At(0).text());
+    settings["discovery"] = {{"seeds", {At(0).text(), At(1).text(), At(2).text()}},
+                             {"bootstrap", true},
+                             {"tolerated_losses", 1}};
+    settings["ledger"] = false;
+    settings["data_folder"] = folders.at(control).path();
+    settings["heartbeat"] = "200ms";
+    settings["election_timeout"] = "1s";
+    settings["listen"]["operators"] = At(control).ip + ":" + std::to_string(port + 1);
+    settings["adapter"] = {{"operators", At(control).text()}, {"grace_s", 6}};
+    controls.at(control) = std::make_unique<ControlThread>(
+        ParseControlSettings(settings.dump(), folders.at(control).path().string()));
+  }
+
+  HttpResponse Send(size_t control, const std::string& method, const std::string& path,
+                    const std::string& body) {
+    HttpClient client(loop, At(control), 1);
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    HttpResponse response;
+    bool done = false;
+    client.Send(std::move(request), std::chrono::seconds(5), [&](const HttpOutcome& outcome) {
+      response = outcome.response;
+      done = true;
+    });
+    CHECK(RunUntil(loop, [&] { return done; }));
+    return response;
+  }
+
+  /// Sends to the instances in turn until one answers as the leader. Sets `leader`.
+  HttpResponse SendToLeader(const std::string& method, const std::string& path,
+                            const std::string& body = "") {
+    HttpResponse response;
+    for (int attempt = 0; attempt < 300; ++attempt) {
+      leader = static_cast<size_t>(attempt) % kControls;
+      if (controls.at(leader)) {
+        response = Send(leader, method, path, body);
+        if (response.status != 307 && response.status != 503 && response.status != 0) {
+          return response;
+        }
+        if (response.status == 307) {
+          CHECK(response.headers.ValueOr("location", "").ends_with(path));
+        }
+      }
+      RunFor(loop, milliseconds(50));
+    }
+    return response;
+  }
+
+  size_t leader = 0;
+};
+
+// The next leader goes on with the order, and so do all instances after the loss of all.
+TEST(PlatformRolloutOrders, SurviveTheLeaderAndAllProcesses) {
+  for (size_t control = 0; control < kControls; ++control) {
+    Start(control);
+  }
+  LONGS_EQUAL(200, SendToLeader("PUT", "/-/config", Configuration()).status);
+  const std::string order = R"({"service":"ruta-cuadrilla","targetVersion":"v2","durationS":60})";
+  LONGS_EQUAL(200, SendToLeader("POST", "/-/rollouts", order).status);
+  controls.at(leader).reset();
+  LONGS_EQUAL(200, SendToLeader("POST", "/-/rollouts", order).status);
+  const Json serving = {{"state", "serving"}, {"targetVersion", "v2"}};
+  CHECK(Json::parse(SendToLeader("GET", "/-/rollouts/ruta-cuadrilla").body) == serving);
+  for (auto& control : controls) {
+    control.reset();
+  }
+  for (size_t control = 0; control < kControls; ++control) {
+    Start(control);
+  }
+  CHECK(Json::parse(SendToLeader("GET", "/-/rollouts/ruta-cuadrilla").body) == serving);
+  LONGS_EQUAL(409,
+              SendToLeader("POST", "/-/rollouts",
+                           R"({"service":"ruta-cuadrilla","targetVersion":"v3","durationS":9})")
+                  .status);
+}
+
 TEST_GROUP(RolloutOrderDecoding){};
 
 TEST(RolloutOrderDecoding, ReadsEachField) {
