--- a/test/platform/rollout_test.cc
+++ b/test/platform/rollout_test.cc
@@ -11,7 +11,9 @@
 #include <random>
 #include <string>
 
+#include "call_message.h"
 #include "network_fixture.h"
+#include "peer_network.h"
 #include "platform_fixture.h"
 #include "rollout_order.h"
 #include "target_adapter.h"
@@ -200,6 +202,27 @@
     StartMachine(0, "v1");
     CHECK(ReadUntil([this] { return machines.at(0).requests > 20; }, std::chrono::seconds(15)));
   }
+  /// Sends an attempt to the daemon beside a target as a daemon does that knows no order. Returns
+  /// whether the target ran it.
+  bool RunsWithoutOrder(size_t index) {
+    PeerNetwork peers(loop, {network + "9", static_cast<uint16_t>(port + 2)},
+                      "closed-network-without-secrets", {}, 9);
+    AttemptMessage message;
+    message.service = ServiceName("ruta-cuadrilla");
+    message.attempt = AttemptId("caller-1/1");
+    message.time_left = milliseconds(500);
+    message.request.method = "GET";
+    message.request.path = "/bins";
+    message.request.headers.Add("Request-Id", "request");
+    std::optional<AttemptReply> reply;
+    peers.Request({machines.at(index).ip, static_cast<uint16_t>(port + 2)}, PeerChannel::kCall,
+                  EncodeAttempt(message), std::chrono::seconds(5), [&](const PeerOutcome& outcome) {
+                    CHECK(outcome.kind == PeerOutcome::kAnswered);
+                    reply = DecodeAttemptReply(outcome.payload);
+                  });
+    CHECK(RunUntil(loop, [&] { return reply.has_value(); }));
+    return std::holds_alternative<TargetAnswer>(reply->outcome);
+  }
   void CheckDecided(const char* state) {
     std::string seen;
     TimePoint next{};
@@ -293,7 +316,12 @@
   LONGS_EQUAL(200, Order("ruta-cuadrilla", "v2", 10));
   ReadFor(milliseconds(500));
   StartMachine(1, "v2");
+  ReadFor(milliseconds(1'500));
+  CHECK(RunsWithoutOrder(0));
+  CHECK_FALSE(RunsWithoutOrder(1));  // it would get more than its share
   CheckDecided("complete");
+  CHECK_FALSE(RunsWithoutOrder(0));
+  CHECK(RunsWithoutOrder(1));
   const size_t before = machines.at(0).requests;
   const size_t before_new = machines.at(1).requests;
   ReadFor(milliseconds(1'000));
@@ -309,6 +337,8 @@
   CheckDecided("reverted");
   CHECK(machines.at(1).requests > 0);
   ReadFor(milliseconds(500));
+  CHECK(RunsWithoutOrder(0));
+  CHECK_FALSE(RunsWithoutOrder(1));
   const size_t after = machines.at(1).requests;
   ReadFor(milliseconds(1'000));
   LONGS_EQUAL(after, machines.at(1).requests);
@@ -333,6 +363,99 @@
   LONGS_EQUAL(200, Read());
 }
 
+// Three control instances without daemons.
+TEST_GROUP(PlatformRolloutOrders) {
+  static constexpr size_t kControls = 3;
+  EventLoop loop;
+  std::array<TemporaryFolder, kControls> folders;
+  std::random_device random;
+  const std::string network =
+      "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
+  const uint16_t port = static_cast<uint16_t>(12'000 + random() % 15'000);
+  std::array<std::unique_ptr<ControlThread>, kControls> controls;
+
+  Address At(size_t control) const { return {network + std::to_string(control + 1), port}; }
+
+  void Start(size_t control) {
+    Json settings = Settings(At(control).ip, port, At(0).text());
+    settings["discovery"] = {{"seeds", {At(0).text(), At(1).text(), At(2).text()}},
+                             {"bootstrap", true},
+                             {"tolerated_losses", 1}};
+    settings["ledger"] = false;
+    settings["data_folder"] = folders.at(control).path();
+    settings["heartbeat"] = "200ms";
+    settings["election_timeout"] = "1s";
+    settings["listen"]["operators"] = At(control).ip + ":" + std::to_string(port + 1);
+    settings["adapter"] = {{"operators", At(control).text()}, {"grace_s", 6}};
+    controls.at(control) = std::make_unique<ControlThread>(
+        ParseControlSettings(settings.dump(), folders.at(control).path().string()));
+  }
+
+  HttpResponse Send(size_t control, const std::string& method, const std::string& path,
+                    const std::string& body) {
+    HttpClient client(loop, At(control), 1);
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    HttpResponse response;
+    bool done = false;
+    client.Send(std::move(request), std::chrono::seconds(5), [&](const HttpOutcome& outcome) {
+      response = outcome.response;
+      done = true;
+    });
+    CHECK(RunUntil(loop, [&] { return done; }));
+    return response;
+  }
+
+  /// Sends to the instances in turn until one answers as the leader. Sets `leader`.
+  HttpResponse SendToLeader(const std::string& method, const std::string& path,
+                            const std::string& body = "") {
+    HttpResponse response;
+    for (int attempt = 0; attempt < 300; ++attempt) {
+      leader = static_cast<size_t>(attempt) % kControls;
+      if (controls.at(leader)) {
+        response = Send(leader, method, path, body);
+        if (response.status != 307 && response.status != 503 && response.status != 0) {
+          return response;
+        }
+        if (response.status == 307) {
+          CHECK(response.headers.ValueOr("location", "").ends_with(path));
+        }
+      }
+      RunFor(loop, milliseconds(50));
+    }
+    return response;
+  }
+
+  size_t leader = 0;
+};
+
+// The next leader goes on with the order, and so do all instances after the loss of all.
+TEST(PlatformRolloutOrders, SurviveTheLeaderAndAllProcesses) {
+  for (size_t control = 0; control < kControls; ++control) {
+    Start(control);
+  }
+  LONGS_EQUAL(200, SendToLeader("PUT", "/-/config", Configuration()).status);
+  const std::string order = R"({"service":"ruta-cuadrilla","targetVersion":"v2","durationS":60})";
+  LONGS_EQUAL(200, SendToLeader("POST", "/-/rollouts", order).status);
+  controls.at(leader).reset();
+  LONGS_EQUAL(200, SendToLeader("POST", "/-/rollouts", order).status);
+  const Json serving = {{"state", "serving"}, {"targetVersion", "v2"}};
+  CHECK(Json::parse(SendToLeader("GET", "/-/rollouts/ruta-cuadrilla").body) == serving);
+  for (auto& control : controls) {
+    control.reset();
+  }
+  for (size_t control = 0; control < kControls; ++control) {
+    Start(control);
+  }
+  CHECK(Json::parse(SendToLeader("GET", "/-/rollouts/ruta-cuadrilla").body) == serving);
+  LONGS_EQUAL(409,
+              SendToLeader("POST", "/-/rollouts",
+                           R"({"service":"ruta-cuadrilla","targetVersion":"v3","durationS":9})")
+                  .status);
+}
+
 TEST_GROUP(RolloutOrderDecoding){};
 
 TEST(RolloutOrderDecoding, ReadsEachField) {
