--- a/src/whole_body.cc
+++ b/src/whole_body.cc
@@ -10,14 +10,21 @@
   ByteCount limit;
   std::string body;
   std::function<void(std::optional<std::string>)> done;
+  bool reading = false;
 };
 
 void Continue(const std::shared_ptr<BodyStream>& stream, const std::shared_ptr<Reading>& reading) {
-  if (!reading->done || stream->cancelled()) {
-    return;
+  if (!reading->done || stream->cancelled() || reading->reading) {
+    return;  // the loop below takes what the writer adds while a piece is taken
+  }
+  reading->reading = true;
+  bool too_large = false;
+  for (std::string piece = stream->Read(SIZE_MAX); !piece.empty() && !too_large;
+       piece = too_large ? "" : stream->Read(SIZE_MAX)) {
+    reading->body += piece;
+    too_large = reading->body.size() > reading->limit.value();
   }
-  reading->body += stream->Read(SIZE_MAX);
-  const bool too_large = reading->body.size() > reading->limit.value();
+  reading->reading = false;
   if (!too_large && !stream->finished()) {
     return;
   }
--- a/test/correctness/upload_test.cc
+++ b/test/correctness/upload_test.cc
@@ -15,6 +15,7 @@
 #include "network_fixture.h"
 #include "peer_network.h"
 #include "seeded_random.h"
+#include "whole_body.h"
 
 using endivecleat::BodyStream;
 using endivecleat::Duration;
@@ -372,6 +373,39 @@
   LONGS_EQUAL(0, server.in_flight());
 }
 
+// Guards against pieces in the wrong order: the writer adds the next one while a piece is taken.
+TEST(Upload, WholeBodyKeepsItsOrderWhenItsWriterContinuesAtOnce) {
+  const std::string body = RandomText(4, kBodyBytes);
+  const auto stream = std::make_shared<BodyStream>(body.size());
+  size_t written = 0;
+  const auto write = [&] {
+    if (written < body.size()) {
+      const size_t piece = std::min<size_t>(50000, body.size() - written);
+      written += piece;
+      stream->Write(std::string_view(body).substr(written - piece, piece));
+      if (written == body.size()) {
+        stream->End();
+      }
+    }
+  };
+  stream->SetWriterListener(write);
+  std::optional<std::string> whole;
+  endivecleat::ReadWholeBody(stream, endivecleat::ByteCount(kBodyBytes),
+                             [&](std::optional<std::string> result) { whole = std::move(result); });
+  CHECK(whole == body);
+}
+
+TEST(Upload, WholeBodyAboveItsLimitIsNotHeld) {
+  const auto stream = std::make_shared<BodyStream>(std::nullopt);
+  std::optional<std::string> whole = "";
+  endivecleat::ReadWholeBody(stream, endivecleat::ByteCount(10),
+                             [&](std::optional<std::string> result) { whole = std::move(result); });
+  stream->Write("0123456789");
+  CHECK(whole == "");
+  stream->Write("x");
+  CHECK_FALSE(whole.has_value());
+}
+
 // Random sizes, pieces and moments of the response on kept connections: guards against a byte that
 // is lost, repeated, or passed on to another request.
 TEST(Upload, RandomUploadsArriveUnchanged) {
