--- a/src/http_message.h
+++ b/src/http_message.h
@@ -1,5 +1,6 @@
 // HTTP requests, responses and header lists as plain values, shared by the HTTP server, the HTTP
-// client and the code that forwards calls. Bodies are held in memory as a whole.
+// client and the code that forwards calls. Bodies are held in memory as a whole, but for those of
+// uploads (body_stream.h).
 #ifndef ENDIVECLEAT_HTTP_MESSAGE_H_
 #define ENDIVECLEAT_HTTP_MESSAGE_H_
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -1,7 +1,7 @@
 // HTTP/1.1 server on EventLoop. It delivers each request to a handler once the whole request has
-// arrived, and the handler may respond at any later time. Pipelined requests are processed one at a
-// time, or concurrently where a classifier allows it; responses are always sent in order. Framing
-// is done by http_codec.h.
+// arrived, or once its head has arrived where a policy asks for that, and the handler may respond
+// at any later time. Pipelined requests are processed one at a time, or concurrently where a
+// classifier allows it; responses are always sent in order. Framing is done by http_codec.h.
 #ifndef ENDIVECLEAT_HTTP_SERVER_H_
 #define ENDIVECLEAT_HTTP_SERVER_H_
 
