--- a/src/quota_limits.h
+++ b/src/quota_limits.h
@@ -27,7 +27,7 @@
   constexpr double kSeconds = std::chrono::duration<double>(kQuotaWindow).count();
   constexpr double kFactor = 1.1;
   constexpr double kExtra = 20;
-  constexpr double kUsedPart = 0.98;
+  constexpr double kUsedPart = 0.96;
   return kUsedPart * ((kSeconds * quota.rate_per_second + quota.burst) * kFactor + kExtra);
 }
 
