Refuse at the caller's daemon what no known target would take, and measure the fair queue

Cause: a request that every target had just refused was still offered to three of them, and Retry-After was taken from reports of load in which a full queue does not show.

Ruled out: comparing the expected waits of targets with the longest wait at the caller (it knows neither the targets' reserves nor the place of the request's priority in their queues).

Change: a refusal of a full target carries the time until its queue would take a request like this one (Admission::TimeUntilRoom). WaitReports keeps these for 500 ms by target, priority and tenant; Balancer::HasRoom is false only if at least three targets, or all, would not take such a request yet and no other has a free slot or has lately taken one. Retry-After is not earlier than the shortest of these times. A queue is searched for expired requests only when one is due.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -287,6 +287,11 @@
   return std::min(wait, limit);
 }
 
+Duration Admission::TimeUntilRoom(TimePoint now, AdmissionRequest request) const {
+  request.max_wait.reset();
+  return std::max(ExpectedWait(now, request) - MaxWait(now, request), Duration{});
+}
+
 // Expected time until a slot is free for a new request, behind all queued requests that are served
 // before it. 0 while no service time is known.
 Duration Admission::ExpectedWait(TimePoint now, const AdmissionRequest& request) const {
--- a/src/admission.h
+++ b/src/admission.h
@@ -105,8 +105,9 @@
   /// Moving average over about a second of the requests that run or wait. Reports of load that
   /// arrive seconds late carry it: an instantaneous count would be of no use by then.
   double mean_load(TimePoint now) const;
-  /// Expected time until a slot is free for the request. 0 while no service time is known.
-  Duration ExpectedWait(TimePoint now, const AdmissionRequest& request) const;
+  /// Time until the queue would take a request like this one, whatever wait its sender accepts: by
+  /// how much its expected wait is too long. 0: it would be taken now.
+  Duration TimeUntilRoom(TimePoint now, AdmissionRequest request) const;
   /// How long the target takes for requests with this objective; 0 while unknown, and without the
   /// concurrency limit.
   Duration ServiceTime(Duration objective) const;
@@ -131,6 +132,7 @@
   void Expire(TimePoint now, std::vector<AdmissionDecision>& decisions);
   TimePoint StartBy(TimePoint now, const AdmissionRequest& request) const;
   Duration Reserve(const AdmissionRequest& request) const;
+  Duration ExpectedWait(TimePoint now, const AdmissionRequest& request) const;
   Duration MaxWait(TimePoint now, const AdmissionRequest& request) const;
   void UpdateLoad(TimePoint now);
   void FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions);
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -76,6 +76,8 @@
 constexpr Duration kSlowRefusal = std::chrono::milliseconds(25);
 // Standard deviations that count as the error of a ratio of reported loads.
 constexpr double kLoadErrorDeviations = 2;
+// Above this share of offers without a free slot, the targets of the other region count as full.
+constexpr double kFullRegionShare = 0.9;
 constexpr Duration kOffersLifetime = std::chrono::seconds(5);
 // Candidates of a locality that are compared for one choice. All daemons hold the same reports,
 // which are seconds old: if each took the best of all, they would all choose the same target until
@@ -353,6 +355,32 @@
   return Duration(static_cast<Duration::rep>(wait));
 }
 
+bool Balancer::HasRoom(TimePoint now, Priority priority, const TenantName& tenant) const {
+  size_t reports = 0;
+  size_t others = 0;
+  const bool other_region_is_full = now - other_region_.updated_at < kOffersLifetime &&
+                                    other_region_.full_share >= kFullRegionShare;
+  for (const auto& [instance, target] : targets_) {
+    if (!target.present || IsUnreachable(now, target)) {
+      continue;
+    }
+    const auto wait = wait_reports_.TimeUntilRoom(now, instance, priority, tenant);
+    if (wait == Duration{}) {
+      return true;
+    }
+    // Only the own data centre's targets report their load by gossip; those of the other region are
+    // judged by the offers made there.
+    const bool seems_full = IsInOtherRegion(target.candidate)
+                                ? other_region_is_full
+                                : Busy(target) >= static_cast<double>(target.candidate.load.slots);
+    if (!wait && !seems_full) {
+      return true;
+    }
+    ++(wait ? reports : others);
+  }
+  return reports < WaitReports::kMinReports && (others > 0 || reports == 0);
+}
+
 void Balancer::Sent(const InstanceId& instance) { ++targets_[instance].in_flight; }
 
 void Balancer::Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -17,6 +17,7 @@
 #include "seeded_random.h"
 #include "service_times.h"
 #include "units.h"
+#include "wait_reports.h"
 
 namespace endivecleat {
 
@@ -37,8 +38,8 @@
   uint64_t slots = 1;
   // How long the target takes for requests like the one that was sent; 0: unknown.
   Duration service_time{};
-  // With a refusal of a full target: how long the request would have waited for a slot there.
-  Duration wait{};
+  // With a refusal of a full target: the time until its queue would take a request like this one.
+  Duration time_until_room{};
 
   bool operator==(const TargetLoad&) const = default;
 };
@@ -103,6 +104,13 @@
   /// are no candidates.
   Duration ExpectedWait() const;
 
+  /// Whether a target may take a request: one has a free slot by the newest report of its load, or
+  /// has lately taken one, or would do so now. True unless at least WaitReports::kMinReports
+  /// targets, or all, have lately reported that they would not.
+  bool HasRoom(TimePoint now, Priority priority, const TenantName& tenant) const;
+  /// What replies told of the queues; the owner of this object reports it.
+  WaitReports& wait_reports() { return wait_reports_; }
+
   /// Whether Choose currently passes over the instance.
   bool is_ejected(TimePoint now, const InstanceId& instance) const;
   size_t size() const { return targets_.size(); }
@@ -168,6 +176,7 @@
 
   SeededRandom random_;
   Targets targets_;
+  WaitReports wait_reports_;
   RegionOffers own_region_;
   RegionOffers other_region_;
   ServiceTimes service_times_{std::chrono::milliseconds(100), kServiceTimeDivisor};  // all targets
--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -255,7 +255,7 @@
   writer.WriteVarint(reply.load.slots);
   if (format > kMinReplyFormat) {
     WriteDuration(writer, reply.load.service_time);
-    WriteDuration(writer, reply.load.wait);
+    WriteDuration(writer, reply.load.time_until_room);
   }
   writer.WriteVarint(reply.outcome.index());
   if (const auto* answer = std::get_if<TargetAnswer>(&reply.outcome)) {
@@ -280,7 +280,7 @@
   reply.load.slots = reader.ReadVarint();
   if (format > kMinReplyFormat) {
     reply.load.service_time = ReadDuration(reader);
-    reply.load.wait = ReadDuration(reader);
+    reply.load.time_until_room = ReadDuration(reader);
   }
   if (reader.ReadVarintUpTo(1) == 0) {
     reply.outcome = ReadAnswer(reader);
--- a/src/call_message.h
+++ b/src/call_message.h
@@ -19,8 +19,8 @@
 
 namespace endivecleat {
 
-/// Formats of AttemptReply: 2 is that of the release before; 3 adds the expected wait and the
-/// service time of the target.
+/// Formats of AttemptReply: 2 is that of the release before; 3 adds the service time of the
+/// target and the time until it has room.
 inline constexpr uint64_t kMinReplyFormat = 2;
 inline constexpr uint64_t kMaxReplyFormat = 3;
 
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -198,6 +198,15 @@
     context_.call_registry.RemoveOutgoing(exchange->number);
     return;
   }
+  if (!HasRoom(*exchange)) {
+    context_.call_registry.RemoveOutgoing(exchange->number);
+    context_.metrics
+        .Counter("endivecleat_calls_without_room_total",
+                 "Calls refused before they were sent, since no known target would take them")
+        .Increment();
+    Respond(*exchange, ResultCode::kOverloaded, nullptr);
+    return;
+  }
   exchanges_[exchange->number] = exchange;
   exchange->sink.OnDisconnect([this, weak = std::weak_ptr<Exchange>(exchange)] {
     if (const auto active = weak.lock(); active && !active->call->finished()) {
@@ -451,9 +460,7 @@
   message.time_left = exchange.call_request.deadline - context_.loop.now();
   const RoutePolicy& route = exchange.route->policy;
   message.priority = PriorityOf(exchange);
-  if (exchange.tenant != nullptr) {
-    message.tenant = exchange.tenant->name;
-  }
+  message.tenant = TenantOf(exchange);
   if (route.objective > Duration{}) {
     const Duration passed = context_.loop.now() - exchange.started;
     message.objective_left = std::max(route.objective - passed, Duration(0));
@@ -502,12 +509,37 @@
                          const AttemptReply& reply) {
   const TimePoint now = context_.loop.now();
   const auto* answer = std::get_if<TargetAnswer>(&reply.outcome);
+  ReportWait(*exchange, effect, reply);
   exchange->attempts->Ended(now, effect.attempt, ResultOf(reply), reply.load);
   Execute(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
                                       : exchange->call->Refused(now, effect.attempt,
                                                                 std::get<Refusal>(reply.outcome)));
 }
 
+void CallerTask::ReportWait(const Exchange& exchange, const SendAttempt& effect,
+                            const AttemptReply& reply) {
+  WaitReports& waits = exchange.state->balancer.wait_reports();
+  const InstanceId& instance = effect.endpoint.instance;
+  const TimePoint now = context_.loop.now();
+  const TenantName tenant = TenantOf(exchange);
+  if (std::holds_alternative<TargetAnswer>(reply.outcome)) {
+    waits.Taken(now, instance, PriorityOf(exchange), tenant);
+  } else if (ResultOf(reply) == AttemptResult::kBusy) {
+    waits.Refused(now, instance, PriorityOf(exchange), tenant, reply.load.time_until_room);
+  }
+}
+
+// A request that must run at most once is always sent: its refusal may have to be recorded.
+bool CallerTask::HasRoom(const Exchange& exchange) const {
+  return exchange.call_request.kind == CallKind::kAtMostOnce ||
+         exchange.state->balancer.HasRoom(context_.loop.now(), PriorityOf(exchange),
+                                          TenantOf(exchange));
+}
+
+TenantName CallerTask::TenantOf(const Exchange& exchange) {
+  return exchange.tenant == nullptr ? TenantName() : exchange.tenant->name;
+}
+
 void CallerTask::OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                                bool was_sent) {
   const TimePoint now = context_.loop.now();
@@ -570,13 +602,17 @@
 }
 
 // Estimates when the request can be served. Without a target or a configuration: the usual recovery
-// time. With all slots taken: when the backlog of the least loaded target is done. With free slots:
-// almost at once, since only some targets refuse. A random jitter of up to the same time prevents
-// callers that were refused together from retrying together.
+// time. With all slots taken: when the backlog of the least loaded target is done, by the waits
+// that refusals of such requests reported. With free slots: almost at once, since only some targets
+// refuse. A random jitter of up to the same time prevents callers that were refused together from
+// retrying together.
 Duration CallerTask::RetryAfter(const Exchange& exchange, ResultCode code) {
   Duration least = kRecoveryRetryAfter;
   if (code == ResultCode::kOverloaded && exchange.state != nullptr) {
-    const Duration wait = exchange.state->balancer.ExpectedWait();
+    const std::optional<Duration> reported = exchange.state->balancer.wait_reports().Shortest(
+        context_.loop.now(), PriorityOf(exchange), TenantOf(exchange));
+    const Duration wait =
+        std::max(exchange.state->balancer.ExpectedWait(), reported.value_or(Duration{}));
     least = wait == Duration{} ? kMinRetryAfter
                                : std::clamp(wait, kMinBacklogRetryAfter, kMaxRetryAfter);
   }
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -90,6 +90,10 @@
   void WriteRefusal(const std::shared_ptr<Exchange>& exchange, const RefuseInLedger& effect);
   void Finish(const std::shared_ptr<Exchange>& exchange, const FinishCall& effect);
   void Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer);
+  static TenantName TenantOf(const Exchange& exchange);
+  /// Whether a target may take the request; see Balancer::HasRoom.
+  bool HasRoom(const Exchange& exchange) const;
+  void ReportWait(const Exchange& exchange, const SendAttempt& effect, const AttemptReply& reply);
   Duration RetryAfter(const Exchange& exchange, ResultCode code);
   void LogCall(const Exchange& exchange, ResultCode code, const TargetAnswer* answer) const;
   void RecordResult(const Exchange& exchange, ResultCode code);
--- a/src/fair_queue.cc
+++ b/src/fair_queue.cc
@@ -19,6 +19,7 @@
   const bool named = !request.tenant.empty();
   Flow& flow = named ? flows_[request.tenant] : unnamed_;
   const bool was_idle = flow.requests.empty();
+  earliest_expiry_ = std::min(earliest_expiry_, request.expires_at);
   flow.requests.emplace(start_by, std::move(request));
   ++size_;
   if (was_idle) {
@@ -91,12 +92,17 @@
     expired(request);
     return true;
   };
+  if (now < earliest_expiry_) {
+    return;
+  }
   RemoveFrom(unnamed_, matches);
-  if (!ready_.empty()) {
-    for (auto& [tenant, flow] : flows_) {
-      RemoveFrom(flow, matches);
-    }
+  for (auto flow = ready_.begin(); flow != ready_.end();) {
+    RemoveFrom(**flow++, matches);
   }
+  earliest_expiry_ = TimePoint::max();
+  std::as_const(*this).ForEach([&](const WaitingRequest& request) {
+    earliest_expiry_ = std::min(earliest_expiry_, request.expires_at);
+  });
 }
 
 WaitingRequest FairQueue::Evict() {
@@ -171,6 +177,7 @@
 }
 
 void FairQueue::ForEach(const std::function<void(WaitingRequest&)>& function) {
+  earliest_expiry_ = TimePoint::min();  // the function may change it
   for (auto& [start_by, request] : unnamed_.requests) {
     function(request);
   }
--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -99,6 +99,7 @@
   Flows flows_;                          // by tenant
   std::set<Flow*, EarlierStart> ready_;  // the flows_ with requests
   Duration virtual_time_{};              // start of the request served last
+  TimePoint earliest_expiry_ = TimePoint::max();  // no request expires before
   size_t size_ = 0;
 };
 
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -473,7 +473,8 @@
   load.service_time = admission_.ServiceTime(exchange->message.objective);
   if (const auto* refusal = std::get_if<Refusal>(&outcome);
       refusal != nullptr && refusal->code == ResultCode::kOverloaded && !refusal->reached_target) {
-    load.wait = admission_.ExpectedWait(context_.loop.now(), ToAdmissionRequest(*exchange));
+    load.time_until_room =
+        admission_.TimeUntilRoom(context_.loop.now(), ToAdmissionRequest(*exchange));
   }
   reply({std::move(outcome), load}, std::move(slot));
 }
--- a/src/wait_reports.cc
+++ b/src/wait_reports.cc
@@ -7,35 +7,38 @@
 namespace endivecleat {
 
 void WaitReports::Refused(TimePoint now, const InstanceId& instance, Priority priority,
-                          const TenantName& tenant, Duration wait) {
-  std::erase_if(by_instance_,
-                [&](const auto& entry) { return now - entry.second.at >= kLifetime; });
-  if (wait > Duration{}) {
-    by_instance_[instance] = {now, priority, tenant, wait};
-  }
+                          const TenantName& tenant, Duration time_until_room) {
+  Reports& reports = by_instance_[instance];
+  std::erase_if(reports, [&](const auto& entry) { return now - entry.second.at >= kLifetime; });
+  reports[{priority, tenant}] = {now, time_until_room};
 }
 
-std::optional<Duration> WaitReports::WaitAt(TimePoint now, const InstanceId& instance,
-                                            Priority priority, const TenantName& tenant) const {
+std::optional<Duration> WaitReports::TimeUntilRoom(TimePoint now, const InstanceId& instance,
+                                                   Priority priority,
+                                                   const TenantName& tenant) const {
   const auto found = by_instance_.find(instance);
-  if (found == by_instance_.end() || now - found->second.at >= kLifetime) {
+  if (found == by_instance_.end()) {
     return std::nullopt;
   }
-  const Report& report = found->second;
-  const bool applies =
-      report.priority < priority || (report.priority == priority && report.tenant == tenant);
-  if (!applies) {
-    return std::nullopt;
+  std::optional<Duration> shortest;
+  for (const auto& [like, report] : found->second) {
+    const bool taken = report.time_until_room == Duration{};
+    const bool applies =
+        like == Like{priority, tenant} || (taken ? like.first > priority : like.first < priority);
+    if (applies && now - report.at < kLifetime) {
+      const Duration left = std::max(report.time_until_room - (now - report.at), Duration{});
+      shortest = shortest ? std::min(*shortest, left) : left;
+    }
   }
-  return std::max(report.wait - (now - report.at), Duration{});
+  return shortest;
 }
 
 std::optional<Duration> WaitReports::Shortest(TimePoint now, Priority priority,
                                               const TenantName& tenant) const {
   std::optional<Duration> shortest;
   size_t count = 0;
-  for (const auto& [instance, report] : by_instance_) {
-    if (const auto wait = WaitAt(now, instance, priority, tenant)) {
+  for (const auto& [instance, reports] : by_instance_) {
+    if (const auto wait = TimeUntilRoom(now, instance, priority, tenant)) {
       ++count;
       shortest = shortest ? std::min(*shortest, *wait) : *wait;
     }
--- a/src/wait_reports.h
+++ b/src/wait_reports.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "service_policy.h"
 #include "tenant_table.h"
@@ -13,40 +14,42 @@
 
 namespace endivecleat {
 
-/// Only recent reports of refusals count. A target that took a request has none.
+/// Only recent reports count.
 class WaitReports {
  public:
-  /// A target refused a request that would have waited for `wait` there.
+  /// A target refused a request whose like it would take after `time_until_room`.
   void Refused(TimePoint now, const InstanceId& instance, Priority priority,
-               const TenantName& tenant, Duration wait);
+               const TenantName& tenant, Duration time_until_room);
   /// The target took a request.
-  void Taken(const InstanceId& instance) { by_instance_.erase(instance); }
-
-  /// The wait that the target reported to an equally or more urgent request, less the time since;
-  /// nullopt without a recent report. Requests of other tenants with the same priority tell
-  /// nothing.
-  std::optional<Duration> WaitAt(TimePoint now, const InstanceId& instance, Priority priority,
-                                 const TenantName& tenant) const;
-  /// The shortest wait over the targets with a report; nullopt if there are fewer than kMinReports.
+  void Taken(TimePoint now, const InstanceId& instance, Priority priority,
+             const TenantName& tenant) {
+    Refused(now, instance, priority, tenant, Duration{});
+  }
+
+  /// What the target reported, less the time since; nullopt without a recent report. A refusal says
+  /// something about equally or less urgent requests, of the same tenant if equally urgent; a
+  /// request that was taken, about equally or more urgent ones.
+  std::optional<Duration> TimeUntilRoom(TimePoint now, const InstanceId& instance,
+                                        Priority priority, const TenantName& tenant) const;
+  /// The shortest time over the targets with a report; nullopt if there are fewer than kMinReports.
   std::optional<Duration> Shortest(TimePoint now, Priority priority,
                                    const TenantName& tenant) const;
 
-  /// Recent reports of this many targets say how long waits are.
+  /// Recent reports of this many targets say whether there is room.
   static constexpr size_t kMinReports = 3;
 
  private:
   struct Report {
     TimePoint at;
-    Priority priority;
-    TenantName tenant;
-    Duration wait{};
+    Duration time_until_room{};
   };
+  using Like = std::pair<Priority, TenantName>;  // requests that wait in the same queue
+  using Reports = std::map<Like, Report>;
 
-  // After this time requests are sent again to see whether there is room. Longer than a caller that
-  // was refused stays away, so that those that come back together don't all cross the links.
+  // After this time requests are sent again to see whether there is room.
   static constexpr Duration kLifetime = std::chrono::milliseconds(500);
 
-  std::map<InstanceId, Report> by_instance_;  // the latest of each
+  std::map<InstanceId, Reports> by_instance_;  // the latest of each kind
 };
 
 }  // namespace endivecleat
--- a/test/correctness/unequal_targets_test.cc
+++ b/test/correctness/unequal_targets_test.cc
@@ -49,3 +49,30 @@
   CHECK(InTime(alike, 90, true) > InTime(alike, 90, false) - 0.002);
   CHECK(InTime(alike, 120, true) > InTime(alike, 120, false) - 0.004);
 }
+
+// Guards against refusals at the caller's daemon of requests that would be served. Half of the
+// requests are deferrable; the urgent ones alone need 40 to 150% of the capacity.
+TEST(UnequalTargets, LoseNothingByRefusalsAtTheCallersDaemon) {
+  const auto run = [&](int percent, bool refuse_early) {
+    UnequalTargetsSimulation simulation({.kinds = alike,
+                                         .percent = percent,
+                                         .adaptive = true,
+                                         .refuse_early = refuse_early,
+                                         .deferrable_percent = 50});
+    const auto outcome = simulation.Run(seconds(15));
+    if (std::getenv("ENDIVECLEAT_PRINT") != nullptr) {
+      std::printf(
+          "percent=%d early=%d urgent=%d deferrable=%d refused=%d refused_early=%d sent=%d\n",
+          percent, refuse_early ? 1 : 0, outcome.urgent_in_time, outcome.deferrable_in_time,
+          outcome.refused, outcome.refused_early, outcome.sent);
+    }
+    return outcome;
+  };
+  for (const int percent : {80, 300}) {
+    const auto without = run(percent, false);
+    const auto with = run(percent, true);
+    CHECK(with.urgent_in_time > 0.99 * without.urgent_in_time);
+    CHECK(with.in_time > 0.99 * without.in_time);
+    CHECK(percent > 80 || with.refused_early == 0);
+  }
+}
--- a/test/unequal_targets_simulation.cc
+++ b/test/unequal_targets_simulation.cc
@@ -119,12 +119,22 @@
   Request& request = requests_[id];
   request.daemon = daemon;
   request.arrived = now_;
+  if (random_.Chance(options_.deferrable_percent)) {
+    request.priority = Priority(2);
+  }
   CallRequest terms;
   terms.call_id = std::to_string(id);
   terms.kind = CallKind::kIdempotent;
   terms.deadline = now_ + seconds(2);
   terms.max_offers = 3;
   request.call = std::make_unique<Call>(terms, daemons_[daemon]->budget);
+  const Balancer& balancer = daemons_[daemon]->balancer;
+  const bool has_room = balancer.HasRoom(now_, request.priority, TenantName());
+  if (options_.refuse_early && !has_room) {
+    outcome_.refused_early += now_ >= kStart + kLearningTime ? 1 : 0;
+    Finish(id, {ResultCode::kOverloaded, std::nullopt});
+    return;
+  }
   Execute(id, request.call->Start(now_));
 }
 
@@ -148,12 +158,14 @@
 }
 
 void UnequalTargetsSimulation::Send(uint64_t id, const SendAttempt& send) {
+  outcome_.sent += now_ >= kStart + kLearningTime ? 1 : 0;
   Request& request = requests_.at(id);
   request.target = std::stoul(send.endpoint.instance.value());
   request.attempt = send.attempt;
   request.sent_at = now_;
   daemons_[request.daemon]->balancer.Sent(send.endpoint.instance);
   request.admission = {};
+  request.admission.priority = request.priority;
   request.admission.number = RequestNumber(++last_number_);
   request.admission.deadline = request.arrived + seconds(2);
   request.admission.objective = kObjective;
@@ -192,8 +204,13 @@
   TargetLoad load{admission.running() + admission.queued(), admission.slots(now_)};
   load.service_time = admission.ServiceTime(kObjective);
   const bool answered = result == AttemptResult::kAnswered;
-  if (!answered) {
-    load.wait = admission.ExpectedWait(now_, request.admission);
+  WaitReports& waits = daemons_[request.daemon]->balancer.wait_reports();
+  if (answered) {
+    waits.Taken(now_, Instance(request.target), request.priority, TenantName());
+  } else {
+    load.time_until_room = admission.TimeUntilRoom(now_, request.admission);
+    waits.Refused(now_, Instance(request.target), request.priority, TenantName(),
+                  load.time_until_room);
   }
   daemons_[request.daemon]->balancer.Finished(now_, Instance(request.target), result, load,
                                               std::optional(now_ - request.sent_at), kObjective,
@@ -206,7 +223,10 @@
   }
   const Duration taken = now_ - requests_.at(id).arrived;
   outcome_.refused += finish.answer ? 0 : 1;
-  outcome_.in_time += finish.answer && taken <= kObjective ? 1 : 0;
+  const int in_time = finish.answer && taken <= kObjective ? 1 : 0;
+  outcome_.in_time += in_time;
+  (requests_.at(id).priority == Priority(1) ? outcome_.urgent_in_time
+                                            : outcome_.deferrable_in_time) += in_time;
   outcome_.late += finish.answer && taken > kObjective ? 1 : 0;
   if (finish.answer) {
     outcome_.times.push_back(taken);
--- a/test/unequal_targets_simulation.h
+++ b/test/unequal_targets_simulation.h
@@ -31,6 +31,9 @@
     int percent = 80;     // of the capacity of all targets
     bool adaptive = false;
     bool states_pace = false;  // the answers have a load field with the pace
+    // Requests without a chance are refused at the caller's daemon, as CallerTask does.
+    bool refuse_early = false;
+    uint64_t deferrable_percent = 0;  // of the requests have a lower priority
     uint64_t seed = 1;
     // Multiplies the time of all work at the first target for a while.
     double spell = 1;
@@ -41,6 +44,10 @@
     int in_time = 0;
     int late = 0;
     int refused = 0;
+    int refused_early = 0;  // of the refused
+    int sent = 0;           // attempts
+    int urgent_in_time = 0;
+    int deferrable_in_time = 0;
     std::vector<Duration> times;
     double share_in_time() const { return 1.0 * in_time / (in_time + late + refused); }
     Duration Percentile(double share) const;
@@ -74,6 +81,7 @@
     size_t daemon = 0;
     std::unique_ptr<Call> call;
     TimePoint arrived;
+    Priority priority{1};
     size_t target = 0;
     TimePoint sent_at;
     AttemptId attempt;
