--- a/src/quota_client.cc
+++ b/src/quota_client.cc
@@ -261,11 +261,12 @@
 std::vector<QuotaDecision> QuotaClient::TakeDecisions(TimePoint now) {
   DropExpired(now);
   if (waiting_ > 0) {
-    for (auto& [id, tenant] : tenants_) {
+    for (auto& entry : tenants_) {
+      TenantState& tenant = entry.second;
       if (tenant.waiting.empty()) {
         continue;
       }
-      Serve(now, id, tenant);
+      Serve(now, entry.first, tenant);
       waiting_ -= std::erase_if(tenant.waiting, [&](const Waiting& waiting) {
         if (GiveUpAt(now, waiting) > now) {
           return false;
