--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -65,7 +65,8 @@
   void StartOrRefuse(const std::shared_ptr<Exchange>& exchange);
   void StartHeld(const std::vector<RequestNumber>& numbers);
   void Start(const std::shared_ptr<Exchange>& exchange);
-  /// Takes a token of the tenant's quota. Returns false if the request waits for one or was refused.
+  /// Takes a token of the tenant's quota. Returns false if the request waits for one or was
+  /// refused.
   bool TakeQuota(const std::shared_ptr<Exchange>& exchange);
   void OnQuotaAnswer(const std::shared_ptr<Exchange>& exchange, const QuotaAnswer& answer);
   void StopWaiting(const std::shared_ptr<Exchange>& exchange);
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -23,8 +23,8 @@
 
 // Metric label values in the order of PeerChannel.
 constexpr std::array<const char*, kPeerChannelCount> kChannelNames = {
-    "config_log", "once_log", "distribution", "call",
-    "ledger",     "summary",  "operations",   "crash_totals", "quota"};
+    "config_log", "once_log",   "distribution", "call", "ledger",
+    "summary",    "operations", "crash_totals", "quota"};
 
 void Add(ByteCounters& sum, const ByteCounters& more) {
   sum.sent += more.sent;
--- a/test/quota_mesh.cc
+++ b/test/quota_mesh.cc
@@ -221,7 +221,7 @@
   SendRequests();
 }
 
-void QuotaMesh::Transmit(size_t from, size_t to, Message message) {
+void QuotaMesh::Transmit(size_t from, size_t to, const Message& message) {
   machines_[from].bytes += message.bytes.size();
   ++machines_[from].messages;
   machines_[to].bytes += message.bytes.size();
--- a/test/quota_mesh.h
+++ b/test/quota_mesh.h
@@ -122,7 +122,7 @@
   std::vector<InstanceId> OwnersSeenBy(size_t machine) const;
   TimePoint Clock(const Machine& machine) const { return now_ + machine.clock_offset; }
   bool IsFrozen(const Machine& machine) const { return machine.frozen_until > now_; }
-  void Transmit(size_t from, size_t to, Message message);
+  void Transmit(size_t from, size_t to, const Message& message);
 
   QuotaMeshSettings settings_;
   SeededRandom random_;
