Rollouts: versions that were reverted stay barred in the next order; empty versions take no gossip

Cause: the targets of a reverted version drain for some seconds; with the next order they would have counted as old ones. A member record without a version had grown by a byte.

--- a/src/member_record.cc
+++ b/src/member_record.cc
@@ -55,12 +55,16 @@
 }
 
 Json ToCbor(const MemberRecord& record) {
-  return Json::array(
-      {0U, record.instance.value(), record.address.ip, record.address.port,
-       record.boot_time.value(), record.sequence, record.service.value(), record.target.value(),
-       static_cast<uint8_t>(record.state), record.slots, record.free_slots,
-       record.config_version.value(), CborBytes(record.config_digest), record.is_control ? 1U : 0U,
-       record.region.value(), record.data_centre.value(), record.target_version.value()});
+  Json fields = Json::array({0U, record.instance.value(), record.address.ip, record.address.port,
+                             record.boot_time.value(), record.sequence, record.service.value(),
+                             record.target.value(), static_cast<uint8_t>(record.state),
+                             record.slots, record.free_slots, record.config_version.value(),
+                             CborBytes(record.config_digest), record.is_control ? 1U : 0U,
+                             record.region.value(), record.data_centre.value()});
+  if (!record.target_version.empty()) {  // left out, since records are most of the gossip
+    fields.push_back(record.target_version.value());
+  }
+  return fields;
 }
 
 Json ToCbor(const MemberUpdate& update) {
--- a/src/rollout.cc
+++ b/src/rollout.cc
@@ -2,6 +2,7 @@
 // the stored text has them.
 #include "rollout.h"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -31,6 +32,7 @@
     rollout.share = static_cast<uint32_t>(ReadNumber("share", kWholeShare));
     rollout.start = WallTime(ReadNumber("start", kMaxTimeMs));
     rollout.deadline = WallTime(ReadNumber("deadline", kMaxTimeMs));
+    rollout.barred = ReadBarred();
     return rollout;
   }
 
@@ -58,6 +60,23 @@
     return found->get<uint64_t>();
   }
 
+  std::vector<TargetVersion> ReadBarred() {
+    std::vector<TargetVersion> barred;
+    const auto found = object_.find("barred");
+    if (found == object_.end()) {
+      return barred;
+    }
+    bool valid = found->is_array() && found->size() <= kMaxBarredVersions;
+    for (size_t index = 0; valid && index < found->size(); ++index) {
+      valid = found->at(index).is_string();
+      barred.emplace_back(valid ? found->at(index).get<std::string>() : "");
+    }
+    if (!valid) {
+      Report("barred", "must be an array of at most 8 strings");
+    }
+    return barred;
+  }
+
   RolloutState ReadState() {
     const std::string name = ReadString("state");
     for (size_t state = 0; state < kStateNames.size(); ++state) {
@@ -108,6 +127,9 @@
                                {"start", rollout.start.value()},
                                {"state", RolloutStateName(rollout.state)},
                                {"version", rollout.version.value()}};
+    for (const TargetVersion& version : rollout.barred) {
+      member[service.value()]["barred"].push_back(version.value());
+    }
   }
   return member.dump();
 }
@@ -129,6 +151,9 @@
   if (rollout == nullptr) {
     return true;
   }
+  if (rollout->Bars(target)) {
+    return false;
+  }
   const bool is_new = target == rollout->version;
   switch (rollout->state) {
     case RolloutState::kServing:
@@ -141,6 +166,26 @@
   return !is_new;
 }
 
+bool Rollout::Bars(const TargetVersion& target) const {
+  return std::find(barred.begin(), barred.end(), target) != barred.end();
+}
+
+std::vector<TargetVersion> BarredAfter(const Rollout* before, const TargetVersion& version) {
+  std::vector<TargetVersion> barred;
+  if (before == nullptr) {
+    return barred;
+  }
+  barred = before->barred;
+  if (before->state == RolloutState::kReverted) {
+    barred.push_back(before->version);
+  }
+  barred.erase(std::remove(barred.begin(), barred.end(), version), barred.end());
+  if (barred.size() > kMaxBarredVersions) {
+    barred.erase(barred.begin());
+  }
+  return barred;
+}
+
 uint32_t ShareAt(const Rollout& rollout, WallTime now) {
   return rollout.share < kWholeShare && now > rollout.deadline ? 0 : rollout.share;
 }
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -21,6 +21,7 @@
 /// All traffic of a service, in the unit of Rollout::share.
 constexpr uint32_t kWholeShare = 1000;
 constexpr size_t kMaxTargetVersionBytes = 64;
+constexpr size_t kMaxBarredVersions = 8;  // the newest are kept
 
 /// The newest rollout of one service. Targets of `version` are its new ones, all others, also those
 /// whose version is unknown, its old ones.
@@ -30,7 +31,10 @@
   uint32_t share = 0;  // of the requests that go to the new targets while serving, in thousandths
   WallTime start;
   WallTime deadline;
+  // Versions that were reverted before. Their targets may still be there when the next order comes.
+  std::vector<TargetVersion> barred;
 
+  bool Bars(const TargetVersion& target) const;
   bool operator==(const Rollout&) const = default;
 };
 
@@ -53,6 +57,9 @@
 /// daemons that apply its share.
 bool MayRun(const Rollout* rollout, const TargetVersion& target, const TargetVersion& chosen_for);
 
+/// The versions that an order for `version` bars, after the rollout before it; null without one.
+std::vector<TargetVersion> BarredAfter(const Rollout* before, const TargetVersion& version);
+
 /// The share that a daemon applies while its newest configuration says `serving`. A daemon that
 /// gets no updates must not use the new targets beyond the deadline, since they may have been
 /// reverted; with a whole share it goes on, since the old ones may have been stopped.
--- a/src/rollout_split.cc
+++ b/src/rollout_split.cc
@@ -50,9 +50,12 @@
   }
   std::vector<VersionedTarget> new_targets;
   std::vector<InstanceId> old_targets;
+  std::vector<InstanceId> barred;
   for (const VersionedTarget& target : targets) {
     if (target.version == rollout->version) {
       new_targets.push_back(target);
+    } else if (rollout->Bars(target.version)) {
+      barred.push_back(target.instance);
     } else {
       old_targets.push_back(target.instance);
     }
@@ -65,15 +68,19 @@
   for (const VersionedTarget& target : new_targets) {
     new_instances_.push_back(target.instance);
   }
+  not_old_ = barred;
   if (rollout->state == RolloutState::kComplete) {
     share_ = kWholeShare;
-    not_old_ = not_new_ = old_targets;
+    not_old_.insert(not_old_.end(), old_targets.begin(), old_targets.end());
+    not_new_ = not_old_;
     return;
   }
   if (rollout->state == RolloutState::kReverted) {
-    not_old_ = not_new_ = new_instances_;
+    not_old_.insert(not_old_.end(), new_instances_.begin(), new_instances_.end());
+    not_new_ = not_old_;
     return;
   }
+  not_new_ = barred;
   share_ = ShareAt(*rollout, now);
   if (new_instances_.empty()) {
     share_ = 0;
@@ -83,8 +90,8 @@
     share_ = kWholeShare;  // the platform stops the old targets only after the rollout is complete
     return;
   }
-  not_old_ = new_instances_;
-  not_new_ = old_targets;
+  not_old_.insert(not_old_.end(), new_instances_.begin(), new_instances_.end());
+  not_new_.insert(not_new_.end(), old_targets.begin(), old_targets.end());
   const size_t used = TargetsFor(share_, old_targets.size(), new_instances_.size());
   not_new_.insert(not_new_.end(), new_instances_.begin() + static_cast<ptrdiff_t>(used),
                   new_instances_.end());
--- a/src/rollout_task.cc
+++ b/src/rollout_task.cc
@@ -94,6 +94,7 @@
   }
   Rollout rollout;
   rollout.version = order.version;
+  rollout.barred = BarredAfter(found == rollouts.end() ? nullptr : &found->second, order.version);
   rollout.share = RolloutController::kFirstShare;
   rollout.start = now;
   rollout.deadline =
@@ -133,7 +134,7 @@
 }
 
 void RolloutTask::Apply(const ServiceName& service, const Rollout& rollout,
-                        std::function<void(const std::optional<ChangeResult>&)> done) {
+                        const std::function<void(const std::optional<ChangeResult>&)>& done) {
   const ConfigStore& store = config_.state().store;
   const Change change{.operation = OperationId("rollout/" + service.value() + "/" +
                                                std::to_string(store.version().value()) + "/" +
@@ -262,6 +263,9 @@
     if (member.service != service || !IsReady(member)) {
       continue;
     }
+    if (rollout.Bars(member.target_version)) {
+      continue;
+    }
     if (member.target_version != rollout.version) {
       fleet.old_slots += member.slots;
       continue;
--- a/src/rollout_task.h
+++ b/src/rollout_task.h
@@ -67,7 +67,7 @@
   void StartOrder(PendingOrder order);
   void StartSteps();
   void Apply(const ServiceName& service, const Rollout& rollout,
-             std::function<void(const std::optional<ChangeResult>&)> done);
+             const std::function<void(const std::optional<ChangeResult>&)>& done);
   bool ServiceExists(const ServiceName& service);
   RolloutFleet FleetOf(const ServiceName& service, const Rollout& rollout);
   void SyncControllers();
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -191,6 +191,12 @@
 
 void TargetTask::StartAttempt(const AttemptMessage& message, Reply reply, ExchangePtr* started) {
   if (!Serves(message.service) || !VersionMayRun(message)) {
+    if (FindRollout() != nullptr) {
+      context_.metrics
+          .Counter("endivecleat_rollout_refusals_total",
+                   "Requests refused since a rollout was ordered, by version or for other reasons")
+          .Increment();
+    }
     const ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
                                                                   : ResultCode::kNoReadyTarget;
     reply({Refusal{code, false}, Load()}, nullptr);
--- a/test/correctness/rollout_test.cc
+++ b/test/correctness/rollout_test.cc
@@ -22,7 +22,7 @@
 namespace {
 
 Rollout MakeRollout(RolloutState state, uint32_t share) {
-  return {TargetVersion("v2"), state, share, WallTime(1'000), WallTime(13'000)};
+  return {TargetVersion("v2"), state, share, WallTime(1'000), WallTime(13'000), {}};
 }
 
 bool Contains(const std::vector<InstanceId>& instances, const char* instance) {
@@ -134,6 +134,28 @@
   CHECK_FALSE(MayRun(&reverted, new_version, new_version));
 }
 
+// The targets of a reverted version drain for some seconds, in which the next order may come.
+TEST(RolloutVersions, StayBarredAfterTheyWereReverted) {
+  const Rollout reverted = MakeRollout(RolloutState::kReverted, 0);
+  Rollout next = MakeRollout(RolloutState::kServing, 10);
+  next.version = TargetVersion("v3");
+  next.barred = BarredAfter(&reverted, next.version);
+  CHECK_FALSE(MayRun(&next, TargetVersion("v2"), TargetVersion()));
+  CHECK(MayRun(&next, TargetVersion("v1"), TargetVersion()));
+  std::vector<Problem> problems;
+  const Rollouts read = ReadRollouts(
+      "/rollouts", nlohmann::json::parse(RolloutsText({{ServiceName("s"), next}})), problems);
+  CHECK(problems.empty());
+  CHECK(read.at(ServiceName("s")) == next);
+  RolloutSplit split;
+  split.Update(&next, WallTime(2'000),
+               {{InstanceId("o"), TargetVersion("v1"), WallTime(1)},
+                {InstanceId("r"), TargetVersion("v2"), WallTime(1)},
+                {InstanceId("n"), TargetVersion("v3"), WallTime(1)}});
+  CHECK(Contains(split.Excluded(false), "r") && Contains(split.Excluded(true), "r"));
+  CHECK(BarredAfter(&reverted, TargetVersion("v2")).empty());  // ordered once more
+}
+
 TEST(RolloutVersions, AreDividedByTheShare) {
   std::vector<VersionedTarget> targets;
   for (int number = 0; number < 10; ++number) {
@@ -224,6 +246,8 @@
   CHECK(read(array) == record);
   array.erase(array.size() - 1);  // as the release before sends it
   CHECK(read(array).target_version.empty());
+  record.target_version = TargetVersion();
+  CHECK(ToCbor(record) == array);  // no more bytes than before
 }
 
 TEST_GROUP(RolloutEvidence) {
