--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 mapfile -t files < <(git ls-files --cached --others --exclude-standard -- '*.cc' '*.h')
 clang-format --dry-run --Werror "${files[@]}"
 # src/ does not depend on the platform: only platform/ and deploy/ may contain its names.
-platform_words='platform/|heartbeatAddr|coldLeftMs|contactWindowMs|rollbackSlackMs|pathPrefix|routeType|Response-Stamp|Not-Executed|Target-Instance|ENDIVECLEAT_SETTINGS"'
+platform_words='platform/|heartbeatAddr|coldLeftMs|contactWindowMs|rollbackSlackMs|pathPrefix|routeType|Response-Stamp|Not-Executed|Target-Instance|ENDIVECLEAT_SETTINGS"|targetVersion|durationS'
 if git ls-files --cached --others --exclude-standard -- src | xargs grep -nE "$platform_words"; then
   echo "src/ names words of the platform" >&2
   exit 1
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -441,7 +441,7 @@
   const bool first = !exchange.new_version.has_value();
   exchange.new_version = first ? state.split.ChooseNew(random_.Next()) : state.split.only_new();
   if (*exchange.new_version) {
-    const std::optional<Endpoint> endpoint = choose_of(true);
+    std::optional<Endpoint> endpoint = choose_of(true);
     if (endpoint || !choose.may_wait) {
       return endpoint;
     }
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -7,7 +7,6 @@
 
 #include "errors.h"
 #include "log.h"
-#include "rollout_split.h"
 #include "wall_clock.h"
 
 namespace endivecleat {
@@ -24,9 +23,6 @@
 // is still accepted.
 constexpr Duration kSecondDeathProbeDelay = std::chrono::milliseconds(100);
 
-// A cancelled request that has run for this long counts as one that the target did not answer.
-constexpr Duration kLongRun = std::chrono::seconds(1);
-
 bool ProbePassed(const HttpOutcome& outcome) {
   return outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500;
 }
@@ -238,39 +234,6 @@
   return declared != nullptr && declared->AllowsTarget(announced.target);
 }
 
-const Rollout* TargetTask::FindRollout() const {
-  return context_.configuration
-             ? context_.configuration->FindRollout(target_.announcement().service)
-             : nullptr;
-}
-
-void TargetTask::HoldUnexpectedVersion(const TargetVersion& before) {
-  const Announcement& announced = target_.announcement();
-  if (announced.version == before || FindRollout() != nullptr) {
-    return;
-  }
-  const Membership& membership = context_.node.membership();
-  std::vector<VersionedTarget> others;
-  for (const MemberRecord& member : membership.members()) {
-    if (member.service == announced.service &&
-        member.instance != context_.settings.common.instance) {
-      others.push_back({member.instance, member.target_version, member.boot_time});
-    }
-  }
-  if (MayPrecedeOrder(announced.version, membership.self().boot_time, others)) {
-    hold_until_ = context_.loop.now() + context_.settings.common.in_force_within;
-    Log(LogLevel::kInfo, "target_version_held",
-        {{"target", announced.target.value()}, {"target_version", announced.version.value()}});
-  }
-}
-
-bool TargetTask::VersionMayRun(const AttemptMessage& message) const {
-  const Rollout* rollout = FindRollout();
-  return rollout != nullptr || context_.loop.now() >= hold_until_
-             ? MayRun(rollout, target_.announcement().version, message.target_version)
-             : false;
-}
-
 ServicePolicy TargetTask::EffectivePolicy() const {
   ServicePolicy policy;
   const Announcement& announced = target_.announcement();
@@ -347,7 +310,7 @@
   } else if (std::holds_alternative<CancelTarget>(effect)) {
     if (exchange->target_call) {
       client_->Cancel(*exchange->target_call);
-      CountEvidence(*exchange, nullptr);
+      CountEvidence(exchange->message.request, exchange->called, nullptr);
       CountSlotUse(*exchange, false);
     }
   } else if (const auto* end = std::get_if<RecordCallEnding>(&effect)) {
@@ -400,7 +363,7 @@
 void TargetTask::OnOutcome(const ExchangePtr& exchange, const HttpOutcome& outcome) {
   const TimePoint now = context_.loop.now();
   exchange->target_call.reset();
-  CountEvidence(*exchange, &outcome);
+  CountEvidence(exchange->message.request, exchange->called, &outcome);
   CountSlotUse(*exchange, outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500);
   switch (outcome.kind) {
     case HttpOutcome::kAnswered:
@@ -421,46 +384,6 @@
   }
 }
 
-void TargetTask::UpdateEvidence() {
-  const Announcement& announced = target_.announcement();
-  evidence_.Update(context_.loop.now(), announced.service, FindRollout(), announced.target,
-                   announced.version);
-}
-
-std::optional<std::string> TargetTask::TakeRolloutReport() {
-  UpdateEvidence();
-  const std::optional<RolloutReport> report = evidence_.TakeReport(context_.loop.now());
-  return report ? std::optional(EncodeRolloutReport(*report)) : std::nullopt;
-}
-
-// Counts a response of the target, or with null a request that was cancelled: one that has run for
-// long counts as a failure, and the others tell nothing.
-void TargetTask::CountEvidence(const Exchange& exchange, const HttpOutcome* outcome) {
-  if (FindRollout() == nullptr || !exchange.called) {
-    return;
-  }
-  UpdateEvidence();
-  const TimePoint now = context_.loop.now();
-  const Duration taken = now - *exchange.called;
-  const HttpRequest& request = exchange.message.request;
-  const std::string host = request.headers.ValueOr("host", "");
-  const CompiledRoute* found = context_.configuration->FindRoute(
-      request.method, host.substr(0, host.rfind(':')), request.path);
-  const std::string route = found == nullptr ? "" : found->name.value();
-  if (outcome == nullptr) {
-    if (taken >= kLongRun) {
-      evidence_.AddResponse(now, route, taken, true);
-    }
-  } else if (outcome->kind == HttpOutcome::kBroken) {
-    evidence_.AddBrokenOff(now, route);
-  } else if (outcome->kind != HttpOutcome::kNotSent) {
-    const bool good =
-        outcome->kind == HttpOutcome::kAnswered && outcome->response.status < 500 &&
-        ClassifyAnswer(context_.settings.headers, outcome->response) == AnswerKind::kAnswer;
-    evidence_.AddResponse(now, route, taken, !good);
-  }
-}
-
 void TargetTask::CountSlotUse(Exchange& exchange, bool succeeded) {
   if (!exchange.called) {
     return;
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -89,7 +89,8 @@
   /// Sets hold_until_ when a target of another version than all others appears without an order.
   void HoldUnexpectedVersion(const TargetVersion& before);
   void UpdateEvidence();
-  void CountEvidence(const Exchange& exchange, const HttpOutcome* outcome);
+  void CountEvidence(const HttpRequest& request, std::optional<TimePoint> called,
+                     const HttpOutcome* outcome);
   ServicePolicy EffectivePolicy() const;
   void OnCancelled(const ExchangePtr& exchange);
   void ApplyDecisions(const std::vector<AdmissionDecision>& decisions);
