--- a/test/correctness/rollout_test.cc
+++ b/test/correctness/rollout_test.cc
@@ -308,6 +308,18 @@
   CHECK(report->routes.empty());
 }
 
+// Eight reports a second, to four control instances, must leave room in the 5 kB of control
+// traffic.
+TEST(RolloutEvidence, ReportsAreSmall) {
+  Update();
+  for (const char* route : {"meter-read", "service-switch", "bill-adjust", "interval-export"}) {
+    for (int milliseconds_taken = 30; milliseconds_taken < 240; milliseconds_taken += 2) {
+      evidence.AddResponse(now, route, milliseconds(milliseconds_taken), false);
+    }
+  }
+  CHECK(EncodeRolloutReport(*evidence.TakeReport(now)).size() <= 300);
+}
+
 TEST(RolloutEvidence, RejectsMalformedReports) {
   for (const std::string& bytes : {std::string(), std::string("\x80"), std::string("\x81\x01")}) {
     CHECK_FALSE(DecodeRolloutReport(bytes).has_value());
