--- a/src/http_connection.cc
+++ b/src/http_connection.cc
@@ -129,15 +129,13 @@
     if (now - last_progress_ >= limits.transfer_timeout) {
       Close();
     }
-  } else if (body_) {
-    last_progress_ = now;
-  } else if (reader_.started()) {
+  } else if (reader_.started() && !body_) {
     last_progress_ = now;
     if (now - request_started_at_ >= limits.transfer_timeout) {
       AddRejection(408);
       ProcessRequests();
     }
-  } else if (!pending_.empty()) {
+  } else if (body_ || !pending_.empty()) {
     last_progress_ = now;
   } else if (now - last_progress_ >= limits.idle_timeout) {
     Close();
