--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -275,6 +275,10 @@
       context_.configuration ? static_cast<double>(context_.configuration->version().value()) : 0);
   set("endivecleat_target_running", "Requests running on the target",
       static_cast<double>(target_.running()));
+  set("endivecleat_target_limit", "Requests that the target may run now",
+      static_cast<double>(target_.slots()));
+  set("endivecleat_target_slots", "The same without the concurrency limit",
+      static_cast<double>(target_.unlimited_slots()));
   set("endivecleat_calls_in_flight", "In-flight calls of this daemon's callers",
       static_cast<double>(callers_.in_flight()));
   set("endivecleat_members", "Members of the data centre that are alive",
--- a/src/load_log.cc
+++ b/src/load_log.cc
@@ -6,6 +6,9 @@
 namespace endivecleat {
 namespace {
 
+// The limit of a target at its knee changes several times a second.
+constexpr Duration kLimitInterval = std::chrono::seconds(5);
+
 int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -18,6 +21,15 @@
     own_packets_late_ = late;
     Log(LogLevel::kWarning, "own_packets_late", {{"late", late}});
   }
+  const bool limited = target.slots() < target.unlimited_slots();
+  if (limited != target_limited_ && now - target_limited_at_ >= kLimitInterval) {
+    target_limited_ = limited;
+    target_limited_at_ = now;
+    Log(LogLevel::kInfo, "target_limited",
+        {{"limited", limited},
+         {"limit", static_cast<uint64_t>(target.slots())},
+         {"slots", static_cast<uint64_t>(target.unlimited_slots())}});
+  }
   if (now - logged_at_ >= kInterval) {
     LogInterval(now - logged_at_, node, target);
     logged_at_ = now;
--- a/src/load_log.h
+++ b/src/load_log.h
@@ -26,6 +26,8 @@
   // Totals at logged_at_.
   MeshNode::TrafficTotals traffic_;
   SlotUse slot_use_;
+  bool target_limited_ = false;
+  TimePoint target_limited_at_{};
   bool own_packets_late_ = false;
 };
 
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -66,6 +66,8 @@
   const AnnouncedTarget& target() const { return target_; }
   size_t running() const { return admission_.running(); }
   size_t slots() const { return admission_.slots(context_.loop.now()); }
+  /// The slots without the concurrency limit.
+  size_t unlimited_slots() const { return admission_.policy_slots(context_.loop.now()); }
   const SlotUse& slot_use() const { return slot_use_; }
   /// Attempts that are not finished, including those whose answer is still being recorded.
   size_t in_flight() const { return exchanges_.size(); }
