--- a/test/process_cluster.cc
+++ b/test/process_cluster.cc
@@ -38,6 +38,8 @@
   return bound;
 }
 
+}  // namespace
+
 // Allocates ports in ascending order through the whole range, so that a test does not reuse ports
 // that sockets of the previous test still occupy.
 uint16_t FreePort() {
@@ -52,8 +54,6 @@
   throw InternalError("no free port for a test process");
 }
 
-}  // namespace
-
 std::string RequestText(const HttpRequest& request, bool keep_alive) {
   std::string text = request.method + " " + request.path + " HTTP/1.1\r\nHost: mesh\r\n";
   for (const Header& header : request.headers) {
@@ -99,6 +99,8 @@
 
 std::string LoopbackAddress(uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
+}  // namespace
+
 std::filesystem::path CreateTemporaryFolder() {
   std::string name = (std::filesystem::temp_directory_path() / "endivecleat-XXXXXX").string();
   ENDIVECLEAT_CHECK(::mkdtemp(name.data()) != nullptr, "cannot create a temporary folder");
@@ -125,7 +127,13 @@
   return pid;
 }
 
-}  // namespace
+double PeakMemoryKb(pid_t pid) {
+  constexpr std::string_view kField = "VmHWM:";
+  const std::string status = ReadFile("/proc/" + std::to_string(pid) + "/status");
+  const size_t field = status.find(kField);
+  ENDIVECLEAT_CHECK(field != std::string::npos, "the process does not run");
+  return std::strtod(status.c_str() + field + kField.size(), nullptr);
+}
 
 bool WaitFor(const std::function<bool()>& condition) {
   const auto limit = std::chrono::steady_clock::now() + kWaitLimit;
@@ -281,12 +289,7 @@
 }
 
 double ProcessCluster::PeakMemoryKb(const std::string& name) const {
-  constexpr std::string_view kField = "VmHWM:";
-  const std::string status =
-      ReadFile("/proc/" + std::to_string(processes_.at(name).pid) + "/status");
-  const size_t field = status.find(kField);
-  ENDIVECLEAT_CHECK(field != std::string::npos, name + " does not run");
-  return std::strtod(status.c_str() + field + kField.size(), nullptr);
+  return test::PeakMemoryKb(processes_.at(name).pid);
 }
 
 void ProcessCluster::DeleteData(const std::string& control) {
--- a/test/process_cluster.h
+++ b/test/process_cluster.h
@@ -18,6 +18,18 @@
 
 namespace endivecleat::test {
 
+/// A loopback port that no socket occupies.
+uint16_t FreePort();
+
+/// Starts a child process that appends its output to the file. Returns its pid.
+pid_t Spawn(const std::vector<std::string>& command, const std::filesystem::path& output);
+
+/// Creates an empty folder for the files of a test.
+std::filesystem::path CreateTemporaryFolder();
+
+/// Largest resident memory of the process so far, in KiB.
+double PeakMemoryKb(pid_t pid);
+
 /// Polls until the condition holds. Returns false after 60 s; the limit only stops a hanging test.
 bool WaitFor(const std::function<bool()>& condition);
 
