--- a/src/http_codec.cc
+++ b/src/http_codec.cc
@@ -109,6 +109,10 @@
   return kResponseStart.starts_with(start);
 }
 
+/// Whether a response may have this status (RFC 9110, section 15). 101 answers an upgrade, which no
+/// request asks for.
+bool IsExpectedStatus(unsigned status) { return status >= 100 && status <= 599 && status != 101; }
+
 /// Feeds the parser and removes the consumed bytes from input.
 template <class Parser>
 boost::beast::error_code FeedParser(Parser& parser, std::string& input) {
@@ -254,11 +258,11 @@
     if (error && error != http::error::need_more) {
       return ReadStatus::kError;
     }
+    const unsigned status = parser_->get().result_int();
+    if (parser_->is_header_done() && !IsExpectedStatus(status)) {
+      return ReadStatus::kError;
+    }
     if (parser_->is_done()) {
-      const unsigned status = parser_->get().result_int();
-      if (status == 101) {
-        return ReadStatus::kError;
-      }
       if (status >= 200) {
         return ReadStatus::kComplete;
       }
--- a/src/http_codec.h
+++ b/src/http_codec.h
@@ -65,7 +65,8 @@
 
   /// Prepares for the response to a request with this method; a response to HEAD has no body.
   void ResetFor(const std::string& method);
-  /// Consumes bytes from the front of input. Interim responses (1xx) are skipped, up to a limit.
+  /// Consumes bytes from the front of input. Interim responses (1xx) are skipped, up to a limit. A
+  /// status outside 100 to 599, or 101, is an error.
   ReadStatus Feed(std::string& input);
   /// Signals that the peer has closed the connection in an orderly way. Returns kComplete for a
   /// response that is delimited by the close, and kError for any other, which is truncated.
--- a/test/failure/http_broken_response_test.cc
+++ b/test/failure/http_broken_response_test.cc
@@ -257,3 +257,39 @@
   CHECK(RunUntil(loop, [&] { return outcomes.size() == 2; }));
   LONGS_EQUAL(HttpOutcome::kAnswered, outcomes.back().kind);
 }
+
+// Guards against a status that no response may have and that is passed on as one, or is taken for
+// that of an interim response, which leaves the call waiting until its timeout.
+TEST(HttpBrokenResponse, InvalidStatusIsBroken) {
+  for (const char* status : {"000", "001", "099", "600", "999", "1000", "2000", "2x0", "x00", "20",
+                             "2", "", "-200", "-1", "+20", " 200", "0x1"}) {
+    const std::string line = "HTTP/1.1 " + std::string(status) + " Text\r\n";
+    LONGS_EQUAL_TEXT(HttpOutcome::kBroken, OutcomeOf(line + "Content-Length: 0\r\n\r\n"), status);
+    LONGS_EQUAL_TEXT(HttpOutcome::kBroken, OutcomeOf(line + "\r\nHTTP/1.1 200 OK\r\n\r\n"), status);
+  }
+  LONGS_EQUAL(HttpOutcome::kBroken, OutcomeOf("HTTP/1.1\r\nContent-Length: 0\r\n\r\n"));
+}
+
+// The connection stays open, so that only the status can end the call.
+TEST(HttpBrokenResponse, InvalidStatusEndsTheCallAtOnce) {
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    const size_t index = target.size();
+    const size_t before = outcomes.size();
+    Send();
+    WaitForRequest(index);
+    target.connections[index]->Send("HTTP/1.1 " + std::string(status) +
+                                    " Text\r\nContent-Length: 7\r\n\r\n");
+    RunFor(loop, std::chrono::milliseconds(50));
+    LONGS_EQUAL_TEXT(before + 1, outcomes.size(), status);
+    LONGS_EQUAL_TEXT(HttpOutcome::kBroken, outcomes.back().kind, status);
+  }
+}
+
+TEST(HttpBrokenResponse, EveryFinalStatusOfTheStandardIsAnswered) {
+  for (const int status : {200, 204, 299, 304, 399, 404, 451, 499, 500, 599}) {
+    LONGS_EQUAL(HttpOutcome::kAnswered, OutcomeOf("HTTP/1.1 " + std::to_string(status) +
+                                                  " Text\r\nContent-Length: 0\r\n"
+                                                  "\r\n"));
+    LONGS_EQUAL(status, outcomes.back().response.status);
+  }
+}
--- a/test/platform_pair.cc
+++ b/test/platform_pair.cc
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <vector>
 
 #include "process_cluster.h"
 
@@ -84,9 +85,10 @@
   return ParseResponse(answer);
 }
 
-PlatformPair::PlatformPair(const nlohmann::json& ingress)
+PlatformPair::PlatformPair(const nlohmann::json& ingress, uint16_t announced_port)
     : folder_(CreateTemporaryFolder()),
       ingress_(ingress),
+      announced_port_(announced_port),
       peer_port_(FreePort()),
       callers_{kDaemonIp, FreePort()},
       announcements_{kDaemonIp, FreePort()},
@@ -147,16 +149,29 @@
   daemon_ = Spawn(
       {ENDIVECLEAT_BINARY, "platform-daemon", "--settings", (folder_ / "daemon.json").string()},
       folder_ / "daemon.out");
-  standin_ = Spawn(
-      {STANDIN_BINARY, "--listen", target_.text(), "--daemon", local_.text(), "--service", "portal",
-       "--target", "target-1", "--token-file", (folder_ / "announce.token").string()},
-      folder_ / "target.out");
+  std::vector<std::string> target = {STANDIN_BINARY,
+                                     "--listen",
+                                     target_.text(),
+                                     "--daemon",
+                                     local_.text(),
+                                     "--service",
+                                     "portal",
+                                     "--target",
+                                     "target-1",
+                                     "--token-file",
+                                     (folder_ / "announce.token").string()};
+  if (announced_port_ != 0) {
+    target.insert(target.end(), {"--announce", Address{kControlIp, announced_port_}.text()});
+  }
+  standin_ = Spawn(target, folder_ / "target.out");
   HttpRequest submit;
   submit.method = "PUT";
   submit.path = "/-/config";
   submit.body = Document(1, 0, 0);
-  return WaitFor([&] { return ExchangeWith(operators_, submit).status == 200; }) &&
-         WaitFor([&] { return ExchangeWith(callers_, GetRequest("/bins")).status == 200; });
+  return WaitFor([&] { return ExchangeWith(operators_, submit).status == 200; }) && WaitFor([&] {
+           const int status = ExchangeWith(callers_, GetRequest("/bins")).status;
+           return announced_port_ == 0 ? status == 200 : status != 0 && status != 503;
+         });
 }
 
 std::string PlatformPair::Document(uint64_t version, uint64_t base, size_t bytes) {
--- a/test/platform_pair.h
+++ b/test/platform_pair.h
@@ -21,14 +21,15 @@
 
 class PlatformPair {
  public:
-  /// The settings become the member "ingress" of both processes; null leaves it out.
-  explicit PlatformPair(const nlohmann::json& ingress);
+  /// The settings become the member "ingress" of both processes; null leaves it out. With a port,
+  /// the stand-in announces that port of 127.0.0.1, where the test listens, as the target's own.
+  explicit PlatformPair(const nlohmann::json& ingress, uint16_t announced_port = 0);
   /// Kills the processes and removes the folder.
   ~PlatformPair();
   PlatformPair(const PlatformPair&) = delete;
   PlatformPair& operator=(const PlatformPair&) = delete;
 
-  /// Starts the processes, submits a configuration and waits until a call to the target succeeds.
+  /// Starts the processes, submits a configuration and waits until a call reaches the target.
   bool Start();
 
   pid_t daemon() const { return daemon_; }
@@ -46,6 +47,7 @@
 
   std::filesystem::path folder_;
   nlohmann::json ingress_;
+  uint16_t announced_port_;
   uint16_t peer_port_;
   Address callers_;
   Address announcements_;
