Bound what the clients of a process hold together

Cause: each connection had limits, all of them together had none. 60 bodies that stop short of their end took 68 MB; one client's 256 KiB of empty lines moved the rest of the input once for each, which kept the process busy for minutes; idle connections could take all descriptors of the machine.

Ruled out: a lower limit for each connection (callers share one address and may hold hundreds of connections, and a single large body must be served); closing new connections when there are too many (the ordinary caller is the new one).

Change: IngressBudget (pure) counts bytes, connections and partly read requests on all client ports of a process, and chooses whom to refuse: the most bytes times the time without progress, never a running request or an ordinary small one. A new connection takes the place of the one that has never served a request for the longest time. A partly read request is refused with 503 and Connection: close. Reads are 64 KiB per event, empty lines are limited to 64, framing of chunks to 16 times the content, a head to header_timeout (408), a body to a least rate (408). Nothing behind a rejected request is read. CallerLimits::header_bytes and header_timeout apply to the callers' port. Settings "ingress", metrics, log lines.

--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <utility>
 
+#include "client_ingress.h"
 #include "config_log.h"
 #include "config_timing.h"
 #include "configuration.h"
@@ -130,7 +131,9 @@
           node_.Send(to, PeerChannel::kOnceLog, message);
         });
   }
-  operators_ = std::make_unique<OperatorService>(loop_, settings_, config_, node_, metrics_);
+  ingress_ = MakeIngressBudget(settings_.common.ingress);
+  operators_ =
+      std::make_unique<OperatorService>(loop_, settings_, config_, node_, ingress_, metrics_);
   loop_.SetAfterBatchHook([this] { Flush(); });
   metrics_.SetCollectCallback([this] { UpdateMetrics(); });
   PublishNewVersion();
@@ -409,6 +412,7 @@
 }
 
 void ControlProcess::UpdateMetrics() {
+  ReportIngress(*ingress_, metrics_);
   node_.ReportTraffic(metrics_);
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
--- a/src/control_process.h
+++ b/src/control_process.h
@@ -11,6 +11,7 @@
 #include "config_source.h"
 #include "crash_relay.h"
 #include "event_loop.h"
+#include "ingress_budget.h"
 #include "mesh_node.h"
 #include "metrics.h"
 #include "operator_service.h"
@@ -30,6 +31,8 @@
   ~ControlProcess();
 
   /// The replicated configuration, for additional operator APIs of this instance.
+  /// The ingress budget that all client ports of this process share.
+  const std::shared_ptr<IngressBudget>& ingress() const { return ingress_; }
   ReplicaTask<ConfigState>& config() { return config_; }
   const ReplicaTask<ConfigState>& config() const { return config_; }
   Metrics& metrics() { return metrics_; }
@@ -77,6 +80,7 @@
   ConfigExchange config_exchange_;
   SummarySchedule summary_schedule_;
   CrashRelay crash_relay_;
+  std::shared_ptr<IngressBudget> ingress_;
   std::unique_ptr<OperatorService> operators_;
   TimerId timer_;
   std::string logged_role_;  // role, leader and voters in the last log line
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "client_ingress.h"
 #include "config_log.h"
 #include "config_timing.h"
 #include "errors.h"
@@ -31,8 +32,12 @@
 // Before the end of a drain, the last answers are sent.
 constexpr Duration kLastAnswerTime = std::chrono::milliseconds(300);
 
-HttpServerLimits CallerServerLimits(const DaemonSettings& settings) {
-  HttpServerLimits limits;
+// A target's announcement takes a few hundred bytes.
+constexpr ByteCount kMaxLocalBody{1U << 20U};
+
+HttpServerLimits CallerServerLimits(const DaemonSettings& settings,
+                                    const std::shared_ptr<IngressBudget>& ingress) {
+  HttpServerLimits limits = ServerLimits(ingress);
   limits.concurrent_requests = settings.pipelined_requests;
   limits.concurrent_bytes = settings.pipelined_bytes.value();
   return limits;
@@ -89,11 +94,12 @@
                             [this](const InstanceId& to) {
                               SendConfigMessages(replica_.NotDelivered(loop_.now(), to));
                             }}),
-      caller_server_(loop, settings_.caller_address, CallerServerLimits(settings_),
+      ingress_(MakeIngressBudget(settings_.common.ingress)),
+      caller_server_(loop, settings_.caller_address, CallerServerLimits(settings_, ingress_),
                      [this](HttpRequest request, const ResponseSink& sink) {
                        callers_.Handle(std::move(request), sink);
                      }),
-      local_server_(loop, settings_.local_address, HttpServerLimits{},
+      local_server_(loop, settings_.local_address, ServerLimits(ingress_, kMaxLocalBody),
                     [this](const HttpRequest& request, const ResponseSink& sink) {
                       OnLocalRequest(request, sink);
                     }) {
@@ -229,6 +235,8 @@
   if (const Duration idle = context_.configuration->callers().idle_timeout; idle > Duration{}) {
     caller_server_.SetIdleTimeout(idle);
   }
+  const CallerLimits& limits = context_.configuration->callers();
+  caller_server_.SetHeaderLimits(limits.header_bytes, limits.header_timeout);
   target_.ConfigurationChanged();
   callers_.ConfigurationChanged();
   UpdateSelf();
@@ -277,6 +285,7 @@
 
 void DaemonProcess::UpdateMetrics() {
   node_.ReportTraffic(metrics_);
+  ReportIngress(*ingress_, metrics_);
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
   };
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -12,6 +12,7 @@
 #include "crash_report_exchange.h"
 #include "daemon_context.h"
 #include "http_server.h"
+#include "ingress_budget.h"
 #include "ledger_client.h"
 #include "load_log.h"
 #include "mesh_node.h"
@@ -45,6 +46,8 @@
   void RemoveTarget();
   /// Whether this daemon is ready for callers: it has a configuration and is not draining.
   bool AcceptsCalls() const { return context_.configuration != nullptr && !draining_; }
+  /// The ingress budget that all client ports of this process share.
+  const std::shared_ptr<IngressBudget>& ingress() const { return ingress_; }
   const DaemonSettings& settings() const { return settings_; }
   const CompiledConfiguration* configuration() const { return context_.configuration.get(); }
 
@@ -78,6 +81,7 @@
   StoredCompiler compiler_;
   ConfigReplica replica_;
   ConfigExchange config_exchange_;
+  std::shared_ptr<IngressBudget> ingress_;
   HttpServer caller_server_;
   HttpServer local_server_;
   TimerId timer_;
--- a/src/http_codec.cc
+++ b/src/http_codec.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <iterator>
 #include <optional>
 #include <string_view>
 
@@ -21,6 +22,12 @@
 constexpr size_t kMaxPendingBytes = 16384;
 // Interim responses before a final one; a server sends one or two at most.
 constexpr size_t kMaxInterimResponses = 16;
+// Bytes of a chunked body as sent, for each byte of content: chunks of one byte take six. A client
+// that sends more, in extensions of chunks, would keep the parser busy without an end.
+constexpr uint64_t kMaxFramingFactor = 16;
+constexpr uint64_t kFramingAllowance = 64U << 10U;
+// Estimated memory of a header field beside its text, in the parser and in a HeaderList.
+constexpr size_t kFieldOverheadBytes = 128;
 constexpr std::string_view kResponseStart = "HTTP/1.";
 
 template <class Parser>
@@ -125,12 +132,48 @@
 
 struct RequestReader::Parser : http::request_parser<http::string_body> {};
 
-RequestReader::RequestReader(MessageLimits limits) : limits_(limits) {
+RequestReader::RequestReader(MessageLimits limits) : limits_(limits) { Reset(); }
+
+RequestReader::~RequestReader() = default;
+
+void RequestReader::SetLimits(const MessageLimits& limits) {
+  limits_ = limits;
+  if (!started_) {
+    ConfigureParser(*parser_, limits_);
+  }
+}
+
+void RequestReader::Reset() {
   parser_ = std::make_unique<Parser>();
   ConfigureParser(*parser_, limits_);
+  empty_lines_ = 0;
+  encoded_bytes_ = 0;
+  fields_ = 0;
+  started_ = false;
+  header_checked_ = false;
+  expect_continue_ = false;
 }
 
-RequestReader::~RequestReader() = default;
+size_t RequestReader::held_bytes() const {
+  return parser_->get().body().size() + fields_ * kFieldOverheadBytes;
+}
+
+/// Removes empty lines before a request (RFC 9112, section 2.2). Returns false when there are too
+/// many.
+bool RequestReader::SkipEmptyLines(std::string& input) {
+  size_t skipped = 0;
+  while (input.compare(skipped, 2, "\r\n") == 0 && empty_lines_ <= kMaxEmptyLines) {
+    skipped += 2;
+    ++empty_lines_;
+  }
+  input.erase(0, skipped);
+  return empty_lines_ <= kMaxEmptyLines;
+}
+
+bool RequestReader::IsFramingExcessive() const {
+  return parser_->chunked() &&
+         encoded_bytes_ > kMaxFramingFactor * parser_->get().body().size() + kFramingAllowance;
+}
 
 ReadStatus RequestReader::Fail(int status) {
   error_status_ = status;
@@ -138,11 +181,8 @@
 }
 
 ReadStatus RequestReader::Feed(std::string& input) {
-  if (!started()) {
-    // RFC 9112, section 2.2: an empty line before a request is ignored.
-    while (input.starts_with("\r\n")) {
-      input.erase(0, 2);
-    }
+  if (!started() && !SkipEmptyLines(input)) {
+    return Fail(400);
   }
   if (input.empty() || (!started() && input == "\r")) {
     return ReadStatus::kNeedMore;
@@ -158,6 +198,8 @@
       return ReadStatus::kNeedMore;
     }
     parser_->eager(true);
+    const auto& fields = parser_->get();
+    fields_ = static_cast<size_t>(std::distance(fields.begin(), fields.end()));
   }
   if (!header_checked_) {
     header_checked_ = true;
@@ -166,7 +208,12 @@
     }
   }
   while (!parser_->is_done() && !input.empty()) {
+    const size_t available = input.size();
     const auto error = FeedParser(*parser_, input);
+    encoded_bytes_ += available - input.size();
+    if (IsFramingExcessive()) {
+      return Fail(400);
+    }
     if (error == http::error::need_more) {
       return input.size() > kMaxPendingBytes ? Fail(400) : ReadStatus::kNeedMore;
     }
@@ -218,12 +265,7 @@
   request.query = query == std::string::npos ? "" : target.substr(query + 1);
   request.headers = CopyHeaders(message);
   request.body = std::move(message.body());
-
-  parser_ = std::make_unique<Parser>();
-  ConfigureParser(*parser_, limits_);
-  started_ = false;
-  header_checked_ = false;
-  expect_continue_ = false;
+  Reset();
   return request;
 }
 
--- a/src/http_codec.h
+++ b/src/http_codec.h
@@ -31,12 +31,23 @@
   ReadStatus Feed(std::string& input);
   HttpRequest Take();
 
+  /// Sets the limits of the next request; the one being read keeps its own.
+  void SetLimits(const MessageLimits& limits);
+  /// Drops the part of the request that has been read.
+  void Reset();
+
   /// The status with which to reject the request after kError: 400, 411, 413, 431 or 501.
   int error_status() const { return error_status_; }
   /// Whether the connection may be kept open after the request last taken.
   bool keep_alive() const { return keep_alive_; }
   /// Whether any byte of the next request has been consumed.
   bool started() const { return started_; }
+  /// Whether the head of the next request has been read whole.
+  bool header_done() const { return header_checked_; }
+  /// Estimated memory that the part of the request read so far takes.
+  size_t held_bytes() const;
+  /// Whether kError is due to the number of empty lines before a request.
+  bool too_many_empty_lines() const { return empty_lines_ > kMaxEmptyLines; }
   /// Returns true once for a request whose sender waits for "100 Continue" before it sends the
   /// body.
   bool TakeExpectContinue();
@@ -44,11 +55,19 @@
  private:
   struct Parser;
 
+  /// Empty lines accepted before one request. Clients send one at most, after the body of a POST.
+  static constexpr size_t kMaxEmptyLines = 64;
+
   ReadStatus Fail(int status);
   ReadStatus CheckHeader();
+  bool SkipEmptyLines(std::string& input);
+  bool IsFramingExcessive() const;
 
   MessageLimits limits_;
   std::unique_ptr<Parser> parser_;
+  size_t empty_lines_ = 0;      // before the request
+  uint64_t encoded_bytes_ = 0;  // of the body as sent, with the framing of its chunks
+  size_t fields_ = 0;           // in the head
   bool started_ = false;
   bool header_checked_ = false;
   bool expect_continue_ = false;
--- a/src/http_connection.cc
+++ b/src/http_connection.cc
@@ -23,6 +23,15 @@
 // the number of recorded arrival times.
 constexpr Duration kArrivalInterval = std::chrono::milliseconds(10);
 
+// Reads of 64 KiB per event: beside connections that send without end, an ordinary request is read
+// after at most one such read of each.
+constexpr int kReadsPerEvent = 1;
+// An input buffer that is mostly free is released if it is larger than this.
+constexpr size_t kKeptInputBytes = 4U << 10U;
+// A request that runs is held by the server, and once more by what forwards it.
+constexpr size_t kCopiesOfRunningRequest = 2;
+constexpr size_t kFieldBytes = 128;  // estimated memory of a header field
+
 HttpResponse ErrorResponse(int status) {
   HttpResponse response;
   response.status = status;
@@ -41,6 +50,9 @@
     case 431:
       response.body = "the header exceeds the limit\n";
       break;
+    case 503:
+      response.body = "too much is being received; the request has not run\n";
+      break;
     case 501:
       response.body = "the method or transfer coding is not supported\n";
       break;
@@ -69,10 +81,11 @@
 
 bool ResponseSink::disconnected() const { return exchange_->disconnected; }
 
-HttpServer::Connection::Connection(HttpServer& server, uint64_t id, int descriptor,
-                                   std::string peer_ip)
+HttpServer::Connection::Connection(HttpServer& server, uint64_t id, IngressBudget::HolderId holder,
+                                   int descriptor, std::string peer_ip)
     : server_(server),
       id_(id),
+      holder_(holder),
       descriptor_(descriptor),
       peer_ip_(std::move(peer_ip)),
       reader_(server.limits_.message) {
@@ -102,9 +115,10 @@
 
 void HttpServer::Connection::CheckTimeouts(TimePoint now) {
   const HttpServerLimits& limits = server_.limits_;
-  const bool waits_for_client = MayRead() && !continue_held_;
+  const bool waits_for_client = MayRead() && !ReadingPaused() && !continue_held_;
   if (!waits_for_client) {
     request_started_at_ = now;
+    rate_from_.reset();
   }
   if (lingering_since_) {
     if (now - *lingering_since_ >= kLingerTime) {
@@ -112,14 +126,13 @@
     }
   } else if (!output_.empty()) {
     if (now - last_progress_ >= limits.transfer_timeout) {
+      server_.ingress_->CountRefusal(IngressLimit::kUnreadResponse);
+      LogRefusal(IngressLimit::kUnreadResponse);
       Close();
     }
   } else if (reader_.started()) {
     last_progress_ = now;
-    if (now - request_started_at_ >= limits.transfer_timeout) {
-      AddRejection(408);
-      ProcessRequests();
-    }
+    CheckRequestTimeouts(now);
   } else if (!pending_.empty()) {
     last_progress_ = now;
   } else if (now - last_progress_ >= limits.idle_timeout) {
@@ -134,7 +147,7 @@
 /// Whether the next request may be read now. A request counts as read by the server once it is in
 /// pending_: from then on it is answered, unless the client disconnects.
 bool HttpServer::Connection::MayRead() const {
-  if (descriptor_ < 0 || lingering_since_ || close_after_response_ ||
+  if (descriptor_ < 0 || lingering_since_ || close_after_response_ || input_refused_ ||
       output_.size() > kMaxBufferedOutputBytes) {
     return false;
   }
@@ -152,6 +165,7 @@
   }
   server_.loop_.Unwatch(watch_);
   close(std::exchange(descriptor_, -1));
+  server_.ingress_->Remove(holder_);
   server_.in_flight_ -= std::exchange(unsent_responses_, 0) + std::exchange(unanswered_, 0);
 }
 
@@ -159,6 +173,7 @@
 void HttpServer::Connection::CancelPending() {
   server_.in_flight_ -= std::exchange(unanswered_, 0);
   pending_bytes_ = 0;
+  pending_charge_ = 0;
   const std::deque<Pending> cancelled = std::exchange(pending_, {});
   for (const Pending& pending : cancelled) {
     if (pending.exchange) {
@@ -193,13 +208,13 @@
 
 void HttpServer::Connection::OnReadable() {
   const size_t before = input_.size();
-  const SocketStatus status = ReadAvailable(descriptor_, input_);
+  const SocketStatus status = ReadAvailable(descriptor_, input_, kReadsPerEvent);
   if (HasEnded(status)) {
     Close();
     return;
   }
   if (lingering_since_) {
-    input_.clear();
+    std::string().swap(input_);
     return;
   }
   RecordArrival(input_.size() - before);
@@ -249,7 +264,11 @@
     }
   }
   processing_ = false;
+  if (input_.capacity() > kKeptInputBytes && input_.size() <= input_.capacity() / 2) {
+    input_.shrink_to_fit();
+  }
   UpdateWatch();
+  UpdateBudget();
 }
 
 /// Delivers the first request if it had to wait for those before it. Returns true if it did.
@@ -266,11 +285,13 @@
 
 /// Returns true when a request or a rejection was added, so that another one may follow.
 bool HttpServer::Connection::ReadRequest() {
-  if (!MayRead()) {
+  if (!MayRead() || ReadingPaused()) {
     return false;
   }
   const bool was_started = reader_.started();
   if (!was_started) {
+    reader_.SetLimits(server_.limits_.message);
+    rate_from_.reset();
     request_begin_ = received_bytes_ - input_.size();
   }
   const ReadStatus status = reader_.Feed(input_);
@@ -280,6 +301,8 @@
   }
   SendContinue();
   if (status == ReadStatus::kError) {
+    CountRejection();
+    ReleaseInput();
     AddRejection(reader_.error_status());
     return true;
   }
@@ -316,7 +339,9 @@
       connection->SendResponse(exchange, std::move(response));
     }
   };
+  pending.charge = kCopiesOfRunningRequest * bytes + kFieldBytes * request.headers.size();
   pending_bytes_ += bytes;
+  pending_charge_ += pending.charge;
   ++unanswered_;
   ++server_.in_flight_;
   const bool first = pending_.empty();
@@ -348,6 +373,8 @@
     return;
   }
   found->bytes += response.body.size();
+  found->charge += response.body.size();
+  pending_charge_ += response.body.size();
   pending_bytes_ += response.body.size();
   found->response = std::move(response);
   ProcessRequests();
@@ -361,6 +388,7 @@
     Pending pending = std::move(pending_.front());
     pending_.pop_front();
     pending_bytes_ -= pending.bytes;
+    pending_charge_ -= pending.charge;
     if (pending.exchange) {
       --unanswered_;
       ++unsent_responses_;
@@ -388,6 +416,7 @@
 
 /// Adds an error response behind the requests that were read; the connection closes after it.
 void HttpServer::Connection::AddRejection(int status) {
+  input_refused_ = true;
   Pending rejected;
   rejected.response = ErrorResponse(status);
   pending_.push_back(std::move(rejected));
@@ -406,6 +435,7 @@
   }
   if (output_.size() != before) {
     last_progress_ = server_.loop_.now();
+    written_bytes_ += before - output_.size();
   }
   if (status == SocketStatus::kBlocked) {
     return false;
@@ -421,7 +451,7 @@
 void HttpServer::Connection::StartLingeringClose() {
   shutdown(descriptor_, SHUT_WR);
   lingering_since_ = server_.loop_.now();
-  input_.clear();
+  ReleaseInput();
 }
 
 void HttpServer::Connection::UpdateWatch() {
@@ -429,7 +459,8 @@
     return;
   }
   uint32_t wanted = EPOLLRDHUP;
-  if (lingering_since_ || input_.size() < kMaxBufferedInputBytes) {
+  const bool takes_input = !input_refused_ && input_.size() < kMaxBufferedInputBytes;
+  if (lingering_since_ || takes_input) {
     wanted |= EPOLLIN;
   }
   if (!output_.empty()) {
--- a/src/http_connection.h
+++ b/src/http_connection.h
@@ -24,7 +24,8 @@
 /// any other request waits until those before it are answered, and nothing behind it is read.
 class HttpServer::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(HttpServer& server, uint64_t id, int descriptor, std::string peer_ip);
+  Connection(HttpServer& server, uint64_t id, IngressBudget::HolderId holder, int descriptor,
+             std::string peer_ip);
   ~Connection();
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -36,6 +37,10 @@
   /// a request may already be in the receive buffer of the kernel.
   void CloseIfIdle();
 
+  /// Called by the ingress budget: closes the connection, or answers the request that is being read
+  /// with 503 and drops what has arrived of it.
+  void Refuse(IngressLimit limit);
+
   /// Enforces the timeout that applies to the current state of the connection.
   void CheckTimeouts(TimePoint now);
 
@@ -48,7 +53,8 @@
     bool concurrent = false;                           // others may run at the same time
     bool is_head = false;
     bool keep_alive = false;
-    size_t bytes = 0;  // of the request, and of the response while it waits
+    size_t bytes = 0;   // of the request, and of the response while it waits
+    size_t charge = 0;  // estimated memory of the request while it runs
   };
 
   /// Bytes of the input that had arrived by a time.
@@ -68,6 +74,7 @@
   void ProcessRequests();
   bool DeliverWaiting();
   bool ReadRequest();
+  void CountRejection();
   void SendContinue();
   void AddRequest(HttpRequest request, size_t bytes);
   void Deliver(Pending& pending, HttpRequest request);
@@ -75,12 +82,19 @@
   void QueueReadyResponses();
   void QueueResponse(Pending pending, bool keep_alive);
   void AddRejection(int status);
+  void RejectForLimit(int status, IngressLimit limit);
+  void LogRefusal(IngressLimit limit);
+  void CheckRequestTimeouts(TimePoint now);
+  bool ReadingPaused() const;
+  void ReleaseInput();
+  void UpdateBudget();
   bool FlushResponses();
   void StartLingeringClose();
   void UpdateWatch();
 
   HttpServer& server_;
   const uint64_t id_;
+  const IngressBudget::HolderId holder_;
   int descriptor_;  // -1 once closed
   const std::string peer_ip_;
   WatchId watch_;
@@ -92,8 +106,12 @@
   std::deque<Arrival> arrivals_;  // of the bytes in input_
   uint64_t request_begin_ = 0;    // position in the input of the request being read
   OutputQueue output_;
-  std::deque<Pending> pending_;        // in the order of the requests
-  size_t pending_bytes_ = 0;           // sum over pending_
+  std::deque<Pending> pending_;   // in the order of the requests
+  size_t pending_bytes_ = 0;      // sum over pending_
+  size_t pending_charge_ = 0;     // sum over pending_
+  bool input_refused_ = false;    // a request was rejected; nothing behind it is read
+  uint64_t exchanged_bytes_ = 0;  // read and written, at the last update of the budget
+  uint64_t written_bytes_ = 0;
   size_t unanswered_ = 0;              // entries of pending_ that were not rejected
   size_t unsent_responses_ = 0;        // responses with bytes in output_
   bool continue_held_ = false;         // "100 Continue" is due after the responses before it
@@ -102,6 +120,9 @@
   std::optional<TimePoint> lingering_since_;
   TimePoint last_progress_;  // last successful write, or last check with a request in flight
   TimePoint request_started_at_;
+  // The rate of a body is measured from this time on, when this many bytes had arrived.
+  std::optional<TimePoint> rate_from_;
+  uint64_t rate_from_bytes_ = 0;
 };
 
 }  // namespace endivecleat
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -19,7 +19,10 @@
 HttpServer::HttpServer(EventLoop& loop, const Address& address, HttpServerLimits limits,
                        Handler handler)
     : loop_(loop),
-      limits_(limits),
+      initial_limits_(limits),
+      limits_(std::move(limits)),
+      ingress_(limits_.ingress ? limits_.ingress
+                               : std::make_shared<IngressBudget>(IngressLimits())),
       handler_(std::move(handler)),
       listener_(loop, address,
                 [this](int descriptor, const Address& peer) { Accept(descriptor, peer); }) {
@@ -39,7 +42,27 @@
     return;
   }
   const uint64_t id = next_connection_id_++;
-  connections_.emplace(id, std::make_shared<Connection>(*this, id, descriptor, peer.ip));
+  const auto holder = ingress_->Add(peer.ip, loop_.now(), [this, id](IngressLimit limit) {
+    if (const auto found = connections_.find(id); found != connections_.end()) {
+      const std::shared_ptr<Connection> connection = found->second;
+      connection->Refuse(limit);
+    }
+  });
+  if (!holder) {
+    close(descriptor);
+    return;
+  }
+  connections_.emplace(id, std::make_shared<Connection>(*this, id, *holder, descriptor, peer.ip));
+}
+
+void HttpServer::SetHeaderLimits(ByteCount bytes, Duration timeout) {
+  limits_.message.header = bytes == ByteCount() ? initial_limits_.message.header : bytes;
+  limits_.header_timeout = timeout == Duration() ? initial_limits_.header_timeout : timeout;
+}
+
+Duration HttpServer::header_timeout() const {
+  return limits_.header_timeout == Duration() ? ingress_->limits().header_timeout
+                                              : limits_.header_timeout;
 }
 
 void HttpServer::StopAccepting() {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -15,6 +15,7 @@
 #include "event_loop.h"
 #include "http_codec.h"
 #include "http_message.h"
+#include "ingress_budget.h"
 #include "tcp_socket.h"
 #include "units.h"
 
@@ -23,10 +24,14 @@
 /// Limits on the connections of a server.
 struct HttpServerLimits {
   MessageLimits message;
-  size_t connections = 4096;  ///< further connections are closed at once
+  size_t connections = 4096;  ///< of this server; further connections are closed at once
   Duration idle_timeout = std::chrono::seconds(60);
-  /// Time limit for receiving a request, and for sending a response without progress.
+  /// Time limit for sending a response, and for receiving a request, without progress.
   Duration transfer_timeout = std::chrono::seconds(30);
+  /// Shared by the servers of a process; null: the server has a budget of its own.
+  std::shared_ptr<IngressBudget> ingress;
+  /// Time limit for receiving a head; 0: that of the ingress budget.
+  Duration header_timeout{};
   /// Requests of one connection that are read before the first of them is answered, and their bytes
   /// together with those of responses that wait for an earlier one. No further request is read
   /// while a limit is reached. They apply only where requests may run concurrently.
@@ -94,6 +99,10 @@
 
   void SetIdleTimeout(Duration timeout) { limits_.idle_timeout = timeout; }
 
+  /// Sets the limits on the heads of requests that begin later. Where a value is zero, the limit
+  /// given to the constructor applies.
+  void SetHeaderLimits(ByteCount bytes, Duration timeout);
+
   /// Closes the listening socket and the idle connections. Requests in flight still get a response,
   /// the last one of a connection with "Connection: close".
   void StopAccepting();
@@ -109,13 +118,16 @@
  private:
   class Connection;  // defined in http_connection.h
 
+  Duration header_timeout() const;
   bool draining() const { return stopping_ || keep_alive_disabled_; }
   void Accept(int descriptor, const Address& peer);
   void CheckTimeouts();
   void ScheduleTimeoutCheck();
 
   EventLoop& loop_;
+  const HttpServerLimits initial_limits_;
   HttpServerLimits limits_;
+  std::shared_ptr<IngressBudget> ingress_;
   Handler handler_;
   Classifier may_run_concurrently_;
   TcpListener listener_;
--- a/src/operator_service.cc
+++ b/src/operator_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "byte_codec.h"
+#include "client_ingress.h"
 #include "configuration.h"
 #include "delta.h"
 #include "errors.h"
@@ -74,14 +75,14 @@
 
 OperatorService::OperatorService(EventLoop& loop, const ControlSettings& settings,
                                  ReplicaTask<ConfigState>& replica, MeshNode& node,
-                                 Metrics& metrics)
+                                 const std::shared_ptr<IngressBudget>& ingress, Metrics& metrics)
     : loop_(loop),
       settings_(settings),
       replica_(replica),
       node_(node),
       metrics_(metrics),
       server_(
-          loop, settings.operator_address, HttpServerLimits{},
+          loop, settings.operator_address, ServerLimits(ingress),
           [this](const HttpRequest& request, const ResponseSink& sink) { Handle(request, sink); }) {
   AddMethods();
 }
--- a/src/operator_service.h
+++ b/src/operator_service.h
@@ -24,7 +24,8 @@
  public:
   /// Starts listening immediately.
   OperatorService(EventLoop& loop, const ControlSettings& settings,
-                  ReplicaTask<ConfigState>& replica, MeshNode& node, Metrics& metrics);
+                  ReplicaTask<ConfigState>& replica, MeshNode& node,
+                  const std::shared_ptr<IngressBudget>& ingress, Metrics& metrics);
 
   void StopAccepting() { server_.StopAccepting(); }
   size_t in_flight() const { return server_.in_flight(); }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -15,6 +15,8 @@
 
 constexpr uint64_t kMaxPipelinedRequests = 256;
 constexpr uint64_t kMaxPipelinedBytes = 16U << 20U;
+constexpr uint64_t kMaxIngressCount = 1'000'000;
+constexpr uint64_t kMaxIngressBytes = uint64_t{1} << 40U;
 constexpr double kMaxRetryBurst = 1e6;
 constexpr size_t kMinTokenLength = 16;  // characters; shorter tokens are too easy to guess
 constexpr size_t kMaxControlInstances = 7;
@@ -124,6 +126,27 @@
   return discovery;
 }
 
+IngressLimits ReadIngress(JsonReader& reader) {
+  IngressLimits limits;
+  reader.ReadObject("ingress", Presence::kOptional, [&](JsonReader& entry) {
+    const auto read_count = [&](const char* key, size_t& value) {
+      value = entry.ReadNumber(key, 1, kMaxIngressCount, value);
+    };
+    limits.bytes =
+        ByteCount(entry.ReadNumber("bytes", 1U << 20U, kMaxIngressBytes, limits.bytes.value()));
+    read_count("connections", limits.connections);
+    read_count("connections_per_address", limits.connections_per_address);
+    read_count("partial_requests", limits.partial_requests);
+    read_count("partial_requests_per_address", limits.partial_requests_per_address);
+    read_count("reserved_descriptors", limits.reserved_descriptors);
+    limits.header_timeout = entry.ReadDuration("header_timeout", std::chrono::milliseconds(100),
+                                               std::chrono::minutes(10), limits.header_timeout);
+    limits.body_bytes_per_second = entry.ReadNumber("body_bytes_per_second", 1, kMaxIngressBytes,
+                                                    limits.body_bytes_per_second);
+  });
+  return limits;
+}
+
 CommonSettings ReadCommon(JsonReader& reader, const std::string& folder) {
   CommonSettings common;
   common.instance = InstanceId(reader.ReadString("instance", Presence::kRequired));
@@ -145,6 +168,7 @@
                                             common.drain_notice);
   common.in_force_within = reader.ReadDuration("in_force_within", std::chrono::milliseconds(100),
                                                std::chrono::hours(1), common.in_force_within);
+  common.ingress = ReadIngress(reader);
   return common;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "call_headers.h"
+#include "ingress_budget.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -61,6 +62,7 @@
   // Deadline for an accepted configuration to be in force on every daemon; limits the times of the
   // distribution (config_timing.h). The same in all processes of a deployment.
   Duration in_force_within = std::chrono::seconds(16);
+  IngressLimits ingress;  // limits on the clients of the process
 };
 
 struct ControlSettings {
--- a/src/tcp_socket.cc
+++ b/src/tcp_socket.cc
@@ -23,7 +23,6 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr size_t kReadBufferBytes = 65536;
-constexpr int kMaxReadsPerEvent = 4;
 constexpr size_t kMaxBuffersPerWrite = 16;
 constexpr int kMaxAcceptsPerEvent = 64;
 // Without free descriptors or memory accept4() fails but the listening socket stays readable, which
@@ -179,9 +178,9 @@
   return datagram;
 }
 
-SocketStatus ReadAvailable(int descriptor, std::string& input) {
+SocketStatus ReadAvailable(int descriptor, std::string& input, int max_reads) {
   static thread_local std::array<char, kReadBufferBytes> buffer;
-  for (int i = 0; i < kMaxReadsPerEvent; ++i) {
+  for (int i = 0; i < max_reads; ++i) {
     const ssize_t count = recv(descriptor, buffer.data(), buffer.size(), 0);
     if (count == 0) {
       return SocketStatus::kClosed;
--- a/src/tcp_socket.h
+++ b/src/tcp_socket.h
@@ -57,9 +57,9 @@
   return status == SocketStatus::kClosed || status == SocketStatus::kFailed;
 }
 
-/// Appends the available bytes to input. Reads a bounded amount per call, so that one connection
-/// cannot starve the others.
-SocketStatus ReadAvailable(int descriptor, std::string& input);
+/// Appends the available bytes to input. Reads at most max_reads times 64 KiB per call, so that one
+/// connection cannot starve the others.
+SocketStatus ReadAvailable(int descriptor, std::string& input, int max_reads = 4);
 
 /// Bytes to be written to a socket, in the buffers in which they were appended.
 class OutputQueue {
