--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -35,6 +35,8 @@
   /// Whether the request may run at the same time as others of its connection: it is idempotent and
   /// has no large body or response.
   bool MayRunConcurrently(const HttpRequest& request) const;
+  /// Whether the body of a request is passed on while it arrives.
+  bool StreamsBody(const HttpRequest& head) const;
   /// Cancels calls because the incoming calls that they were made for were cancelled.
   void Cancel(const std::vector<RequestNumber>& calls);
   /// A configuration version has come into force. Starts the requests that were held for it.
@@ -70,6 +72,7 @@
   /// Updates every service's candidates from the membership and the data centre summaries.
   void RefreshCandidates();
   Duration CallerTimeout(const HttpRequest& request) const;
+  const CompiledRoute* FindRoute(const HttpRequest& request) const;
   std::optional<ResultCode> Prepare(Exchange& exchange);
   std::optional<ResultCode> PrepareAtMostOnce(Exchange& exchange);
   TimePoint ComputeDeadline(Exchange& exchange) const;
@@ -87,6 +90,10 @@
   void Send(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect);
   void OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                const AttemptReply& reply);
+  /// Sends the attempt again with its whole body if a daemon of the version before refused it for
+  /// its body. Returns false if that is not the case.
+  bool SendWhole(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
+                 const AttemptReply& reply);
   void OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                      bool sent);
   void CancelSent(Exchange& exchange, const CancelAttempt& effect);
--- a/src/http_connection_limits.cc
+++ b/src/http_connection_limits.cc
@@ -53,9 +53,7 @@
     Close();
     return;
   }
-  ReleaseInput();
-  AddRejection(503);
-  ProcessRequests();
+  RejectReading(503);
 }
 
 void HttpServer::Connection::LogRefusal(IngressLimit limit) {
@@ -74,14 +72,27 @@
 void HttpServer::Connection::RejectForLimit(int status, IngressLimit limit) {
   server_.ingress_->CountRefusal(limit);
   LogRefusal(limit);
-  ReleaseInput();
-  AddRejection(status);
+  RejectReading(status);
+}
+
+/// Rejects the request that is being read. 408 and 503 promise that it has not run and will not;
+/// once the body of an upload is passed on, only a close is left.
+void HttpServer::Connection::RejectReading(int status) {
+  if (!body_) {
+    ReleaseInput();
+    AddRejection(status);
+  } else if (body_->opened() || pending_.empty() || pending_.back().response) {
+    Close();
+    return;
+  } else {
+    RejectStreamed(status);
+  }
   ProcessRequests();
 }
 
 /// Whether a request behind others that are not answered holds as much as such requests may.
 bool HttpServer::Connection::ReadingPaused() const {
-  return !pending_.empty() &&
+  return !body_ && !pending_.empty() &&
          pending_bytes_ + reader_.held_bytes() >= server_.limits_.concurrent_bytes;
 }
 
@@ -102,11 +113,15 @@
   const bool reading = reader_.started() || !input_.empty();
   const Phase phase = lingering_since_    ? Phase::kIdle
                       : !output_.empty()  ? Phase::kSending
+                      : body_             ? Phase::kReading
                       : !pending_.empty() ? Phase::kRunning
                       : reading           ? Phase::kReading
                                           : Phase::kIdle;
   IngressBudget::Held held;
   held.refusable = input_.capacity() + reader_.held_bytes();
+  if (body_) {
+    held.refusable += body_->buffered();
+  }
   held.refusable += output_.size();  // Refuse() closes a connection with unsent responses
   held.bytes = held.refusable + pending_charge_;
   const uint64_t exchanged = received_bytes_ + written_bytes_;
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -93,6 +93,9 @@
     DeductTransit(message, transit_delay_.Arrived(BootClockNow(), CallingProcess(message.attempt),
                                                   *message.sent_at));
   }
+  if (message.body_follows) {
+    message.request.body_stream = replier.ReceiveBody(message.body_length);
+  }
   ExchangePtr exchange;
   StartAttempt(
       message,
@@ -181,8 +184,12 @@
 
 void TargetTask::StartAttempt(const AttemptMessage& message, Reply reply, ExchangePtr* started) {
   if (!Serves(message.service)) {
-    const ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
-                                                                  : ResultCode::kNoReadyTarget;
+    ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
+                                                            : ResultCode::kNoReadyTarget;
+    if (message.body_follows) {
+      // kNoReadyTarget is how a daemon of the version before refuses every upload.
+      code = ResultCode::kTargetUnreachable;
+    }
     reply({Refusal{code, false}, Load()}, nullptr);
     return;
   }
