--- a/src/json_document.cc
+++ b/src/json_document.cc
@@ -149,6 +149,23 @@
   return false;
 }
 
+bool HasMoreSeparators(std::string_view text, size_t most) {
+  size_t count = 0;
+  bool in_string = false;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      i += c == '\\' ? 1 : 0;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{' || c == ',' || c == ':') {
+      ++count;
+    }
+  }
+  return count > most;
+}
+
 Json ReadJsonDocument(std::string_view text, std::vector<Problem>& problems) {
   DocumentValidator validator(problems);
   Json::sax_parse(text, &validator);
--- a/src/json_document.h
+++ b/src/json_document.h
@@ -26,6 +26,11 @@
 /// before it is parsed.
 bool IsNestedTooDeeply(std::string_view text);
 
+/// Whether the text has more than this number of array and object openings, commas and colons
+/// outside strings, which bounds the number of its values. A parsed value takes up to some hundred
+/// bytes, many times its text.
+bool HasMoreSeparators(std::string_view text, size_t most);
+
 /// Parses a document and appends every duplicate key to `problems`; the last value of such a key
 /// wins. Throws UserError with kDocumentSyntax if the text is not JSON in UTF-8 or is nested deeper
 /// than 16 levels.
--- a/test/failure/process_client_limits_test.cc
+++ b/test/failure/process_client_limits_test.cc
@@ -188,6 +188,21 @@
 CLIENT_LIMIT_TEST(IdleConnections, kIdleClients, ClientScript());
 CLIENT_LIMIT_TEST(ResponsesNeverRead, kSilentReaders, NeverReads(port));
 
+// Guards against a document of legal size whose small values take many times its size once parsed.
+TEST(ProcessClientLimits, OperatorsDocumentOfManySmallValues) {
+  CHECK(pair.Start());
+  const Port port = Operators();
+  std::string body = R"({"version":"00000002","baseVersion":"00000001","resources":[)";
+  while (body.size() < (size_t{7} << 20U)) {
+    body += "[],[],[],[],[],[],[],[],";
+  }
+  body += "[]]}";
+  ClientScript script;
+  script.start =
+      Head(port.upload, "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n") + body;
+  RequireServes(port, 1, script);
+}
+
 // A response of more than a megabyte, which the kernel's buffers do not take in whole.
 TEST(ProcessClientLimits, OperatorsLargeResponsesNeverRead) {
   CHECK(pair.Start());
--- a/test/platform/operator_document_test.cc
+++ b/test/platform/operator_document_test.cc
@@ -96,6 +96,22 @@
   CHECK_FALSE(compiled->tenants()->FindByKey("key-three")->quota.limited());
 }
 
+TEST(OperatorDocumentDecoding, RejectsADocumentWithTooManyValuesBeforeItIsParsed) {
+  std::string body = Body().dump();
+  body.pop_back();
+  body += R"(,"more":["[,:{\"",)";
+  for (int count = 0; count < 500'000; ++count) {
+    body += "[],";
+  }
+  const std::string end = "[]]}";
+  try {
+    DecodeOperatorDocument(body + end);
+    FAIL("the document was accepted");
+  } catch (const UserError& error) {
+    STRCMP_CONTAINS("has too many values", error.what());
+  }
+}
+
 TEST(OperatorDocumentDecoding, ReturnsTheSubmittedDocument) {
   const OperatorDocument document = DecodeOperatorDocument(Body().dump());
   ConfigStore store;
