Test the settings "ingress"; reserve vectors in the budget's tests

Ruled out: nothing; no product code changes. Change: a test that each key of "ingress" is read and that zero and unknown keys are refused.

--- a/test/correctness/ingress_budget_test.cc
+++ b/test/correctness/ingress_budget_test.cc
@@ -124,6 +124,7 @@
 
 TEST(IngressBudget, NewConnectionTakesThePlaceOfTheOneWithoutARequest) {
   std::vector<HolderId> holders;
+  holders.reserve(10);
   for (int index = 0; index < 10; ++index) {
     holders.push_back(Open(index < 5 ? "a" : "b", kStart + std::chrono::milliseconds(index)));
   }
@@ -148,6 +149,7 @@
 TEST(IngressBudget, AnAddressLosesOnlyItsOwnConnections) {
   const HolderId other = Open("b");
   std::vector<HolderId> crowd;
+  crowd.reserve(8);
   for (int index = 0; index < 8; ++index) {
     crowd.push_back(Open("a", kStart + std::chrono::milliseconds(index)));
   }
@@ -159,6 +161,7 @@
 
 TEST(IngressBudget, PartlyReadRequestsAreLimitedInAllAndPerAddress) {
   std::vector<HolderId> holders;
+  holders.reserve(10);
   for (int index = 0; index < 5; ++index) {
     const TimePoint now = kStart + std::chrono::milliseconds(index);
     holders.push_back(Open("a", now));
@@ -213,8 +216,8 @@
   LONGS_EQUAL(250, FitToDescriptors(IngressLimits(), 1000).connections_per_address);
 }
 
-// Random sequences of events: the counts match what the connections hold, and after each
-// enforcement the limits hold or nothing is left that may be refused.
+// Random sequences of events: the counts match what the connections hold, and the limits on
+// connections and on partly read requests hold after each.
 TEST(IngressBudget, CountsMatchAndLimitsHoldInRandomSequences) {
   constexpr std::array kPhases = {Phase::kIdle, Phase::kReading, Phase::kRunning, Phase::kSending};
   SeededRandom random(5);
@@ -250,11 +253,9 @@
       }
     }
     uint64_t bytes = 0;
-    uint64_t running = 0;
     size_t partial = 0;
     for (const auto& [id, state] : held) {
       bytes += state.first;
-      running += state.second == Phase::kRunning ? state.first : 0;
       partial += state.second == Phase::kReading ? 1 : 0;
     }
     LONGS_EQUAL(bytes, budget.bytes());
--- a/test/error/settings_test.cc
+++ b/test/error/settings_test.cc
@@ -162,6 +162,32 @@
   CHECK(settings.common.discovery->bootstrap);
 }
 
+TEST(ControlSettings, IngressLimitsAreReadAndUnknownOnesRejected) {
+  nlohmann::json settings = DiscoverySettings();
+  settings["ingress"] = {{"bytes", 2097152},
+                         {"connections", 100},
+                         {"connections_per_address", 50},
+                         {"partial_requests", 40},
+                         {"partial_requests_per_address", 30},
+                         {"reserved_descriptors", 20},
+                         {"header_timeout", "3s"},
+                         {"body_bytes_per_second", 10}};
+  const endivecleat::IngressLimits limits =
+      ParseControlSettings(settings.dump(), folder.string()).common.ingress;
+  LONGS_EQUAL(2097152, limits.bytes.value());
+  LONGS_EQUAL(100, limits.connections);
+  LONGS_EQUAL(50, limits.connections_per_address);
+  LONGS_EQUAL(40, limits.partial_requests);
+  LONGS_EQUAL(30, limits.partial_requests_per_address);
+  LONGS_EQUAL(20, limits.reserved_descriptors);
+  CHECK(limits.header_timeout == std::chrono::seconds(3));
+  LONGS_EQUAL(10, limits.body_bytes_per_second);
+  settings["ingress"]["connections"] = 0;
+  CHECK(ReportsProblemAt(settings, "/ingress/connections"));
+  settings["ingress"] = {{"byte", 1}};
+  CHECK(ReportsProblemAt(settings, "/ingress/byte"));
+}
+
 TEST(ControlSettings, InvalidDiscoveryIsRejected) {
   nlohmann::json settings = DiscoverySettings();
   settings["discovery"]["seeds"] = nlohmann::json::array();
