--- a/src/control_process.h
+++ b/src/control_process.h
@@ -11,6 +11,7 @@
 #include "config_source.h"
 #include "crash_relay.h"
 #include "event_loop.h"
+#include "ingress_budget.h"
 #include "mesh_node.h"
 #include "metrics.h"
 #include "operator_service.h"
@@ -31,6 +32,8 @@
   ControlProcess& operator=(const ControlProcess&) = delete;
   ~ControlProcess();
 
+  /// The ingress budget that all client ports of this process share.
+  const std::shared_ptr<IngressBudget>& ingress() const { return ingress_; }
   /// The replicated configuration, for additional operator APIs of this instance.
   ReplicaTask<ConfigState>& config() { return config_; }
   const ReplicaTask<ConfigState>& config() const { return config_; }
@@ -83,6 +86,7 @@
   SummarySchedule summary_schedule_;
   CrashRelay crash_relay_;
   QuotaOwnerTask quota_owner_;
+  std::shared_ptr<IngressBudget> ingress_;
   std::unique_ptr<OperatorService> operators_;
   TimerId timer_;
   std::string logged_role_;  // role, leader and voters in the last log line
--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -95,10 +95,10 @@
   // Flows without requests are kept for their finish times up to this number.
   static constexpr size_t kMaxIdleFlows = 64;
 
-  Flow unnamed_;                         // requests without a tenant
-  Flows flows_;                          // by tenant
-  std::set<Flow*, EarlierStart> ready_;  // the flows_ with requests
-  Duration virtual_time_{};              // start of the request served last
+  Flow unnamed_;                                  // requests without a tenant
+  Flows flows_;                                   // by tenant
+  std::set<Flow*, EarlierStart> ready_;           // the flows_ with requests
+  Duration virtual_time_{};                       // start of the request served last
   TimePoint earliest_expiry_ = TimePoint::max();  // no request expires before
   size_t size_ = 0;
 };
--- a/src/http_codec.cc
+++ b/src/http_codec.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/optional.hpp>
+#include <iterator>
 #include <optional>
 #include <string_view>
 
@@ -23,6 +24,12 @@
 constexpr size_t kMaxPendingBytes = 16384;
 // Interim responses before a final one; a server sends one or two at most.
 constexpr size_t kMaxInterimResponses = 16;
+// Bytes of a chunked body as sent, for each byte of content: chunks of one byte take six. A client
+// that sends more, in extensions of chunks, would keep the parser busy without an end.
+constexpr uint64_t kMaxFramingFactor = 16;
+constexpr uint64_t kFramingAllowance = 64U << 10U;
+// Estimated memory of a header field beside its text, in the parser and in a HeaderList.
+constexpr size_t kFieldOverheadBytes = 128;
 constexpr std::string_view kResponseStart = "HTTP/1.";
 
 template <class Parser>
@@ -111,6 +118,10 @@
   return kResponseStart.starts_with(start);
 }
 
+/// Whether a response may have this status (RFC 9110, section 15). 101 answers an upgrade, which no
+/// request asks for.
+bool IsExpectedStatus(unsigned status) { return status >= 100 && status <= 599 && status != 101; }
+
 /// Feeds the parser and removes the consumed bytes from input.
 template <class Parser>
 boost::beast::error_code FeedParser(Parser& parser, std::string& input) {
@@ -167,7 +178,7 @@
 
 struct RequestReader::Parser : http::request_parser<GrowingBody> {};
 
-RequestReader::RequestReader(MessageLimits limits) : limits_(limits) { ResetParser(); }
+RequestReader::RequestReader(MessageLimits limits) : limits_(limits) { Reset(); }
 
 void RequestReader::ResetParser() {
   parser_ = std::make_unique<Parser>();
@@ -190,7 +201,10 @@
   return length ? std::optional<uint64_t>(*length) : std::nullopt;
 }
 
-std::string RequestReader::TakeBody() { return std::exchange(parser_->get().body(), {}); }
+std::string RequestReader::TakeBody() {
+  content_bytes_ += parser_->get().body().size();
+  return std::exchange(parser_->get().body(), {});
+}
 
 bool RequestReader::streamed_keep_alive() const { return parser_->keep_alive(); }
 
@@ -215,17 +229,57 @@
 
 RequestReader::~RequestReader() = default;
 
+void RequestReader::SetLimits(const MessageLimits& limits) {
+  if (limits == limits_) {
+    return;
+  }
+  limits_ = limits;
+  if (!started_) {
+    ResetParser();
+  }
+}
+
+void RequestReader::Reset() {
+  ResetParser();
+  empty_lines_ = 0;
+  encoded_bytes_ = 0;
+  content_bytes_ = 0;
+  fields_ = 0;
+  started_ = false;
+  header_checked_ = false;
+  expect_continue_ = false;
+}
+
+size_t RequestReader::held_bytes() const {
+  return parser_->get().body().size() + fields_ * kFieldOverheadBytes;
+}
+
+/// Removes empty lines before a request (RFC 9112, section 2.2). Returns false when there are too
+/// many.
+bool RequestReader::SkipEmptyLines(std::string& input) {
+  size_t skipped = 0;
+  while (input.compare(skipped, 2, "\r\n") == 0 && empty_lines_ <= kMaxEmptyLines) {
+    skipped += 2;
+    ++empty_lines_;
+  }
+  input.erase(0, skipped);
+  return empty_lines_ <= kMaxEmptyLines;
+}
+
+bool RequestReader::IsFramingExcessive() const {
+  return parser_->chunked() &&
+         encoded_bytes_ > kMaxFramingFactor * (content_bytes_ + parser_->get().body().size()) +
+                              kFramingAllowance;
+}
+
 ReadStatus RequestReader::Fail(int status) {
   error_status_ = status;
   return ReadStatus::kError;
 }
 
 ReadStatus RequestReader::Feed(std::string& input) {
-  if (!started()) {
-    // RFC 9112, section 2.2: an empty line before a request is ignored.
-    while (input.starts_with("\r\n")) {
-      input.erase(0, 2);
-    }
+  if (!started() && !SkipEmptyLines(input)) {
+    return Fail(400);
   }
   if (input.empty() || (!started() && input == "\r")) {
     return ReadStatus::kNeedMore;
@@ -241,6 +295,8 @@
       return ReadStatus::kNeedMore;
     }
     parser_->eager(true);
+    const auto& fields = parser_->get();
+    fields_ = static_cast<size_t>(std::distance(fields.begin(), fields.end()));
   }
   if (!header_checked_) {
     header_checked_ = true;
@@ -249,7 +305,12 @@
     }
   }
   while (!parser_->is_done() && !input.empty()) {
+    const size_t available = input.size();
     const auto error = FeedParser(*parser_, input);
+    encoded_bytes_ += available - input.size();
+    if (IsFramingExcessive()) {
+      return Fail(400);
+    }
     if (error == http::error::need_more) {
       if (BodyTooLarge()) {
         return Fail(413);
@@ -298,11 +359,7 @@
   auto message = parser_->release();
   HttpRequest request = CopyHead(message);
   request.body = std::move(message.body());
-
-  ResetParser();
-  started_ = false;
-  header_checked_ = false;
-  expect_continue_ = false;
+  Reset();
   return request;
 }
 
@@ -337,11 +394,11 @@
     if (error && error != http::error::need_more) {
       return ReadStatus::kError;
     }
+    const unsigned status = parser_->get().result_int();
+    if (parser_->is_header_done() && !IsExpectedStatus(status)) {
+      return ReadStatus::kError;
+    }
     if (parser_->is_done()) {
-      const unsigned status = parser_->get().result_int();
-      if (status == 101) {
-        return ReadStatus::kError;
-      }
       if (status >= 200) {
         return ReadStatus::kComplete;
       }
--- a/src/http_codec.h
+++ b/src/http_codec.h
@@ -21,6 +21,8 @@
   ByteCount body{4U << 20U};
   ByteCount header{32U << 10U};  // start line and header fields together
   ByteCount streamed_body{0};    // of a request whose body is passed on while it arrives
+
+  bool operator==(const MessageLimits&) const = default;
 };
 
 /// Parses the consecutive requests of one connection.
@@ -39,6 +41,10 @@
   ReadStatus Feed(std::string& input);
   HttpRequest Take();
 
+  /// Sets the limits of the next request; the one being read keeps its own.
+  void SetLimits(const MessageLimits& limits);
+  /// Drops the part of the request that has been read.
+  void Reset();
   /// Without a policy, no body is streamed.
   void SetStreamPolicy(StreamPolicy policy);
   /// Whether the head of the current request has been read and its body is streamed. From then on,
@@ -57,6 +63,12 @@
   bool streamed_keep_alive() const;
   /// Whether any byte of the next request has been consumed.
   bool started() const { return started_; }
+  /// Whether the head of the next request has been read whole.
+  bool header_done() const { return header_checked_; }
+  /// Estimated memory that the part of the request read so far takes.
+  size_t held_bytes() const;
+  /// Whether kError is due to the number of empty lines before a request.
+  bool too_many_empty_lines() const { return empty_lines_ > kMaxEmptyLines; }
   /// Returns true once for a request whose sender waits for "100 Continue" before it sends the
   /// body.
   bool TakeExpectContinue();
@@ -64,8 +76,13 @@
  private:
   struct Parser;
 
+  /// Empty lines accepted before one request. Clients send one at most, after the body of a POST.
+  static constexpr size_t kMaxEmptyLines = 64;
+
   ReadStatus Fail(int status);
   ReadStatus CheckHeader();
+  bool SkipEmptyLines(std::string& input);
+  bool IsFramingExcessive() const;
   ReadStatus CheckBodyPolicy();
   bool BodyTooLarge() const;
   void ResetParser();
@@ -73,6 +90,10 @@
   MessageLimits limits_;
   StreamPolicy stream_policy_;
   std::unique_ptr<Parser> parser_;
+  size_t empty_lines_ = 0;      // before the request
+  uint64_t encoded_bytes_ = 0;  // of the body as sent, with the framing of its chunks
+  size_t fields_ = 0;           // in the head
+  uint64_t content_bytes_ = 0;  // of the body, already taken
   std::unique_ptr<HttpRequest> streamed_head_;
   bool started_ = false;
   bool header_checked_ = false;
@@ -90,7 +111,8 @@
 
   /// Prepares for the response to a request with this method; a response to HEAD has no body.
   void ResetFor(const std::string& method);
-  /// Consumes bytes from the front of input. Interim responses (1xx) are skipped, up to a limit.
+  /// Consumes bytes from the front of input. Interim responses (1xx) are skipped, up to a limit. A
+  /// status outside 100 to 599, or 101, is an error.
   ReadStatus Feed(std::string& input);
   /// Signals that the peer has closed the connection in an orderly way. Returns kComplete for a
   /// response that is delimited by the close, and kError for any other, which is truncated.
--- a/src/http_connection.cc
+++ b/src/http_connection.cc
@@ -27,6 +27,15 @@
 // the number of recorded arrival times.
 constexpr Duration kArrivalInterval = std::chrono::milliseconds(10);
 
+// Reads of 64 KiB per event: beside connections that send without end, an ordinary request is read
+// after at most one such read of each.
+constexpr int kReadsPerEvent = 1;
+// An input buffer that is mostly free is released if it is larger than this.
+constexpr size_t kKeptInputBytes = 4U << 10U;
+// A request that runs is held by the server, and once more by what forwards it.
+constexpr size_t kCopiesOfRunningRequest = 2;
+constexpr size_t kFieldBytes = 128;  // estimated memory of a header field
+
 HttpResponse ErrorResponse(int status) {
   HttpResponse response;
   response.status = status;
@@ -45,6 +54,9 @@
     case 431:
       response.body = "the header exceeds the limit\n";
       break;
+    case 503:
+      response.body = "too much is being received; the request has not run\n";
+      break;
     case 501:
       response.body = "the method or transfer coding is not supported\n";
       break;
@@ -73,10 +85,11 @@
 
 bool ResponseSink::disconnected() const { return exchange_->disconnected; }
 
-HttpServer::Connection::Connection(HttpServer& server, uint64_t id, int descriptor,
-                                   std::string peer_ip)
+HttpServer::Connection::Connection(HttpServer& server, uint64_t id, IngressBudget::HolderId holder,
+                                   int descriptor, std::string peer_ip)
     : server_(server),
       id_(id),
+      holder_(holder),
       descriptor_(descriptor),
       peer_ip_(std::move(peer_ip)),
       reader_(server.limits_.message) {
@@ -112,9 +125,10 @@
 
 void HttpServer::Connection::CheckTimeouts(TimePoint now) {
   const HttpServerLimits& limits = server_.limits_;
-  const bool waits_for_client = MayRead() && !continue_held_;
+  const bool waits_for_client = MayRead() && !ReadingPaused() && !continue_held_;
   if (!waits_for_client) {
     request_started_at_ = now;
+    rate_from_.reset();
   }
   if (lingering_since_) {
     if (now - *lingering_since_ >= kLingerTime) {
@@ -127,15 +141,21 @@
     Close();
   } else if (!output_.empty()) {
     if (now - last_progress_ >= limits.transfer_timeout) {
+      server_.ingress_->CountRefusal(IngressLimit::kUnreadResponse);
+      LogRefusal(IngressLimit::kUnreadResponse);
       Close();
     }
-  } else if (reader_.started() && !body_) {
+  } else if (body_) {
     last_progress_ = now;
-    if (now - request_started_at_ >= limits.transfer_timeout) {
-      AddRejection(408);
-      ProcessRequests();
+    if (WaitsForBody()) {
+      CheckRequestTimeouts(now);
+    } else {
+      rate_from_.reset();
     }
-  } else if (body_ || !pending_.empty()) {
+  } else if (reader_.started()) {
+    last_progress_ = now;
+    CheckRequestTimeouts(now);
+  } else if (!pending_.empty()) {
     last_progress_ = now;
   } else if (now - last_progress_ >= limits.idle_timeout) {
     Close();
@@ -155,7 +175,7 @@
   if (body_) {
     return body_->has_room();
   }
-  if (close_after_response_ || output_.size() > kMaxBufferedOutputBytes) {
+  if (close_after_response_ || input_refused_ || output_.size() > kMaxBufferedOutputBytes) {
     return false;
   }
   if (pending_.empty()) {
@@ -172,6 +192,7 @@
   }
   server_.loop_.Unwatch(watch_);
   close(std::exchange(descriptor_, -1));
+  server_.ingress_->Remove(holder_);
   server_.in_flight_ -= std::exchange(unsent_responses_, 0) + std::exchange(unanswered_, 0);
 }
 
@@ -179,6 +200,7 @@
 void HttpServer::Connection::CancelPending() {
   server_.in_flight_ -= std::exchange(unanswered_, 0);
   pending_bytes_ = 0;
+  pending_charge_ = 0;
   const std::deque<Pending> cancelled = std::exchange(pending_, {});
   for (const Pending& pending : cancelled) {
     if (pending.exchange) {
@@ -213,13 +235,13 @@
 
 void HttpServer::Connection::OnReadable() {
   const size_t before = input_.size();
-  const SocketStatus status = ReadAvailable(descriptor_, input_);
+  const SocketStatus status = ReadAvailable(descriptor_, input_, kReadsPerEvent);
   if (HasEnded(status)) {
     Close();
     return;
   }
   if (lingering_since_) {
-    input_.clear();
+    std::string().swap(input_);
     return;
   }
   RecordArrival(input_.size() - before);
@@ -269,7 +291,11 @@
     }
   }
   processing_ = false;
+  if (input_.capacity() > kKeptInputBytes && input_.size() <= input_.capacity() / 2) {
+    input_.shrink_to_fit();
+  }
   UpdateWatch();
+  UpdateBudget();
 }
 
 /// Delivers the first request if it had to wait for those before it. Returns true if it did.
@@ -286,11 +312,13 @@
 
 /// Returns true when a request or a rejection was added, so that another one may follow.
 bool HttpServer::Connection::ReadRequest() {
-  if (!MayRead()) {
+  if (!MayRead() || ReadingPaused()) {
     return false;
   }
   const bool was_started = reader_.started();
   if (!was_started) {
+    reader_.SetLimits(server_.limits_.message);
+    rate_from_.reset();
     request_begin_ = received_bytes_ - input_.size();
   }
   const ReadStatus status = reader_.Feed(input_);
@@ -307,6 +335,8 @@
     return body_ != nullptr && OnBodyRead(status);
   }
   if (status == ReadStatus::kError) {
+    CountRejection();
+    ReleaseInput();
     AddRejection(reader_.error_status());
     return true;
   }
@@ -321,63 +351,11 @@
   return true;
 }
 
-/// Adds a request whose body is streamed, before any of the body is passed on.
-void HttpServer::Connection::AddStreamed(TimePoint arrived) {
-  ++server_.uploads_.started;
-  body_ = std::make_shared<BodyStream>(reader_.content_length());
-  body_progress_ = server_.loop_.now();
-  body_->SetWriterListener([weak = weak_from_this(), body = std::weak_ptr(body_)] {
-    const auto connection = weak.lock();
-    if (connection && connection->body_ && connection->body_ == body.lock()) {
-      connection->body_progress_ = connection->server_.loop_.now();
-      connection->ProcessRequests();
-    }
-  });
-  HttpRequest request = reader_.streamed_head();
-  request.received_at = arrived;
-  request.body_stream = body_;
-  AddRequest(std::move(request), received_bytes_ - input_.size() - request_begin_,
-             reader_.streamed_keep_alive());
-}
-
-/// Passes on what was read of the body. Returns true at its end, where another request may follow.
-bool HttpServer::Connection::OnBodyRead(ReadStatus status) {
-  const std::string bytes = reader_.TakeBody();
-  if (!bytes.empty()) {
-    body_progress_ = server_.loop_.now();
-  }
-  const std::shared_ptr<BodyStream> body = body_;
-  body->Write(bytes);
-  if (descriptor_ < 0) {
-    return false;
-  }
-  if (status == ReadStatus::kError) {
-    RejectStreamed(reader_.error_status());
-    return true;
-  }
-  if (status == ReadStatus::kComplete) {
-    ++server_.uploads_.completed;
-    reader_.Take();
-    ReleaseBody();
-    continue_held_ = false;
-    body->End();
-    return true;
-  }
-  if (body->dropped() > server_.limits_.discarded_body_bytes) {
-    // The client gets the response, which closes the connection.
-    ReleaseBody();
-    if (pending_.empty()) {
-      close_after_response_ = true;
-    } else {
-      pending_.back().keep_alive = false;
-    }
-  }
-  return false;
-}
-
 /// Ends a request whose body is malformed or too large. It may be running, but callers do not
 /// repeat requests that are rejected for their body.
 void HttpServer::Connection::RejectStreamed(int status) {
+  input_refused_ = true;
+  ReleaseInput();
   ReleaseBody()->Cancel();
   if (pending_.empty() || !pending_.back().exchange || pending_.back().response) {
     close_after_response_ = true;
@@ -393,20 +371,6 @@
   Disconnect(*exchange);
 }
 
-/// Stops receiving the body.
-std::shared_ptr<BodyStream> HttpServer::Connection::ReleaseBody() {
-  if (body_) {
-    body_->SetWriterListener(nullptr);
-    server_.in_flight_ -= std::exchange(body_outlives_response_, false) ? 1 : 0;
-  }
-  return std::exchange(body_, nullptr);
-}
-
-/// Whether the connection waits for the client to send more of a body.
-bool HttpServer::Connection::WaitsForBody() const {
-  return body_ != nullptr && body_->has_room() && !continue_held_;
-}
-
 /// An interim response follows the responses to the requests before it.
 void HttpServer::Connection::SendContinue() {
   continue_held_ = reader_.TakeExpectContinue() || continue_held_;
@@ -433,7 +397,9 @@
       connection->SendResponse(exchange, std::move(response));
     }
   };
+  pending.charge = kCopiesOfRunningRequest * bytes + kFieldBytes * request.headers.size();
   pending_bytes_ += bytes;
+  pending_charge_ += pending.charge;
   ++unanswered_;
   ++server_.in_flight_;
   const bool first = pending_.empty();
@@ -465,6 +431,8 @@
     return;
   }
   found->bytes += response.body.size();
+  found->charge += response.body.size();
+  pending_charge_ += response.body.size();
   pending_bytes_ += response.body.size();
   found->response = std::move(response);
   ProcessRequests();
@@ -478,6 +446,7 @@
     Pending pending = std::move(pending_.front());
     pending_.pop_front();
     pending_bytes_ -= pending.bytes;
+    pending_charge_ -= pending.charge;
     if (pending.exchange) {
       --unanswered_;
       ++unsent_responses_;
@@ -509,6 +478,7 @@
 
 /// Adds an error response behind the requests that were read; the connection closes after it.
 void HttpServer::Connection::AddRejection(int status) {
+  input_refused_ = true;
   Pending rejected;
   rejected.response = ErrorResponse(status);
   pending_.push_back(std::move(rejected));
@@ -530,6 +500,7 @@
   }
   if (output_.size() != before) {
     last_progress_ = server_.loop_.now();
+    written_bytes_ += before - output_.size();
   }
   if (status == SocketStatus::kBlocked) {
     return false;
@@ -545,7 +516,7 @@
 void HttpServer::Connection::StartLingeringClose() {
   shutdown(descriptor_, SHUT_WR);
   lingering_since_ = server_.loop_.now();
-  input_.clear();
+  ReleaseInput();
 }
 
 void HttpServer::Connection::UpdateWatch() {
@@ -554,7 +525,7 @@
   }
   uint32_t wanted = EPOLLRDHUP;
   const size_t max_input = body_ ? kMaxBufferedBodyInputBytes : kMaxBufferedInputBytes;
-  if (lingering_since_ || input_.size() < max_input) {
+  if (lingering_since_ || (!input_refused_ && input_.size() < max_input)) {
     wanted |= EPOLLIN;
   }
   if (!output_.empty()) {
