--- a/test/correctness/upload_test.cc
+++ b/test/correctness/upload_test.cc
@@ -96,15 +96,15 @@
   bool disconnected = false;
   std::vector<std::string> small_bodies;
   HttpServer server{loop, kAnyLocalPort, Limits(),
-                    [this](HttpRequest request, const ResponseSink& sink) {
-                      OnCallerRequest(std::move(request), sink);
+                    [this](const HttpRequest& request, const ResponseSink& sink) {
+                      OnCallerRequest(request, sink);
                     }};
 
   void setup() override {
     server.StreamBodies([](const HttpRequest& request) { return request.path.starts_with("/up"); });
   }
 
-  void OnCallerRequest(HttpRequest request, const ResponseSink& sink) {
+  void OnCallerRequest(const HttpRequest& request, const ResponseSink& sink) {
     if (!request.body_stream) {
       small_bodies.push_back(request.body);
       sink.Send({200, {}, "small"});
