--- a/test/unequal_targets_simulation.cc
+++ b/test/unequal_targets_simulation.cc
@@ -192,7 +192,7 @@
       });
       continue;
     }
-    const auto work = static_cast<double>(kWorkMs / 2) +
+    const auto work = static_cast<double>(kWorkMs) / 2 +
                       static_cast<double>(random_.Below(1000)) * kWorkMs / 1000;
     targets_[target]->running[decision.number] = {work, id};
   }
