--- a/test/performance/quota_benchmark.cc
+++ b/test/performance/quota_benchmark.cc
@@ -13,7 +13,6 @@
 #include "tenant_identity.h"
 
 using endivecleat::HeaderList;
-using endivecleat::Tenant;
 using endivecleat::TenantName;
 using endivecleat::TenantQuota;
 using endivecleat::TenantTable;
