Split CallerTask by quota and response

Change: the request's state, quota tokens, and responses with their logs and metrics move to files of their own; no behaviour changes.

--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -8,6 +8,7 @@
 
 #include "admission.h"
 #include "attempt_tracker.h"
+#include "caller_exchange.h"
 #include "candidate_subset.h"
 #include "errors.h"
 #include "log.h"
@@ -19,7 +20,6 @@
 namespace endivecleat {
 namespace {
 
-constexpr char kResultHeader[] = "endivecleat-result";
 constexpr char kKeyHeader[] = "idempotency-key";
 constexpr size_t kMaxKeyBytes = 255;
 // Added to the network timeout of an attempt, so that Call, and not the network, decides what
@@ -31,23 +31,8 @@
 constexpr uint64_t kMaxOffers = 3;
 // The rest of the shared burst is reserved for daemons that this one has not discovered yet.
 constexpr double kBurstPercentUsed = 80;
-// With no backlog, the caller may retry almost at once and reach another target.
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
-// A backlog rarely clears before the running requests end.
-constexpr Duration kMinBacklogRetryAfter = std::chrono::milliseconds(250);
-// A daemon has its configuration 0.3 s after its start and discovers targets soon after.
-constexpr Duration kRecoveryRetryAfter = std::chrono::milliseconds(500);
-constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // Objective for the choice of a target once most or all of the route's objective has passed.
 constexpr Duration kMinObjective = std::chrono::milliseconds(50);
-constexpr size_t kSuccessSampleInterval = 64;  // logs one in 64 successful calls
-
-// Seconds with three decimals, for the retry-after header.
-std::string FormatSeconds(Duration duration) {
-  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  const std::string fraction = std::to_string(1000 + milliseconds % 1000).substr(1);
-  return std::to_string(milliseconds / 1000) + "." + fraction;
-}
 
 std::string HostWithoutPort(const HeaderList& headers) {
   std::string host = headers.ValueOr("host", "");
@@ -99,33 +84,6 @@
 
 }  // namespace
 
-struct CallerTask::Exchange {
-  Exchange(HttpRequest incoming, ResponseSink response_sink, TraceSpan call_span)
-      : request(std::move(incoming)), sink(std::move(response_sink)), span(std::move(call_span)) {}
-
-  RequestNumber number;
-  std::string request_id;  // from the caller's header; empty without one
-  HttpRequest request;
-  ResponseSink sink;
-  TraceSpan span;
-  std::shared_ptr<const CompiledConfiguration> configuration;
-  const CompiledRoute* route = nullptr;
-  const Tenant* tenant = nullptr;  // null on open routes and without tenants
-  const CompiledService* service = nullptr;
-  ServiceState* state = nullptr;
-  CallRequest call_request;
-  Fingerprint fingerprint;
-  std::unique_ptr<Call> call;
-  std::optional<bool> new_version;                   // chosen by the share of a rollout
-  std::optional<AttemptTracker> attempts;            // set with `call`
-  std::map<AttemptId, PeerRequestId> peer_requests;  // of attempts to other instances
-  TimePoint started;
-  std::optional<TimerId> timer;
-  std::optional<QuotaToken> token;  // returned if no target ran the request
-  bool may_have_run = false;        // at some target
-  Duration quota_retry_after{};     // with kQuotaExceeded
-};
-
 CallerTask::CallerTask(DaemonContext& context, TargetTask& target)
     : context_(context),
       target_(target),
@@ -241,52 +199,6 @@
   }
 }
 
-bool CallerTask::TakeQuota(const std::shared_ptr<Exchange>& exchange) {
-  if (context_.quota == nullptr || exchange->tenant == nullptr) {
-    return true;
-  }
-  const QuotaAnswer answer = context_.quota->Take(
-      *exchange->tenant, exchange->number, exchange->call_request.deadline,
-      [this, exchange](const QuotaAnswer& late_answer) { OnQuotaAnswer(exchange, late_answer); });
-  if (answer.verdict == QuotaVerdict::kWait) {
-    waiting_[exchange->number] = exchange;
-    exchange->sink.OnDisconnect([this, weak = std::weak_ptr<Exchange>(exchange)] {
-      if (const auto waiting = weak.lock()) {
-        StopWaiting(waiting);
-      }
-    });
-    return false;
-  }
-  if (answer.verdict == QuotaVerdict::kRefused) {
-    OnQuotaAnswer(exchange, answer);
-    return false;
-  }
-  exchange->token = answer.token;
-  return true;
-}
-
-void CallerTask::OnQuotaAnswer(const std::shared_ptr<Exchange>& exchange,
-                               const QuotaAnswer& answer) {
-  waiting_.erase(exchange->number);
-  if (answer.verdict == QuotaVerdict::kGranted) {
-    exchange->token = answer.token;
-    StartCall(exchange);
-    return;
-  }
-  context_.call_registry.RemoveOutgoing(exchange->number);
-  exchange->quota_retry_after = answer.retry_after;
-  Respond(*exchange, ResultCode::kQuotaExceeded, nullptr);
-}
-
-// The caller has gone, or the call is cancelled.
-void CallerTask::StopWaiting(const std::shared_ptr<Exchange>& exchange) {
-  if (waiting_.erase(exchange->number) > 0) {
-    context_.quota->Forget(*exchange->tenant, exchange->number);
-    context_.call_registry.RemoveOutgoing(exchange->number);
-    Respond(*exchange, ResultCode::kCancelled, nullptr);
-  }
-}
-
 void CallerTask::StartCall(const std::shared_ptr<Exchange>& exchange) {
   exchanges_[exchange->number] = exchange;
   exchange->sink.OnDisconnect([this, weak = std::weak_ptr<Exchange>(exchange)] {
@@ -769,106 +681,6 @@
   exchanges_.erase(exchange->number);
 }
 
-void CallerTask::Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer) {
-  RecordResult(exchange, code);
-  LogCall(exchange, code, answer);
-  if (code != ResultCode::kOk || answer == nullptr) {
-    exchange.sink.Send(ErrorResponse(code, "", RetryAfter(exchange, code)));
-    if (exchange.request.body_stream) {
-      exchange.request.body_stream->Cancel();
-    }
-    return;
-  }
-  HttpResponse response;
-  response.status = answer->status;
-  for (const auto& [name, value] : answer->headers) {
-    response.headers.Add(name, value);
-  }
-  RemoveHopByHopHeaders(response.headers);
-  if (context_.settings.headers.diagnostics) {
-    response.headers.Set(kResultHeader, "0");
-  }
-  if (answer->replayed) {
-    response.headers.Set("endivecleat-replayed", "true");
-  }
-  response.body = answer->body;
-  exchange.sink.Send(std::move(response));
-}
-
-// Estimates when the request can be served. Without a target or a configuration: the usual recovery
-// time. With all slots taken: when the backlog of the least loaded target is done, by the waits
-// that refusals of such requests reported. With free slots: almost at once, since only some targets
-// refuse. A random jitter of up to the same time prevents callers that were refused together from
-// retrying together.
-Duration CallerTask::RetryAfter(const Exchange& exchange, ResultCode code) {
-  Duration least = kRecoveryRetryAfter;
-  if (code == ResultCode::kQuotaExceeded) {
-    least = exchange.quota_retry_after;
-  }
-  if (code == ResultCode::kOverloaded && exchange.state != nullptr) {
-    const std::optional<Duration> reported = exchange.state->balancer.wait_reports().Shortest(
-        context_.loop.now(), PriorityOf(exchange), TenantOf(exchange));
-    const Duration wait =
-        std::max(exchange.state->balancer.ExpectedWait(), reported.value_or(Duration{}));
-    least = wait == Duration{} ? kMinRetryAfter
-                               : std::clamp(wait, kMinBacklogRetryAfter, kMaxRetryAfter);
-  }
-  return least + Duration(random_.Below(static_cast<uint64_t>(least.count())));
-}
-
-// Logs every failure and a sample of the successes. The sample depends on the request id only, so
-// all processes log the same calls.
-void CallerTask::LogCall(const Exchange& exchange, ResultCode code,
-                         const TargetAnswer* answer) const {
-  const bool failed = code != ResultCode::kOk || answer == nullptr || answer->status >= 500;
-  const bool sampled = std::hash<std::string>()(exchange.request_id) % kSuccessSampleInterval == 0;
-  if (!failed && !sampled) {
-    return;
-  }
-  const Duration taken = context_.loop.now() - exchange.started;
-  LogFields fields = {
-      {"request", exchange.request_id},
-      {"result", std::string(Describe(code).name)},
-      {"status",
-       static_cast<int64_t>(answer == nullptr ? Describe(code).http_status : answer->status)},
-      {"route", exchange.route == nullptr ? "" : exchange.route->name.value()},
-      {"priority", exchange.route == nullptr ? 0 : exchange.route->policy.priority.value()},
-      {"service", exchange.service == nullptr ? "" : exchange.service->name.value()},
-      {"version", exchange.configuration ? exchange.configuration->version().value() : 0},
-      {"attempts", exchange.call ? exchange.call->attempts() : 0},
-      {"taken_ms", static_cast<int64_t>(taken.count() / 1000)}};
-  if (exchange.state != nullptr) {
-    fields.emplace_back(
-        "expected_wait_ms",
-        static_cast<int64_t>(exchange.state->balancer.ExpectedWait().count() / 1000));
-    fields.emplace_back("retry_tokens", exchange.state->budget.tokens());
-    fields.emplace_back("candidates", static_cast<uint64_t>(exchange.state->balancer.size()));
-  }
-  if (exchange.attempts && exchange.attempts->latest_instance()) {
-    fields.emplace_back("last_daemon", exchange.attempts->latest_instance()->value());
-  }
-  Log(failed ? LogLevel::kWarning : LogLevel::kInfo, failed ? "call_failed" : "call", fields);
-}
-
-void CallerTask::RecordResult(const Exchange& exchange, ResultCode code) {
-  const ServiceName service = exchange.service == nullptr ? ServiceName() : exchange.service->name;
-  ServiceMetrics& metrics = metrics_[service];
-  if (metrics.latency == nullptr) {
-    metrics.latency = &context_.metrics.DurationHistogram(
-        "endivecleat_call_seconds", "Time from receiving a call to responding",
-        {{"service", service.value()}});
-  }
-  prometheus::Counter*& calls = metrics.calls[code];
-  if (calls == nullptr) {
-    calls = &context_.metrics.Counter(
-        "endivecleat_calls_total", "Calls by service and result",
-        {{"service", service.value()}, {"result", std::string(Describe(code).name)}});
-  }
-  calls->Increment();
-  const Duration taken = context_.loop.now() - exchange.started;
-  metrics.latency->Observe(std::chrono::duration<double>(taken).count());
-}
-
 void CallerTask::ArmTimer(const std::shared_ptr<Exchange>& exchange) {
   if (exchange->timer) {
     context_.loop.Cancel(*exchange->timer);
@@ -886,21 +698,4 @@
   });
 }
 
-HttpResponse ErrorResponse(ResultCode code, const std::string& detail, Duration retry_after) {
-  const ResultCodeInfo& info = Describe(code);
-  HttpResponse response;
-  response.status =
-      info.http_status == 0 ? Describe(ResultCode::kInternal).http_status : info.http_status;
-  response.headers.Add("content-type", "application/json");
-  response.headers.Add(kResultHeader, std::to_string(static_cast<int>(code)));
-  if (response.status == 503 || response.status == 429) {
-    response.headers.Add("retry-after", FormatSeconds(retry_after));
-  }
-  response.body = nlohmann::json{{"code", static_cast<int>(code)},
-                                 {"name", info.name},
-                                 {"message", detail.empty() ? std::string(info.meaning) : detail}}
-                      .dump();
-  return response;
-}
-
 }  // namespace endivecleat
