--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -76,6 +76,8 @@
 constexpr Duration kSlowRefusal = std::chrono::milliseconds(25);
 // Standard deviations that count as the error of a ratio of reported loads.
 constexpr double kLoadErrorDeviations = 2;
+// Above this share of offers without a free slot, the targets of the other region count as full.
+constexpr double kFullRegionShare = 0.9;
 constexpr Duration kOffersLifetime = std::chrono::seconds(5);
 // Candidates of a locality that are compared for one choice. All daemons hold the same reports,
 // which are seconds old: if each took the best of all, they would all choose the same target until
@@ -314,6 +316,17 @@
   estimate.updated_at = now;
 }
 
+// The target's daemon sees all of its answers, this one only a few of them.
+void Balancer::SetServiceTime(TimePoint now, Target& target, Duration objective,
+                              Duration service_time) {
+  service_times_.Add(objective, service_time);
+  const bool crosses_regions = target.candidate.locality == Locality::kOtherRegion;
+  target.service_times[objective] = {
+      .average = service_time + (crosses_regions ? kOtherRegionRoundTrip : Duration{}),
+      .samples = kMaxServiceSamples,
+      .updated_at = now};
+}
+
 double Balancer::Busy(const Target& target) {
   return static_cast<double>(std::max(target.candidate.load.busy, target.in_flight));
 }
@@ -342,6 +355,32 @@
   return Duration(static_cast<Duration::rep>(wait));
 }
 
+bool Balancer::HasRoom(TimePoint now, Priority priority, const TenantName& tenant) const {
+  size_t reports = 0;
+  size_t others = 0;
+  const bool other_region_is_full = now - other_region_.updated_at < kOffersLifetime &&
+                                    other_region_.full_share >= kFullRegionShare;
+  for (const auto& [instance, target] : targets_) {
+    if (!target.present || IsUnreachable(now, target)) {
+      continue;
+    }
+    const auto wait = wait_reports_.TimeUntilRoom(now, instance, priority, tenant);
+    if (wait == Duration{}) {
+      return true;
+    }
+    // Only the own data centre's targets report their load by gossip; those of the other region are
+    // judged by the offers made there.
+    const bool seems_full = IsInOtherRegion(target.candidate)
+                                ? other_region_is_full
+                                : Busy(target) >= static_cast<double>(target.candidate.load.slots);
+    if (!wait && !seems_full) {
+      return true;
+    }
+    ++(wait ? reports : others);
+  }
+  return reports < WaitReports::kMinReports && (others > 0 || reports == 0);
+}
+
 void Balancer::Sent(const InstanceId& instance) { ++targets_[instance].in_flight; }
 
 void Balancer::Finished(TimePoint now, const InstanceId& instance, AttemptResult result,
@@ -362,8 +401,10 @@
   // A cancelled attempt would have taken longer still.
   const bool cancelled = result == AttemptResult::kCancelled;
   const bool answered = result == AttemptResult::kAnswered;
-  if (taken && (answered || (cancelled && static_cast<double>(taken->count()) >
-                                              ServiceTime(now, target, objective)))) {
+  if (load && load->service_time > Duration{}) {
+    SetServiceTime(now, target, objective, load->service_time);
+  } else if (taken && (answered || (cancelled && static_cast<double>(taken->count()) >
+                                                     ServiceTime(now, target, objective)))) {
     AddServiceTime(now, target, objective, *taken);
   }
   const bool error = result == AttemptResult::kErrorStatus;
--- a/src/call_message.cc
+++ b/src/call_message.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr uint64_t kAttemptFormatVersion = 2;
-constexpr uint64_t kReplyFormatVersion = 2;
 constexpr uint64_t kMaxStatus = 999;
 constexpr uint64_t kMaxResultCode = 999;
 // Internal header field: the objective and the longest wait in microseconds, separated by a space;
@@ -20,6 +19,17 @@
 constexpr char kOfferHeader[] = "endivecleat-offer";
 // Internal header field: the sender's boot clock in microseconds.
 constexpr char kSentHeader[] = "endivecleat-sent";
+// Internal header field: the version of a rollout for which the target was chosen.
+constexpr char kVersionHeader[] = "endivecleat-version";
+// Internal header field: the length of a body that follows, or empty if it is not known.
+constexpr char kBodyHeader[] = "endivecleat-body";
+// Precedes the service of an attempt whose body follows. No service has such a name, so a daemon
+// that does not know uploads refuses the attempt as one for another service.
+constexpr std::string_view kUploadPrefix = "+upload ";
+// Internal header fields: the name of the tenant, and the newest format of a reply that the sender
+// understands. Without the latter, the sender is of the release before.
+constexpr char kTenantHeader[] = "endivecleat-tenant";
+constexpr char kReplyHeader[] = "endivecleat-reply";
 constexpr Duration kMaxOfferDuration = std::chrono::hours(24);
 constexpr Duration kMaxUptime = std::chrono::years(100);
 
@@ -41,12 +51,33 @@
   }
 }
 
-void WriteRequest(ByteWriter& writer, HttpRequest request, const std::string& offer,
-                  const std::optional<TimePoint>& sent_at) {
+/// The request with the internal header fields. A caller's own field of such a name is removed.
+HttpRequest WithInternalHeaders(const AttemptMessage& message, const std::string& offer) {
+  HttpRequest request = message.request;
   request.headers.Set(kOfferHeader, offer);
-  if (sent_at) {
-    request.headers.Set(kSentHeader, std::to_string(sent_at->time_since_epoch().count()));
+  request.headers.Remove(kVersionHeader);
+  if (!message.target_version.empty()) {
+    request.headers.Add(kVersionHeader, message.target_version.value());
   }
+  if (message.body_follows) {
+    request.headers.Set(kBodyHeader,
+                        message.body_length ? std::to_string(*message.body_length) : "");
+  }
+  if (message.sent_at) {
+    request.headers.Set(kSentHeader, std::to_string(message.sent_at->time_since_epoch().count()));
+  }
+  request.headers.Remove(kTenantHeader);
+  if (!message.tenant.empty()) {
+    request.headers.Add(kTenantHeader, message.tenant.value());
+  }
+  request.headers.Remove(kReplyHeader);
+  if (message.reply_format > kMinReplyFormat) {
+    request.headers.Add(kReplyHeader, std::to_string(message.reply_format));
+  }
+  return request;
+}
+
+void WriteRequest(ByteWriter& writer, const HttpRequest& request) {
   writer.WriteString(request.method);
   writer.WriteString(request.path);
   writer.WriteString(request.query);
@@ -132,6 +163,42 @@
   }
 }
 
+void TakeBodyLength(AttemptMessage& message) {
+  const std::string text = message.request.headers.ValueOr(kBodyHeader, "");
+  message.request.headers.Remove(kBodyHeader);
+  if (!message.body_follows || text.empty()) {
+    return;
+  }
+  uint64_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    throw UserError(ResultCode::kMessageMalformed, "invalid length of a body in an attempt");
+  }
+  message.body_length = length;
+}
+
+/// A newer sender understands the formats of this release too.
+void TakeTenantAndReplyFormat(AttemptMessage& message) {
+  HeaderList& headers = message.request.headers;
+  message.tenant = TenantName(headers.ValueOr(kTenantHeader, ""));
+  headers.Remove(kTenantHeader);
+  const std::string format = headers.ValueOr(kReplyHeader, "");
+  message.reply_format = format.empty() || format == std::to_string(kMinReplyFormat)
+                             ? kMinReplyFormat
+                             : kMaxReplyFormat;
+  headers.Remove(kReplyHeader);
+}
+
+Duration ReadDuration(ByteReader& reader) {
+  const auto longest = static_cast<uint64_t>(kMaxOfferDuration.count());
+  return Duration(static_cast<Duration::rep>(reader.ReadVarintUpTo(longest)));
+}
+
+void WriteDuration(ByteWriter& writer, Duration duration) {
+  writer.WriteVarint(
+      static_cast<uint64_t>(std::clamp(duration, Duration{}, kMaxOfferDuration).count()));
+}
+
 /// Moves the internal header field into the message.
 void TakeOffer(AttemptMessage& message) {
   const std::string text = message.request.headers.ValueOr(kOfferHeader, "");
@@ -151,7 +218,8 @@
 std::string EncodeAttempt(const AttemptMessage& message) {
   ByteWriter writer;
   writer.WriteVarint(kAttemptFormatVersion);
-  writer.WriteString(message.service.value());
+  writer.WriteString((message.body_follows ? std::string(kUploadPrefix) : std::string()) +
+                     message.service.value());
   writer.WriteVarint(static_cast<uint64_t>(message.kind));
   writer.WriteString(message.key.value());
   writer.WriteString(message.digest);
@@ -161,7 +229,7 @@
   writer.WriteVarint(message.priority.value());
   writer.WriteVarint(
       message.objective_left ? static_cast<uint64_t>(message.objective_left->count()) + 1 : 0);
-  WriteRequest(writer, message.request, FormatOffer(message), message.sent_at);
+  WriteRequest(writer, WithInternalHeaders(message, FormatOffer(message)));
   return writer.Take();
 }
 
@@ -169,7 +237,10 @@
   ByteReader reader(bytes);
   AttemptMessage message;
   reader.ExpectVarint(kAttemptFormatVersion);
-  message.service = ServiceName(reader.ReadString());
+  std::string service = reader.ReadString();
+  message.body_follows = service.starts_with(kUploadPrefix);
+  message.service =
+      ServiceName(message.body_follows ? service.substr(kUploadPrefix.size()) : std::move(service));
   message.kind =
       static_cast<CallKind>(reader.ReadVarintUpTo(static_cast<uint64_t>(CallKind::kAtMostOnce)));
   message.key = IdempotencyKey(reader.ReadString());
@@ -186,9 +257,26 @@
   reader.ExpectEnd();
   TakeOffer(message);
   TakeSentAt(message);
+  message.target_version = TargetVersion(message.request.headers.ValueOr(kVersionHeader, ""));
+  message.request.headers.Remove(kVersionHeader);
+  TakeBodyLength(message);
+  TakeTenantAndReplyFormat(message);
   return message;
 }
 
+TargetAnswer ToAnswer(const HttpResponse& response) {
+  TargetAnswer answer;
+  answer.status = response.status;
+  HeaderList headers = response.headers;
+  RemoveHopByHopHeaders(headers);
+  headers.Remove("content-length");
+  for (const Header& header : headers) {
+    answer.headers.emplace_back(header.name, header.value);
+  }
+  answer.body = response.body;
+  return answer;
+}
+
 void DeductTransit(AttemptMessage& message, Duration waited) {
   message.time_left = std::max(message.time_left - waited, Duration{});
   if (message.objective_left) {
@@ -196,11 +284,15 @@
   }
 }
 
-std::string EncodeAttemptReply(const AttemptReply& reply) {
+std::string EncodeAttemptReply(const AttemptReply& reply, uint64_t format) {
   ByteWriter writer;
-  writer.WriteVarint(kReplyFormatVersion);
+  writer.WriteVarint(format);
   writer.WriteVarint(reply.load.busy);
   writer.WriteVarint(reply.load.slots);
+  if (format > kMinReplyFormat) {
+    WriteDuration(writer, reply.load.service_time);
+    WriteDuration(writer, reply.load.time_until_room);
+  }
   writer.WriteVarint(reply.outcome.index());
   if (const auto* answer = std::get_if<TargetAnswer>(&reply.outcome)) {
     WriteAnswer(writer, *answer);
@@ -216,9 +308,16 @@
 AttemptReply DecodeAttemptReply(std::string_view bytes) {
   ByteReader reader(bytes);
   AttemptReply reply;
-  reader.ExpectVarint(kReplyFormatVersion);
+  const uint64_t format = reader.ReadVarintUpTo(kMaxReplyFormat);
+  if (format < kMinReplyFormat) {
+    throw UserError(ResultCode::kMessageMalformed, "unknown format of a reply");
+  }
   reply.load.busy = reader.ReadVarint();
   reply.load.slots = reader.ReadVarint();
+  if (format > kMinReplyFormat) {
+    reply.load.service_time = ReadDuration(reader);
+    reply.load.time_until_room = ReadDuration(reader);
+  }
   if (reader.ReadVarintUpTo(1) == 0) {
     reply.outcome = ReadAnswer(reader);
   } else {
--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -8,16 +8,18 @@
 
 #include "admission.h"
 #include "attempt_tracker.h"
+#include "caller_exchange.h"
 #include "candidate_subset.h"
 #include "errors.h"
 #include "log.h"
+#include "quota_task.h"
 #include "tenant_identity.h"
 #include "wall_clock.h"
+#include "whole_body.h"
 
 namespace endivecleat {
 namespace {
 
-constexpr char kResultHeader[] = "endivecleat-result";
 constexpr char kKeyHeader[] = "idempotency-key";
 constexpr size_t kMaxKeyBytes = 255;
 // Added to the network timeout of an attempt, so that Call, and not the network, decides what
@@ -29,23 +31,8 @@
 constexpr uint64_t kMaxOffers = 3;
 // The rest of the shared burst is reserved for daemons that this one has not discovered yet.
 constexpr double kBurstPercentUsed = 80;
-// With no backlog, the caller may retry almost at once and reach another target.
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
-// A backlog rarely clears before the running requests end.
-constexpr Duration kMinBacklogRetryAfter = std::chrono::milliseconds(250);
-// A daemon has its configuration 0.3 s after its start and discovers targets soon after.
-constexpr Duration kRecoveryRetryAfter = std::chrono::milliseconds(500);
-constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // Objective for the choice of a target once most or all of the route's objective has passed.
 constexpr Duration kMinObjective = std::chrono::milliseconds(50);
-constexpr size_t kSuccessSampleInterval = 64;  // logs one in 64 successful calls
-
-// Seconds with three decimals, for the retry-after header.
-std::string FormatSeconds(Duration duration) {
-  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  const std::string fraction = std::to_string(1000 + milliseconds % 1000).substr(1);
-  return std::to_string(milliseconds / 1000) + "." + fraction;
-}
 
 std::string HostWithoutPort(const HeaderList& headers) {
   std::string host = headers.ValueOr("host", "");
@@ -97,29 +84,6 @@
 
 }  // namespace
 
-struct CallerTask::Exchange {
-  Exchange(HttpRequest incoming, ResponseSink response_sink, TraceSpan call_span)
-      : request(std::move(incoming)), sink(std::move(response_sink)), span(std::move(call_span)) {}
-
-  RequestNumber number;
-  std::string request_id;  // from the caller's header; empty without one
-  HttpRequest request;
-  ResponseSink sink;
-  TraceSpan span;
-  std::shared_ptr<const CompiledConfiguration> configuration;
-  const CompiledRoute* route = nullptr;
-  const Tenant* tenant = nullptr;  // null on open routes and without tenants
-  const CompiledService* service = nullptr;
-  ServiceState* state = nullptr;
-  CallRequest call_request;
-  Fingerprint fingerprint;
-  std::unique_ptr<Call> call;
-  std::optional<AttemptTracker> attempts;            // set with `call`
-  std::map<AttemptId, PeerRequestId> peer_requests;  // of attempts to other instances
-  TimePoint started;
-  std::optional<TimerId> timer;
-};
-
 CallerTask::CallerTask(DaemonContext& context, TargetTask& target)
     : context_(context),
       target_(target),
@@ -144,12 +108,21 @@
   StartOrRefuse(exchange);
 }
 
+const CompiledRoute* CallerTask::FindRoute(const HttpRequest& request) const {
+  return context_.configuration
+             ? context_.configuration->FindRoute(request.method, HostWithoutPort(request.headers),
+                                                 request.path)
+             : nullptr;
+}
+
+// The digest of an at-most-once request needs its whole body.
+bool CallerTask::StreamsBody(const HttpRequest& head) const {
+  const CompiledRoute* route = FindRoute(head);
+  return route != nullptr && route->large_requests && !route->at_most_once;
+}
+
 bool CallerTask::MayRunConcurrently(const HttpRequest& request) const {
-  if (!context_.configuration) {
-    return false;
-  }
-  const CompiledRoute* route = context_.configuration->FindRoute(
-      request.method, HostWithoutPort(request.headers), request.path);
+  const CompiledRoute* route = FindRoute(request);
   return route != nullptr && route->idempotent && !route->large_requests && !route->large_responses;
 }
 
@@ -194,6 +167,9 @@
     Start(exchange);
   } catch (const UserError& error) {
     exchange->sink.Send(ErrorResponse(error.code(), error.what()));
+    if (exchange->request.body_stream) {
+      exchange->request.body_stream->Cancel();
+    }
   }
 }
 
@@ -209,6 +185,21 @@
     context_.call_registry.RemoveOutgoing(exchange->number);
     return;
   }
+  if (!HasRoom(*exchange)) {
+    context_.call_registry.RemoveOutgoing(exchange->number);
+    context_.metrics
+        .Counter("endivecleat_calls_without_room_total",
+                 "Calls refused before they were sent, since no known target would take them")
+        .Increment();
+    Respond(*exchange, ResultCode::kOverloaded, nullptr);
+    return;
+  }
+  if (TakeQuota(exchange)) {
+    StartCall(exchange);
+  }
+}
+
+void CallerTask::StartCall(const std::shared_ptr<Exchange>& exchange) {
   exchanges_[exchange->number] = exchange;
   exchange->sink.OnDisconnect([this, weak = std::weak_ptr<Exchange>(exchange)] {
     if (const auto active = weak.lock(); active && !active->call->finished()) {
@@ -223,6 +214,10 @@
 
 void CallerTask::Cancel(const std::vector<RequestNumber>& calls) {
   for (const RequestNumber number : calls) {
+    const auto waiting = waiting_.find(number);
+    if (waiting != waiting_.end()) {
+      StopWaiting(std::shared_ptr<Exchange>(waiting->second));
+    }
     const auto found = exchanges_.find(number);
     if (found != exchanges_.end()) {
       const std::shared_ptr<Exchange> exchange = found->second;
@@ -242,13 +237,38 @@
     if (found != services_.end()) {
       found->second->budget.SetPercent(service.policy.retry_percent);
       found->second->budget.SetSize(budget_size);
-      found->second->balancer.SetCandidates(context_.loop.now(), CandidatesFor(service, summaries),
-                                            {"*"});
+      RefreshTargets(*found->second, service, summaries);
     }
   }
 }
 
+void CallerTask::RefreshTargets(ServiceState& state, const CompiledService& service,
+                                const std::vector<DataCentreSummary>& summaries) {
+  state.balancer.SetCandidates(context_.loop.now(), CandidatesFor(service, summaries), {"*"});
+  const Rollout* rollout = context_.configuration->FindRollout(service.name);
+  std::vector<VersionedTarget> targets;
+  if (rollout != nullptr) {
+    for (const MemberRecord& member : context_.node.membership().members()) {
+      if (IsUsable(member, service)) {
+        targets.push_back({member.instance, member.target_version, member.boot_time});
+      }
+    }
+  }
+  state.split.Update(rollout, WallNow(), targets);
+}
+
+bool CallerTask::IsUsable(const MemberRecord& member, const CompiledService& service) const {
+  return member.service == service.name && AcceptsRequests(member.state) &&
+         service.AllowsTarget(member.target) && !context_.node.membership().IsSuspect(member);
+}
+
 std::optional<ResultCode> CallerTask::Prepare(Exchange& exchange) {
+  // A request that was held is prepared again, maybe with another configuration, and what it
+  // selected in the one before ends with that one.
+  exchange.route = nullptr;
+  exchange.tenant = nullptr;
+  exchange.service = nullptr;
+  exchange.state = nullptr;
   exchange.configuration = context_.configuration;
   if (!exchange.configuration) {
     return ResultCode::kNoConfiguration;
@@ -367,8 +387,7 @@
     state = std::make_unique<ServiceState>(
         std::hash<std::string>()(context_.run_id) ^ std::hash<ServiceName>()(service.name),
         service.policy.retry_percent, RetryBudgetSize());
-    state->balancer.SetCandidates(
-        context_.loop.now(), CandidatesFor(service, context_.node.membership().summaries()), {"*"});
+    RefreshTargets(*state, service, context_.node.membership().summaries());
   }
   return *state;
 }
@@ -376,18 +395,19 @@
 std::vector<Candidate> CallerTask::CandidatesFor(
     const CompiledService& service, const std::vector<DataCentreSummary>& summaries) const {
   const Location& here = context_.settings.common.location;
+  const Rollout* rollout = context_.configuration->FindRollout(service.name);
   std::vector<LocatedCandidate> candidates;
+  std::vector<LocatedCandidate> new_candidates;  // limited separately, so that both versions remain
   for (const MemberRecord& member : context_.node.membership().members()) {
-    const bool usable = member.service == service.name && AcceptsRequests(member.state) &&
-                        service.AllowsTarget(member.target) &&
-                        !context_.node.membership().IsSuspect(member);
-    if (usable) {
-      candidates.push_back({member.data_centre,
-                            {{member.instance, member.address},
-                             member.target,
-                             LocalityOf(member, here),
-                             LoadOf(member),
-                             member.instance == context_.settings.common.instance}});
+    if (IsUsable(member, service)) {
+      const bool is_new = rollout != nullptr && member.target_version == rollout->version;
+      (is_new ? new_candidates : candidates)
+          .push_back({member.data_centre,
+                      {{member.instance, member.address},
+                       member.target,
+                       LocalityOf(member, here),
+                       LoadOf(member),
+                       member.instance == context_.settings.common.instance}});
     }
   }
   for (const DataCentreSummary& summary : summaries) {
@@ -405,16 +425,48 @@
       }
     }
   }
-  return LimitCandidates(context_.settings.common.instance, candidates);
+  std::vector<Candidate> chosen = LimitCandidates(context_.settings.common.instance, candidates);
+  for (Candidate& candidate : LimitCandidates(context_.settings.common.instance, new_candidates)) {
+    chosen.push_back(std::move(candidate));
+  }
+  return chosen;
+}
+
+// A request that the new version has refused or failed goes to the old one, and never the other way
+// round: the share limits the requests of the new version.
+std::optional<Endpoint> CallerTask::ChooseTarget(Exchange& exchange,
+                                                 const ChooseCandidate& choose) {
+  const TimePoint now = context_.loop.now();
+  const ChoiceTerms terms = TermsOf(exchange, choose.may_wait);
+  ServiceState& state = *exchange.state;
+  if (!state.split.active()) {
+    return state.balancer.Choose(now, choose.tried, terms);
+  }
+  const auto choose_of = [&](bool new_version) {
+    std::vector<InstanceId> excluded = choose.tried;
+    const std::vector<InstanceId>& others = state.split.Excluded(new_version);
+    excluded.insert(excluded.end(), others.begin(), others.end());
+    return state.balancer.Choose(now, excluded, terms);
+  };
+  const bool first = !exchange.new_version.has_value();
+  exchange.new_version = first ? state.split.ChooseNew(random_.Next()) : state.split.only_new();
+  if (*exchange.new_version) {
+    std::optional<Endpoint> endpoint = choose_of(true);
+    if (endpoint || !choose.may_wait) {
+      return endpoint;
+    }
+  }
+  return choose_of(false);
 }
 
 void CallerTask::Execute(const std::shared_ptr<Exchange>& exchange, const CallEffects& effects) {
   for (const CallEffect& effect : effects) {
     if (const auto* choose = std::get_if<ChooseCandidate>(&effect)) {
-      const TimePoint now = context_.loop.now();
-      Execute(exchange, exchange->call->Chosen(
-                            now, exchange->state->balancer.Choose(
-                                     now, choose->tried, TermsOf(*exchange, choose->may_wait))));
+      // A body of which a part was passed on cannot be sent again.
+      const auto& body = exchange->request.body_stream;
+      const std::optional<Endpoint> endpoint =
+          body && body->opened() ? std::nullopt : ChooseTarget(*exchange, *choose);
+      Execute(exchange, exchange->call->Chosen(context_.loop.now(), endpoint));
     } else if (const auto* send = std::get_if<SendAttempt>(&effect)) {
       Send(exchange, *send);
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
@@ -461,6 +513,7 @@
   message.time_left = exchange.call_request.deadline - context_.loop.now();
   const RoutePolicy& route = exchange.route->policy;
   message.priority = PriorityOf(exchange);
+  message.tenant = TenantOf(exchange);
   if (route.objective > Duration{}) {
     const Duration passed = context_.loop.now() - exchange.started;
     message.objective_left = std::max(route.objective - passed, Duration(0));
@@ -468,6 +521,7 @@
   }
   const CallHeaders& names = context_.settings.headers;
   message.request_id = exchange.request_id;
+  message.target_version = exchange.state->split.VersionOf(effect.endpoint.instance);
   message.request = exchange.request;
   RemoveHopByHopHeaders(message.request.headers);
   ReplaceKeyByTenant(exchange.configuration->tenants().get(), exchange.tenant, names.tenant,
@@ -492,7 +546,10 @@
   }
   const Duration timeout = std::max(message.time_left, Duration(0)) + kNetworkGrace;
   message.sent_at = BootClockNow();
-  exchange->peer_requests[effect.attempt] = context_.node.network().Request(
+  const std::shared_ptr<BodyStream> body = message.request.body_stream;
+  message.body_follows = body != nullptr;
+  message.body_length = body ? body->length() : std::nullopt;
+  const PeerRequestId sent = context_.node.network().Request(
       effect.endpoint.address, PeerChannel::kCall, EncodeAttempt(message), timeout,
       [this, exchange, effect](const PeerOutcome& outcome) {
         if (outcome.kind != PeerOutcome::kAnswered) {
@@ -505,21 +562,86 @@
           OnAttemptLost(exchange, effect, true);
         }
       });
+  exchange->peer_requests[effect.attempt] = sent;
+  if (body) {
+    context_.node.network().SendBody(sent, body);
+  }
 }
 
 void CallerTask::OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                          const AttemptReply& reply) {
   const TimePoint now = context_.loop.now();
   const auto* answer = std::get_if<TargetAnswer>(&reply.outcome);
+  const auto* refusal = std::get_if<Refusal>(&reply.outcome);
+  exchange->may_have_run |=
+      refusal == nullptr || refusal->reached_target || !GuaranteesNotRun(refusal->code);
+  ReportWait(*exchange, effect, reply);
   exchange->attempts->Ended(now, effect.attempt, ResultOf(reply), reply.load);
+  if (SendWhole(exchange, effect, reply)) {
+    return;
+  }
   Execute(exchange, answer != nullptr ? exchange->call->Answered(now, effect.attempt, *answer)
                                       : exchange->call->Refused(now, effect.attempt,
                                                                 std::get<Refusal>(reply.outcome)));
 }
 
+// A daemon that knows uploads refuses them with kTargetUnreachable if it lacks the service.
+bool CallerTask::SendWhole(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
+                           const AttemptReply& reply) {
+  const std::shared_ptr<BodyStream> body = exchange->request.body_stream;
+  const auto* refusal = std::get_if<Refusal>(&reply.outcome);
+  const ByteCount limit = exchange->service->policy.body_limit;
+  if (!body || body->opened() || exchange->call->finished() || refusal == nullptr ||
+      refusal->code != ResultCode::kNoReadyTarget || body->length().value_or(0) > limit.value()) {
+    return false;
+  }
+  ReadWholeBody(body, limit, [this, exchange, effect](std::optional<std::string> whole) {
+    // Posted, since the stream may be in use by its writer.
+    context_.loop.Post([this, exchange, effect, whole = std::move(whole)]() mutable {
+      if (exchange->call->finished()) {
+        return;
+      }
+      if (!whole) {
+        Execute(exchange, exchange->call->Refused(context_.loop.now(), effect.attempt,
+                                                  {ResultCode::kBodyTooLarge, false}));
+        return;
+      }
+      exchange->request.body = std::move(*whole);
+      exchange->request.body_stream = nullptr;
+      Send(exchange, effect);
+    });
+  });
+  return true;
+}
+
+void CallerTask::ReportWait(const Exchange& exchange, const SendAttempt& effect,
+                            const AttemptReply& reply) {
+  WaitReports& waits = exchange.state->balancer.wait_reports();
+  const InstanceId& instance = effect.endpoint.instance;
+  const TimePoint now = context_.loop.now();
+  const TenantName tenant = TenantOf(exchange);
+  if (std::holds_alternative<TargetAnswer>(reply.outcome)) {
+    waits.Taken(now, instance, PriorityOf(exchange), tenant);
+  } else if (ResultOf(reply) == AttemptResult::kBusy) {
+    waits.Refused(now, instance, PriorityOf(exchange), tenant, reply.load.time_until_room);
+  }
+}
+
+// A request that must run at most once is always sent: its refusal may have to be recorded.
+bool CallerTask::HasRoom(const Exchange& exchange) const {
+  return exchange.call_request.kind == CallKind::kAtMostOnce ||
+         exchange.state->balancer.HasRoom(context_.loop.now(), PriorityOf(exchange),
+                                          TenantOf(exchange));
+}
+
+TenantName CallerTask::TenantOf(const Exchange& exchange) {
+  return exchange.tenant == nullptr ? TenantName() : exchange.tenant->name;
+}
+
 void CallerTask::OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                                bool was_sent) {
   const TimePoint now = context_.loop.now();
+  exchange->may_have_run |= was_sent;
   exchange->attempts->Ended(now, effect.attempt,
                             was_sent ? AttemptResult::kFailed : AttemptResult::kUnreachable);
   Execute(exchange, was_sent ? exchange->call->LinkBroken(now, effect.attempt)
@@ -528,6 +650,7 @@
 }
 
 void CallerTask::CancelSent(Exchange& exchange, const CancelAttempt& effect) {
+  exchange.may_have_run = true;
   const auto request = exchange.peer_requests.find(effect.attempt);
   if (request != exchange.peer_requests.end()) {
     context_.node.network().Cancel(request->second);
@@ -551,100 +674,13 @@
 
 void CallerTask::Finish(const std::shared_ptr<Exchange>& exchange, const FinishCall& effect) {
   context_.call_registry.RemoveOutgoing(exchange->number);
+  if (exchange->token && !exchange->may_have_run) {
+    context_.quota->Return(*exchange->token);
+  }
   Respond(*exchange, effect.code, effect.answer ? &*effect.answer : nullptr);
   exchanges_.erase(exchange->number);
 }
 
-void CallerTask::Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer) {
-  RecordResult(exchange, code);
-  LogCall(exchange, code, answer);
-  if (code != ResultCode::kOk || answer == nullptr) {
-    exchange.sink.Send(ErrorResponse(code, "", RetryAfter(exchange, code)));
-    return;
-  }
-  HttpResponse response;
-  response.status = answer->status;
-  for (const auto& [name, value] : answer->headers) {
-    response.headers.Add(name, value);
-  }
-  RemoveHopByHopHeaders(response.headers);
-  if (context_.settings.headers.diagnostics) {
-    response.headers.Set(kResultHeader, "0");
-  }
-  if (answer->replayed) {
-    response.headers.Set("endivecleat-replayed", "true");
-  }
-  response.body = answer->body;
-  exchange.sink.Send(std::move(response));
-}
-
-// Estimates when the request can be served. Without a target or a configuration: the usual recovery
-// time. With all slots taken: when the backlog of the least loaded target is done. With free slots:
-// almost at once, since only some targets refuse. A random jitter of up to the same time prevents
-// callers that were refused together from retrying together.
-Duration CallerTask::RetryAfter(const Exchange& exchange, ResultCode code) {
-  Duration least = kRecoveryRetryAfter;
-  if (code == ResultCode::kOverloaded && exchange.state != nullptr) {
-    const Duration wait = exchange.state->balancer.ExpectedWait();
-    least = wait == Duration{} ? kMinRetryAfter
-                               : std::clamp(wait, kMinBacklogRetryAfter, kMaxRetryAfter);
-  }
-  return least + Duration(random_.Below(static_cast<uint64_t>(least.count())));
-}
-
-// Logs every failure and a sample of the successes. The sample depends on the request id only, so
-// all processes log the same calls.
-void CallerTask::LogCall(const Exchange& exchange, ResultCode code,
-                         const TargetAnswer* answer) const {
-  const bool failed = code != ResultCode::kOk || answer == nullptr || answer->status >= 500;
-  const bool sampled = std::hash<std::string>()(exchange.request_id) % kSuccessSampleInterval == 0;
-  if (!failed && !sampled) {
-    return;
-  }
-  const Duration taken = context_.loop.now() - exchange.started;
-  LogFields fields = {
-      {"request", exchange.request_id},
-      {"result", std::string(Describe(code).name)},
-      {"status",
-       static_cast<int64_t>(answer == nullptr ? Describe(code).http_status : answer->status)},
-      {"route", exchange.route == nullptr ? "" : exchange.route->name.value()},
-      {"priority", exchange.route == nullptr ? 0 : exchange.route->policy.priority.value()},
-      {"service", exchange.service == nullptr ? "" : exchange.service->name.value()},
-      {"version", exchange.configuration ? exchange.configuration->version().value() : 0},
-      {"attempts", exchange.call ? exchange.call->attempts() : 0},
-      {"taken_ms", static_cast<int64_t>(taken.count() / 1000)}};
-  if (exchange.state != nullptr) {
-    fields.emplace_back(
-        "expected_wait_ms",
-        static_cast<int64_t>(exchange.state->balancer.ExpectedWait().count() / 1000));
-    fields.emplace_back("retry_tokens", exchange.state->budget.tokens());
-    fields.emplace_back("candidates", static_cast<uint64_t>(exchange.state->balancer.size()));
-  }
-  if (exchange.attempts && exchange.attempts->latest_instance()) {
-    fields.emplace_back("last_daemon", exchange.attempts->latest_instance()->value());
-  }
-  Log(failed ? LogLevel::kWarning : LogLevel::kInfo, failed ? "call_failed" : "call", fields);
-}
-
-void CallerTask::RecordResult(const Exchange& exchange, ResultCode code) {
-  const ServiceName service = exchange.service == nullptr ? ServiceName() : exchange.service->name;
-  ServiceMetrics& metrics = metrics_[service];
-  if (metrics.latency == nullptr) {
-    metrics.latency = &context_.metrics.DurationHistogram(
-        "endivecleat_call_seconds", "Time from receiving a call to responding",
-        {{"service", service.value()}});
-  }
-  prometheus::Counter*& calls = metrics.calls[code];
-  if (calls == nullptr) {
-    calls = &context_.metrics.Counter(
-        "endivecleat_calls_total", "Calls by service and result",
-        {{"service", service.value()}, {"result", std::string(Describe(code).name)}});
-  }
-  calls->Increment();
-  const Duration taken = context_.loop.now() - exchange.started;
-  metrics.latency->Observe(std::chrono::duration<double>(taken).count());
-}
-
 void CallerTask::ArmTimer(const std::shared_ptr<Exchange>& exchange) {
   if (exchange->timer) {
     context_.loop.Cancel(*exchange->timer);
@@ -662,21 +698,4 @@
   });
 }
 
-HttpResponse ErrorResponse(ResultCode code, const std::string& detail, Duration retry_after) {
-  const ResultCodeInfo& info = Describe(code);
-  HttpResponse response;
-  response.status =
-      info.http_status == 0 ? Describe(ResultCode::kInternal).http_status : info.http_status;
-  response.headers.Add("content-type", "application/json");
-  response.headers.Add(kResultHeader, std::to_string(static_cast<int>(code)));
-  if (response.status == 503 || response.status == 429) {
-    response.headers.Add("retry-after", FormatSeconds(retry_after));
-  }
-  response.body = nlohmann::json{{"code", static_cast<int>(code)},
-                                 {"name", info.name},
-                                 {"message", detail.empty() ? std::string(info.meaning) : detail}}
-                      .dump();
-  return response;
-}
-
 }  // namespace endivecleat
--- a/src/caller_task.h
+++ b/src/caller_task.h
@@ -14,7 +14,9 @@
 #include "call_message.h"
 #include "daemon_context.h"
 #include "http_server.h"
+#include "quota_client.h"
 #include "retry_budget.h"
+#include "rollout_split.h"
 #include "split_chooser.h"
 #include "startup_queue.h"
 #include "target_task.h"
@@ -35,6 +37,8 @@
   /// Whether the request may run at the same time as others of its connection: it is idempotent and
   /// has no large body or response.
   bool MayRunConcurrently(const HttpRequest& request) const;
+  /// Whether the body of a request is passed on while it arrives.
+  bool StreamsBody(const HttpRequest& head) const;
   /// Cancels calls because the incoming calls that they were made for were cancelled.
   void Cancel(const std::vector<RequestNumber>& calls);
   /// A configuration version has come into force. Starts the requests that were held for it.
@@ -44,7 +48,7 @@
   /// Requests that arrive from now on are answered by then: their deadline is not later, and those
   /// with less time left than their route's objective are refused.
   void EndBy(TimePoint end) { end_ = end; }
-  size_t in_flight() const { return exchanges_.size() + held_.size(); }
+  size_t in_flight() const { return exchanges_.size() + held_.size() + waiting_.size(); }
 
  private:
   /// Balancer and retry budget of one service.
@@ -53,6 +57,7 @@
         : balancer(seed), budget(retry_percent, budget_size) {}
     Balancer balancer;
     RetryBudget budget;
+    RolloutSplit split;
   };
   /// Cached metrics of one service; a look-up by name and labels would copy all of them.
   struct ServiceMetrics {
@@ -67,15 +72,27 @@
   void StartOrRefuse(const std::shared_ptr<Exchange>& exchange);
   void StartHeld(const std::vector<RequestNumber>& numbers);
   void Start(const std::shared_ptr<Exchange>& exchange);
+  /// Takes a token of the tenant's quota. Returns false if the request waits for one or was
+  /// refused.
+  bool TakeQuota(const std::shared_ptr<Exchange>& exchange);
+  void OnQuotaAnswer(const std::shared_ptr<Exchange>& exchange, const QuotaAnswer& answer);
+  void StopWaiting(const std::shared_ptr<Exchange>& exchange);
+  void StartCall(const std::shared_ptr<Exchange>& exchange);
   /// Updates every service's candidates from the membership and the data centre summaries.
   void RefreshCandidates();
   Duration CallerTimeout(const HttpRequest& request) const;
+  const CompiledRoute* FindRoute(const HttpRequest& request) const;
   std::optional<ResultCode> Prepare(Exchange& exchange);
   std::optional<ResultCode> PrepareAtMostOnce(Exchange& exchange);
   TimePoint ComputeDeadline(Exchange& exchange) const;
   bool EndsBeforeAnswer(const RoutePolicy& policy) const;
   RetryHundredths RetryBudgetSize() const;
   size_t CountDaemons() const;
+  /// Applies the newest targets and the newest rollout of the service.
+  void RefreshTargets(ServiceState& state, const CompiledService& service,
+                      const std::vector<DataCentreSummary>& summaries);
+  bool IsUsable(const MemberRecord& member, const CompiledService& service) const;
+  std::optional<Endpoint> ChooseTarget(Exchange& exchange, const ChooseCandidate& choose);
   ServiceState& FindOrCreateState(const CompiledService& service);
   std::vector<Candidate> CandidatesFor(const CompiledService& service,
                                        const std::vector<DataCentreSummary>& summaries) const;
@@ -87,12 +104,20 @@
   void Send(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect);
   void OnReply(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                const AttemptReply& reply);
+  /// Sends the attempt again with its whole body if a daemon of the version before refused it for
+  /// its body. Returns false if that is not the case.
+  bool SendWhole(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
+                 const AttemptReply& reply);
   void OnAttemptLost(const std::shared_ptr<Exchange>& exchange, const SendAttempt& effect,
                      bool sent);
   void CancelSent(Exchange& exchange, const CancelAttempt& effect);
   void WriteRefusal(const std::shared_ptr<Exchange>& exchange, const RefuseInLedger& effect);
   void Finish(const std::shared_ptr<Exchange>& exchange, const FinishCall& effect);
   void Respond(const Exchange& exchange, ResultCode code, const TargetAnswer* answer);
+  static TenantName TenantOf(const Exchange& exchange);
+  /// Whether a target may take the request; see Balancer::HasRoom.
+  bool HasRoom(const Exchange& exchange) const;
+  void ReportWait(const Exchange& exchange, const SendAttempt& effect, const AttemptReply& reply);
   Duration RetryAfter(const Exchange& exchange, ResultCode code);
   void LogCall(const Exchange& exchange, ResultCode code, const TargetAnswer* answer) const;
   void RecordResult(const Exchange& exchange, ResultCode code);
@@ -108,6 +133,7 @@
   std::map<ServiceName, std::unique_ptr<ServiceState>> services_;
   std::map<ServiceName, ServiceMetrics>
       metrics_;  // under an empty name: requests without a service
+  std::map<RequestNumber, std::shared_ptr<Exchange>> waiting_;    // for a token of their quota
   std::map<RequestNumber, std::shared_ptr<Exchange>> exchanges_;  // not finished
 };
 
--- a/src/control_process.cc
+++ b/src/control_process.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <utility>
 
+#include "client_ingress.h"
 #include "config_log.h"
 #include "config_timing.h"
 #include "configuration.h"
@@ -115,6 +116,7 @@
               [this](const InstanceId& to, const std::string& message) {
                 node_.Send(to, PeerChannel::kConfigLog, message);
               }),
+      rollouts_(loop_, config_, node_, metrics_),
       source_(SourceSettings(settings_.common), MakeMeasuredCodec(MakeTransferCodec(), metrics_),
               seed),
       config_exchange_(
@@ -122,7 +124,8 @@
           {.on_message = [this](const InstanceId& from,
                                 const ConfigMessage& message) { OnConfigMessage(from, message); },
            .on_not_delivered = [](const InstanceId&) {}}),
-      crash_relay_(ControlInstances(settings_)) {
+      crash_relay_(ControlInstances(settings_)),
+      quota_owner_(node_, seed) {
   if (settings_.ledger_enabled) {
     once_ = std::make_unique<ReplicaTask<OnceState>>(
         settings_.common.instance, MakeLogSettings(seed + 1), OpenLogFolder(settings_, "once"),
@@ -130,7 +133,9 @@
           node_.Send(to, PeerChannel::kOnceLog, message);
         });
   }
-  operators_ = std::make_unique<OperatorService>(loop_, settings_, config_, node_, metrics_);
+  ingress_ = MakeIngressBudget(settings_.common.ingress);
+  operators_ =
+      std::make_unique<OperatorService>(loop_, settings_, config_, node_, ingress_, metrics_);
   loop_.SetAfterBatchHook([this] { Flush(); });
   metrics_.SetCollectCallback([this] { UpdateMetrics(); });
   PublishNewVersion();
@@ -147,6 +152,7 @@
 void ControlProcess::Drain() {
   Log(LogLevel::kInfo, "control_draining");
   operators_->StopAccepting();
+  quota_owner_.Stop();
   FinishDrain(loop_.now() + settings_.common.drain_timeout);
 }
 
@@ -173,9 +179,13 @@
     case PeerChannel::kCrashTotals:
       OnCrashTotals(from, bytes);
       return;
+    case PeerChannel::kRolloutEvidence:
+      rollouts_.OnReport(bytes);
+      return;
     case PeerChannel::kCall:
     case PeerChannel::kOnceLedger:
     case PeerChannel::kOperatorRequests:
+    case PeerChannel::kQuota:
       return;
   }
 }
@@ -185,6 +195,9 @@
   if (channel == PeerChannel::kConfigDistribution) {
     config_exchange_.OnRequest(payload, replier);
   }
+  if (channel == PeerChannel::kQuota) {
+    OnQuotaRequest(payload, replier);
+  }
   if (channel != PeerChannel::kOnceLedger) {
     return;
   }
@@ -200,6 +213,14 @@
   }
 }
 
+void ControlProcess::OnQuotaRequest(const std::string& payload, const PeerResponder& replier) {
+  try {
+    quota_owner_.OnRequest(payload, replier);
+  } catch (const UserError& error) {
+    Log(LogLevel::kWarning, "quota_request_malformed", {{"reason", std::string(error.what())}});
+  }
+}
+
 void ControlProcess::OnLedgerRequest(const std::string& payload, const PeerResponder& replier) {
   LedgerRequest request = DecodeLedgerRequest(payload);
   request.command.at = WallNow();
@@ -241,7 +262,9 @@
   timer_ = loop_.RunAfter(kTickInterval, [this] { Tick(); });
   const TimePoint now = loop_.now();
   UpdateVoterCandidates();
+  quota_owner_.Tick();
   config_.Tick(now);
+  rollouts_.Tick();
   if (once_) {
     once_->Tick(now);
   }
@@ -409,7 +432,10 @@
 }
 
 void ControlProcess::UpdateMetrics() {
+  ReportIngress(*ingress_, metrics_);
   node_.ReportTraffic(metrics_);
+  quota_owner_.UpdateMetrics(metrics_);
+  rollouts_.UpdateMetrics();
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
   };
--- a/src/control_process.h
+++ b/src/control_process.h
@@ -11,11 +11,14 @@
 #include "config_source.h"
 #include "crash_relay.h"
 #include "event_loop.h"
+#include "ingress_budget.h"
 #include "mesh_node.h"
 #include "metrics.h"
 #include "operator_service.h"
+#include "quota_owner_task.h"
 #include "replica_task.h"
 #include "replicated_states.h"
+#include "rollout_task.h"
 #include "settings.h"
 #include "units.h"
 
@@ -29,9 +32,12 @@
   ControlProcess& operator=(const ControlProcess&) = delete;
   ~ControlProcess();
 
+  /// The ingress budget that all client ports of this process share.
+  const std::shared_ptr<IngressBudget>& ingress() const { return ingress_; }
   /// The replicated configuration, for additional operator APIs of this instance.
   ReplicaTask<ConfigState>& config() { return config_; }
   const ReplicaTask<ConfigState>& config() const { return config_; }
+  RolloutTask& rollouts() { return rollouts_; }
   Metrics& metrics() { return metrics_; }
   /// Sets a function that counts the pending requests of additional operator APIs; Drain waits for
   /// them.
@@ -46,6 +52,7 @@
  private:
   void OnMessage(const InstanceId& from, PeerChannel channel, const std::string& bytes);
   void OnRequest(PeerChannel channel, const std::string& payload, const PeerResponder& replier);
+  void OnQuotaRequest(const std::string& payload, const PeerResponder& replier);
   void OnLedgerRequest(const std::string& payload, const PeerResponder& replier);
   void ForwardLedgerRequest(LedgerCommand command, const PeerResponder& replier);
   void Tick();
@@ -72,11 +79,14 @@
   Metrics metrics_;
   MeshNode node_;
   ReplicaTask<ConfigState> config_;
+  RolloutTask rollouts_;
   std::unique_ptr<ReplicaTask<OnceState>> once_;  // null if the settings disable the ledger
   ConfigSource source_;
   ConfigExchange config_exchange_;
   SummarySchedule summary_schedule_;
   CrashRelay crash_relay_;
+  QuotaOwnerTask quota_owner_;
+  std::shared_ptr<IngressBudget> ingress_;
   std::unique_ptr<OperatorService> operators_;
   TimerId timer_;
   std::string logged_role_;  // role, leader and voters in the last log line
--- a/src/daemon_process.cc
+++ b/src/daemon_process.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "client_ingress.h"
 #include "config_log.h"
 #include "config_timing.h"
 #include "errors.h"
@@ -31,10 +32,16 @@
 // Before the end of a drain, the last answers are sent.
 constexpr Duration kLastAnswerTime = std::chrono::milliseconds(300);
 
-HttpServerLimits CallerServerLimits(const DaemonSettings& settings) {
-  HttpServerLimits limits;
+// A target's announcement takes a few hundred bytes.
+constexpr ByteCount kMaxLocalBody{1U << 20U};
+
+HttpServerLimits CallerServerLimits(const DaemonSettings& settings,
+                                    const std::shared_ptr<IngressBudget>& ingress) {
+  HttpServerLimits limits = ServerLimits(ingress);
   limits.concurrent_requests = settings.pipelined_requests;
   limits.concurrent_bytes = settings.pipelined_bytes.value();
+  limits.message.streamed_body = settings.upload_body;
+  limits.body_timeout = settings.upload_timeout;
   return limits;
 }
 
@@ -72,6 +79,7 @@
                .run_id = MakeRunId(settings_.common, seed)},
       crash_reports_(settings_.common.instance),
       target_(context_),
+      quota_(context_, seed),
       callers_(context_, target_),
       load_log_(loop.now()),
       replica_(
@@ -89,16 +97,20 @@
                             [this](const InstanceId& to) {
                               SendConfigMessages(replica_.NotDelivered(loop_.now(), to));
                             }}),
-      caller_server_(loop, settings_.caller_address, CallerServerLimits(settings_),
+      ingress_(MakeIngressBudget(settings_.common.ingress)),
+      caller_server_(loop, settings_.caller_address, CallerServerLimits(settings_, ingress_),
                      [this](HttpRequest request, const ResponseSink& sink) {
                        callers_.Handle(std::move(request), sink);
                      }),
-      local_server_(loop, settings_.local_address, HttpServerLimits{},
+      local_server_(loop, settings_.local_address, ServerLimits(ingress_, kMaxLocalBody),
                     [this](const HttpRequest& request, const ResponseSink& sink) {
                       OnLocalRequest(request, sink);
                     }) {
   caller_server_.AllowConcurrency(
       [this](const HttpRequest& request) { return callers_.MayRunConcurrently(request); });
+  context_.quota = &quota_;
+  caller_server_.StreamBodies(
+      [this](const HttpRequest& head) { return callers_.StreamsBody(head); });
   target_.SetStateListener([this] { UpdateSelf(); });
   target_.SetCancelOutgoing(
       [this](const std::vector<RequestNumber>& calls) { callers_.Cancel(calls); });
@@ -115,6 +127,7 @@
       {{"calls_in_flight", static_cast<uint64_t>(callers_.in_flight())},
        {"target_in_flight", static_cast<uint64_t>(target_.in_flight())}});
   draining_ = true;
+  quota_.StopOwner();
   caller_server_.DisableKeepAlive();
   const Duration serving_time = settings_.common.drain_notice * kServingPercentOfNotice / 100;
   loop_.RunAfter(serving_time, [this] {
@@ -158,6 +171,8 @@
   try {
     if (channel == PeerChannel::kCall) {
       target_.HandlePeer(payload, replier);
+    } else if (channel == PeerChannel::kQuota) {
+      quota_.OnRequest(payload, replier);
     } else if (channel == PeerChannel::kOperatorRequests && payload == "drain") {
       target_.DrainAndHold();
       UpdateSelf();
@@ -229,7 +244,10 @@
   if (const Duration idle = context_.configuration->callers().idle_timeout; idle > Duration{}) {
     caller_server_.SetIdleTimeout(idle);
   }
+  const CallerLimits& limits = context_.configuration->callers();
+  caller_server_.SetHeaderLimits(limits.header_bytes, limits.header_timeout);
   target_.ConfigurationChanged();
+  quota_.ConfigurationChanged();
   callers_.ConfigurationChanged();
   UpdateSelf();
   TrimHeap();
@@ -256,8 +274,19 @@
   crash_reports_.Collect(node_.membership(), context_.crash_guard);
   crash_reports_.Publish(now, context_.crash_guard, node_.membership());
   context_.crash_guard.Tick(WallNow());
+  quota_.Tick();
   callers_.Tick();
   load_log_.Tick(now, node_, target_);
+  SendRolloutReport();
+}
+
+// All control instances get the report, so that each that may become the leader has the evidence.
+void DaemonProcess::SendRolloutReport() {
+  if (const std::optional<std::string> report = target_.TakeRolloutReport()) {
+    for (const InstanceId& instance : node_.control_instances()) {
+      node_.Send(instance, PeerChannel::kRolloutEvidence, *report);
+    }
+  }
 }
 
 void DaemonProcess::SendConfigMessages(const std::vector<PeerMessage>& messages) {
@@ -277,6 +306,8 @@
 
 void DaemonProcess::UpdateMetrics() {
   node_.ReportTraffic(metrics_);
+  quota_.UpdateMetrics();
+  ReportIngress(*ingress_, metrics_);
   const auto set = [&](const std::string& name, const std::string& help, double value) {
     metrics_.Gauge(name, help).Set(value);
   };
@@ -284,12 +315,23 @@
       context_.configuration ? static_cast<double>(context_.configuration->version().value()) : 0);
   set("endivecleat_target_running", "Requests running on the target",
       static_cast<double>(target_.running()));
+  set("endivecleat_target_limit", "Requests that the target may run now",
+      static_cast<double>(target_.slots()));
+  set("endivecleat_target_slots", "The same without the concurrency limit",
+      static_cast<double>(target_.unlimited_slots()));
   set("endivecleat_calls_in_flight", "In-flight calls of this daemon's callers",
       static_cast<double>(callers_.in_flight()));
   set("endivecleat_pipelined_concurrent", "Pipelined requests that ran beside earlier ones",
       static_cast<double>(caller_server_.pipelining().concurrent));
   set("endivecleat_pipelined_waited", "Pipelined requests that waited for earlier ones",
       static_cast<double>(caller_server_.pipelining().waited));
+  const UploadCounts& uploads = caller_server_.uploads();
+  set("endivecleat_uploads_started", "Request bodies that were passed on while they arrived",
+      static_cast<double>(uploads.started));
+  set("endivecleat_uploads_completed", "Such bodies that were received in full",
+      static_cast<double>(uploads.completed));
+  set("endivecleat_uploads_stalled", "Such bodies that ended since their sender made no progress",
+      static_cast<double>(uploads.stalled));
   set("endivecleat_members", "Members of the data centre that are alive",
       static_cast<double>(node_.membership().members().size()));
 }
@@ -306,6 +348,7 @@
                    [this, not_before, deadline] { FinishDrain(not_before, deadline); });
     return;
   }
+  quota_.GiveBackShare();
   node_.Leave();
   loop_.RunAfter(kTickInterval, [this, deadline] { StopWhenIdle(deadline); });
 }
--- a/src/daemon_process.h
+++ b/src/daemon_process.h
@@ -12,10 +12,12 @@
 #include "crash_report_exchange.h"
 #include "daemon_context.h"
 #include "http_server.h"
+#include "ingress_budget.h"
 #include "ledger_client.h"
 #include "load_log.h"
 #include "mesh_node.h"
 #include "metrics.h"
+#include "quota_task.h"
 #include "settings.h"
 #include "stored_compiler.h"
 #include "target_task.h"
@@ -45,6 +47,8 @@
   void RemoveTarget();
   /// Whether this daemon is ready for callers: it has a configuration and is not draining.
   bool AcceptsCalls() const { return context_.configuration != nullptr && !draining_; }
+  /// The ingress budget that all client ports of this process share.
+  const std::shared_ptr<IngressBudget>& ingress() const { return ingress_; }
   const DaemonSettings& settings() const { return settings_; }
   const CompiledConfiguration* configuration() const { return context_.configuration.get(); }
 
@@ -58,6 +62,7 @@
   void Tick();
   void SendConfigMessages(const std::vector<PeerMessage>& messages);
   void UpdateSelf();
+  void SendRolloutReport();
   void UpdateMetrics();
   void FinishDrain(TimePoint not_before, TimePoint deadline);
   void StopWhenIdle(TimePoint deadline);
@@ -73,11 +78,13 @@
   DaemonContext context_;
   CrashReportExchange crash_reports_;
   TargetTask target_;
+  QuotaTask quota_;
   CallerTask callers_;
   LoadLog load_log_;
   StoredCompiler compiler_;
   ConfigReplica replica_;
   ConfigExchange config_exchange_;
+  std::shared_ptr<IngressBudget> ingress_;
   HttpServer caller_server_;
   HttpServer local_server_;
   TimerId timer_;
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -1,17 +1,20 @@
 // HTTP requests, responses and header lists as plain values, shared by the HTTP server, the HTTP
-// client and the code that forwards calls. Bodies are held in memory as a whole.
+// client and the code that forwards calls. Bodies are held in memory as a whole, but for those of
+// uploads (body_stream.h).
 #ifndef ENDIVECLEAT_HTTP_MESSAGE_H_
 #define ENDIVECLEAT_HTTP_MESSAGE_H_
 
 #include <algorithm>
 #include <cctype>
 #include <initializer_list>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "body_stream.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -87,7 +90,10 @@
   std::string query;
   HeaderList headers;
   std::string body;
-  std::string peer_ip;      // set by HttpServer, ignored by HttpClient
+  std::string peer_ip;  // set by HttpServer, ignored by HttpClient
+  // The body of an upload, if the request is delivered before its body is complete. `body` is empty
+  // then.
+  std::shared_ptr<BodyStream> body_stream{};
   TimePoint received_at{};  // arrival of the last byte; set by HttpServer, ignored by HttpClient
 };
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -14,7 +14,10 @@
 namespace {
 
 constexpr uint64_t kMaxPipelinedRequests = 256;
+constexpr uint64_t kMaxUploadBytes = 16ULL << 30U;
 constexpr uint64_t kMaxPipelinedBytes = 16U << 20U;
+constexpr uint64_t kMaxIngressCount = 1'000'000;
+constexpr uint64_t kMaxIngressBytes = uint64_t{1} << 40U;
 constexpr double kMaxRetryBurst = 1e6;
 constexpr size_t kMinTokenLength = 16;  // characters; shorter tokens are too easy to guess
 constexpr size_t kMaxControlInstances = 7;
@@ -124,6 +127,27 @@
   return discovery;
 }
 
+IngressLimits ReadIngress(JsonReader& reader) {
+  IngressLimits limits;
+  reader.ReadObject("ingress", Presence::kOptional, [&](JsonReader& entry) {
+    const auto read_count = [&](const char* key, size_t& value) {
+      value = entry.ReadNumber(key, 1, kMaxIngressCount, value);
+    };
+    limits.bytes =
+        ByteCount(entry.ReadNumber("bytes", 1U << 20U, kMaxIngressBytes, limits.bytes.value()));
+    read_count("connections", limits.connections);
+    read_count("connections_per_address", limits.connections_per_address);
+    read_count("partial_requests", limits.partial_requests);
+    read_count("partial_requests_per_address", limits.partial_requests_per_address);
+    read_count("reserved_descriptors", limits.reserved_descriptors);
+    limits.header_timeout = entry.ReadDuration("header_timeout", std::chrono::milliseconds(100),
+                                               std::chrono::minutes(10), limits.header_timeout);
+    limits.body_bytes_per_second = entry.ReadNumber("body_bytes_per_second", 1, kMaxIngressBytes,
+                                                    limits.body_bytes_per_second);
+  });
+  return limits;
+}
+
 CommonSettings ReadCommon(JsonReader& reader, const std::string& folder) {
   CommonSettings common;
   common.instance = InstanceId(reader.ReadString("instance", Presence::kRequired));
@@ -145,6 +169,7 @@
                                             common.drain_notice);
   common.in_force_within = reader.ReadDuration("in_force_within", std::chrono::milliseconds(100),
                                                std::chrono::hours(1), common.in_force_within);
+  common.ingress = ReadIngress(reader);
   return common;
 }
 
@@ -167,6 +192,7 @@
     read("not_run", headers.not_run);
     read("answer_mark", headers.answer_mark);
     read("tenant", headers.tenant);
+    read("load", headers.load);
     headers.diagnostics = entry.ReadBool("diagnostics", headers.diagnostics);
     if (headers.timeout.empty()) {
       entry.ReportProblem("timeout", "must name a header field");
@@ -249,6 +275,14 @@
     settings.pipelined_bytes = ByteCount(
         entry.ReadNumber("bytes", 1, kMaxPipelinedBytes, settings.pipelined_bytes.value()));
   });
+  reader.ReadObject("uploads", Presence::kOptional, [&](JsonReader& entry) {
+    settings.upload_body =
+        ByteCount(entry.ReadNumber("body", 1, kMaxUploadBytes, settings.upload_body.value()));
+    settings.upload_timeout =
+        entry.ReadDuration("no_progress_timeout", std::chrono::milliseconds(100),
+                           std::chrono::minutes(10), settings.upload_timeout);
+  });
+  settings.adaptive_limit = reader.ReadBool("adaptive_limit", settings.adaptive_limit);
   settings.shared_retry_burst = reader.ReadDecimal("shared_retry_burst", 0, kMaxRetryBurst, 0);
   for (const std::string& address_text : reader.ReadStrings("neighbours", Presence::kOptional)) {
     const std::optional<Address> address = ParseAddress(address_text);
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "call_headers.h"
+#include "ingress_budget.h"
 #include "units.h"
 
 namespace endivecleat {
@@ -61,6 +62,7 @@
   // Deadline for an accepted configuration to be in force on every daemon; limits the times of the
   // distribution (config_timing.h). The same in all processes of a deployment.
   Duration in_force_within = std::chrono::seconds(16);
+  IngressLimits ingress;  // limits on the clients of the process
 };
 
 struct ControlSettings {
@@ -83,10 +85,17 @@
   // Burst of the retry budget for all daemons together, divided evenly among them. 0: each daemon
   // has a separate burst.
   double shared_retry_burst = 0;
+  // Whether the speed of the local target and the concurrency that it handles well are learned from
+  // its answers, and used to limit its slots and to choose among targets.
+  bool adaptive_limit = true;
   CallHeaders headers;
   // Pipelined requests of one caller's connection that may run at the same time, and their bytes.
   uint64_t pipelined_requests = 16;
   ByteCount pipelined_bytes{256U << 10U};
+  // Limit on a body that is passed on while it arrives, and the time after which it ends if its
+  // sender makes no progress.
+  ByteCount upload_body{64U << 20U};
+  Duration upload_timeout = std::chrono::seconds(10);
   ServiceName service;  // service of the local target, sent as the origin of this instance's calls
   std::vector<Address> neighbours;  // peers to join the gossip group through if no seed is a member
 };
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -27,19 +27,6 @@
   return outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500;
 }
 
-TargetAnswer ToAnswer(const HttpResponse& response) {
-  TargetAnswer answer;
-  answer.status = response.status;
-  HeaderList headers = response.headers;
-  RemoveHopByHopHeaders(headers);
-  headers.Remove("content-length");
-  for (const Header& header : headers) {
-    answer.headers.emplace_back(header.name, header.value);
-  }
-  answer.body = response.body;
-  return answer;
-}
-
 // The process that an attempt comes from: the part of the id before the number of its call.
 std::string CallingProcess(const AttemptId& attempt) {
   return attempt.value().substr(0, attempt.value().rfind('-'));
@@ -76,7 +63,11 @@
 };
 
 TargetTask::TargetTask(DaemonContext& context)
-    : context_(context), target_(TargetSettings{}), admission_(ServicePolicy{}) {
+    : context_(context),
+      target_(TargetSettings{}),
+      admission_(ServicePolicy{}),
+      evidence_(context.run_id) {
+  admission_.SetAdaptiveLimit(context.settings.adaptive_limit);
   timer_ = context_.loop.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
@@ -93,11 +84,15 @@
     DeductTransit(message, transit_delay_.Arrived(BootClockNow(), CallingProcess(message.attempt),
                                                   *message.sent_at));
   }
+  if (message.body_follows) {
+    message.request.body_stream = replier.ReceiveBody(message.body_length);
+  }
   ExchangePtr exchange;
   StartAttempt(
       message,
-      [replier](const AttemptReply& reply, std::shared_ptr<void> slot) {
-        replier.Respond(EncodeAttemptReply(reply), std::move(slot));
+      [replier, format = message.reply_format](const AttemptReply& reply,
+                                               std::shared_ptr<void> slot) {
+        replier.Respond(EncodeAttemptReply(reply, format), std::move(slot));
       },
       &exchange);
   if (exchange) {
@@ -132,7 +127,9 @@
 
 void TargetTask::Announce(const Announcement& announcement) {
   const bool address_changed = client_ == nullptr || client_->target() != announcement.address;
+  const TargetVersion version_before = target_.announcement().version;
   target_.Announce(context_.loop.now(), announcement);
+  HoldUnexpectedVersion(version_before);
   if (address_changed) {
     client_ = std::make_unique<HttpClient>(
         context_.loop, announcement.address,
@@ -173,16 +170,29 @@
   const TimePoint now = context_.loop.now();
   record.service = target_.announcement().service;
   record.target = target_.announcement().target;
+  record.target_version = target_.announcement().version;
   record.state = target_.state();
-  record.slots = static_cast<uint32_t>(admission_.slots(now));
+  // Without the concurrency limit: a change of the slots is sent as a whole record, which is five
+  // times as large as a change of the free ones.
+  record.slots = static_cast<uint32_t>(admission_.policy_slots(now));
   const auto slots = static_cast<double>(admission_.slots(now));
   record.free_slots = static_cast<uint32_t>(std::max(slots - admission_.mean_load(now), 0.0));
 }
 
 void TargetTask::StartAttempt(const AttemptMessage& message, Reply reply, ExchangePtr* started) {
-  if (!Serves(message.service)) {
-    const ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
-                                                                  : ResultCode::kNoReadyTarget;
+  if (!Serves(message.service) || !VersionMayRun(message)) {
+    if (FindRollout() != nullptr) {
+      context_.metrics
+          .Counter("endivecleat_rollout_refusals_total",
+                   "Requests refused since a rollout was ordered, by version or for other reasons")
+          .Increment();
+    }
+    ResultCode code = message.kind == CallKind::kAtMostOnce ? ResultCode::kNotStarted
+                                                            : ResultCode::kNoReadyTarget;
+    if (message.body_follows) {
+      // kNoReadyTarget is how a daemon of the version before refuses every upload.
+      code = ResultCode::kTargetUnreachable;
+    }
     reply({Refusal{code, false}, Load()}, nullptr);
     return;
   }
@@ -207,12 +217,16 @@
   exchanges_[number] = exchange;
   *started = exchange;
   context_.call_registry.AddIncoming(number, exchange->span.context().trace, exchange->deadline);
-  ApplyDecisions(admission_.Submit(
-      context_.loop.now(), {number, message.priority, exchange->deadline, message.objective_left,
-                            message.objective, message.max_wait}));
+  ApplyDecisions(admission_.Submit(context_.loop.now(), ToAdmissionRequest(*exchange)));
   ArmTimer(exchange);
 }
 
+AdmissionRequest TargetTask::ToAdmissionRequest(const Exchange& exchange) {
+  const AttemptMessage& message = exchange.message;
+  return {exchange.number,   message.priority, exchange.deadline, message.objective_left,
+          message.objective, message.max_wait, message.tenant};
+}
+
 bool TargetTask::Serves(const ServiceName& service) const {
   const Announcement& announced = target_.announcement();
   if (client_ == nullptr || announced.service != service || !context_.configuration) {
@@ -250,6 +264,14 @@
     }
     const ExchangePtr exchange = found->second;
     const TimePoint now = context_.loop.now();
+    if (!decision.refusal_code && !VersionMayRun(exchange->message)) {
+      // A rollout was decided while the request waited.
+      ExecuteEffects(exchange, exchange->call.AdmissionRefused(now, ResultCode::kNoReadyTarget));
+      context_.loop.Post([this, number = decision.number] {
+        ApplyDecisions(admission_.Finish(context_.loop.now(), number));
+      });
+      continue;
+    }
     if (decision.refusal_code) {
       ExecuteEffects(exchange, exchange->call.AdmissionRefused(now, *decision.refusal_code));
       continue;
@@ -290,6 +312,7 @@
   } else if (std::holds_alternative<CancelTarget>(effect)) {
     if (exchange->target_call) {
       client_->Cancel(*exchange->target_call);
+      CountEvidence(exchange->message.request, exchange->called, nullptr);
       CountSlotUse(*exchange, false);
     }
   } else if (const auto* end = std::get_if<RecordCallEnding>(&effect)) {
@@ -342,9 +365,14 @@
 void TargetTask::OnOutcome(const ExchangePtr& exchange, const HttpOutcome& outcome) {
   const TimePoint now = context_.loop.now();
   exchange->target_call.reset();
+  CountEvidence(exchange->message.request, exchange->called, &outcome);
   CountSlotUse(*exchange, outcome.kind == HttpOutcome::kAnswered && outcome.response.status < 500);
   switch (outcome.kind) {
     case HttpOutcome::kAnswered:
+      ReportLoad(outcome.response);
+      admission_.Answered(
+          now, exchange->number,
+          ClassifyAnswer(context_.settings.headers, outcome.response) == AnswerKind::kNotRun);
       OnAnswer(exchange, outcome.response);
       return;
     case HttpOutcome::kNotSent:
@@ -362,6 +390,17 @@
   }
 }
 
+void TargetTask::ReportLoad(const HttpResponse& response) {
+  const std::string& name = context_.settings.headers.load;
+  if (name.empty()) {
+    return;
+  }
+  const auto load = ParseLoadField(response.headers.ValueOr(name, ""));
+  if (load) {
+    admission_.Reported(context_.loop.now(), *load);
+  }
+}
+
 void TargetTask::CountSlotUse(Exchange& exchange, bool succeeded) {
   if (!exchange.called) {
     return;
@@ -403,8 +442,8 @@
        {"queued", static_cast<uint64_t>(admission_.queued())}});
 }
 
-// A broken call is answered when it is known whether the target died: only then can the crash guard
-// stop the request before it reaches a second target.
+// A broken call is answered when it is known whether the target died: only then can the crash
+// guard stop the request before it reaches a second target.
 void TargetTask::AwaitDeathProbe(const ExchangePtr& exchange) {
   awaiting_death_probe_.push_back(exchange);
   if (!death_probe_ && !second_death_probe_timer_) {
@@ -412,7 +451,8 @@
   }
 }
 
-// A process that dies may still accept connections for a moment, so an accepted probe is repeated.
+// A process that dies may still accept connections for a moment, so an accepted probe is
+// repeated.
 void TargetTask::StartDeathProbe(bool last) {
   death_probe_ = std::make_unique<ConnectProbe>(
       context_.loop, target_.announcement().address, kDeathProbeTimeout,
@@ -459,13 +499,20 @@
   if (large && std::exchange(exchange->slot_is_free, false)) {
     slot = HoldSlot(*exchange);
   }
-  reply({std::move(outcome), Load()}, std::move(slot));
+  TargetLoad load = Load();
+  load.service_time = admission_.ServiceTime(exchange->message.objective);
+  if (const auto* refusal = std::get_if<Refusal>(&outcome);
+      refusal != nullptr && refusal->code == ResultCode::kOverloaded && !refusal->reached_target) {
+    load.time_until_room =
+        admission_.TimeUntilRoom(context_.loop.now(), ToAdmissionRequest(*exchange));
+  }
+  reply({std::move(outcome), load}, std::move(slot));
 }
 
 // A large response keeps its slot until it has left this process: while the network link is the
-// bottleneck, more requests would only wait there, and the wait for a slot shows it to the callers'
-// daemons. The slot is released at the request's deadline at the latest, since a caller's daemon
-// that reads nothing must not keep it.
+// bottleneck, more requests would only wait there, and the wait for a slot shows it to the
+// callers' daemons. The slot is released at the request's deadline at the latest, since a
+// caller's daemon that reads nothing must not keep it.
 std::shared_ptr<void> TargetTask::HoldSlot(const Exchange& exchange) {
   const auto finish = std::make_shared<std::function<void()>>(
       [this, number = exchange.number, alive = std::weak_ptr<bool>(alive_)] {
@@ -539,6 +586,9 @@
                                {"status", int64_t{outcome.response.status}},
                                {"running", static_cast<uint64_t>(admission_.running())}});
                         }
+                        if (outcome.kind == HttpOutcome::kAnswered) {
+                          ReportLoad(outcome.response);
+                        }
                         target_.ProbeResult(context_.loop.now(), ProbePassed(outcome));
                         ApplyState();
                       });
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -16,6 +16,7 @@
 #include "connect_probe.h"
 #include "daemon_context.h"
 #include "http_client.h"
+#include "rollout_evidence.h"
 #include "target_call.h"
 #include "target_state.h"
 #include "transit_delay.h"
@@ -66,19 +67,34 @@
   const AnnouncedTarget& target() const { return target_; }
   size_t running() const { return admission_.running(); }
   size_t slots() const { return admission_.slots(context_.loop.now()); }
+  /// The slots without the concurrency limit.
+  size_t unlimited_slots() const { return admission_.policy_slots(context_.loop.now()); }
   const SlotUse& slot_use() const { return slot_use_; }
   /// Attempts that are not finished, including those whose answer is still being recorded.
   size_t in_flight() const { return exchanges_.size(); }
   /// Sets the fields of this member's gossip record that depend on the target.
   void FillRecord(MemberRecord& record) const;
+  /// The encoded report on the responses of the target that is due while a rollout of its service
+  /// is in progress, or nullopt.
+  std::optional<std::string> TakeRolloutReport();
 
  private:
   struct Exchange;
   using ExchangePtr = std::shared_ptr<Exchange>;
 
   void StartAttempt(const AttemptMessage& message, Reply reply, ExchangePtr* started);
+  static AdmissionRequest ToAdmissionRequest(const Exchange& exchange);
+  void ReportLoad(const HttpResponse& response);
   HttpRequest HealthRequest() const;
   bool Serves(const ServiceName& service) const;
+  const Rollout* FindRollout() const;
+  /// Whether the target's version may run the request, by the service's rollout.
+  bool VersionMayRun(const AttemptMessage& message) const;
+  /// Sets hold_until_ when a target of another version than all others appears without an order.
+  void HoldUnexpectedVersion(const TargetVersion& before);
+  void UpdateEvidence();
+  void CountEvidence(const HttpRequest& request, std::optional<TimePoint> called,
+                     const HttpOutcome* outcome);
   ServicePolicy EffectivePolicy() const;
   void OnCancelled(const ExchangePtr& exchange);
   void ApplyDecisions(const std::vector<AdmissionDecision>& decisions);
@@ -119,6 +135,8 @@
   CancelOutgoing cancel_outgoing_;
   std::function<void()> state_changed_;
   SlotUse slot_use_;
+  RolloutEvidence evidence_;
+  TimePoint hold_until_ = TimePoint::min();  // without a rollout, no requests are run before then
   TimerId timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with the task
 };
