--- a/src/caller_task.cc
+++ b/src/caller_task.cc
@@ -493,11 +493,17 @@
 }
 
 Priority CallerTask::PriorityOf(const Exchange& exchange) {
-  const Priority of_route = exchange.route->policy.priority;
   if (exchange.call_request.kind == CallKind::kAtMostOnce) {
     return Priority(0);
   }
-  return exchange.tenant == nullptr ? of_route : exchange.tenant->priority.value_or(of_route);
+  const Priority of_route = exchange.route->policy.priority;
+  if (exchange.tenant != nullptr) {
+    return exchange.tenant->priority.value_or(of_route);
+  }
+  // Where callers belong to tenants, a request without one is a call of a target. It goes first: a
+  // tenant's priority says nothing of the calls that its running requests need, and the work done
+  // for them is lost if a call is refused.
+  return exchange.configuration->tenants() ? Priority(0) : of_route;
 }
 
 AttemptMessage CallerTask::MakeAttempt(const Exchange& exchange, const SendAttempt& effect) const {
