Let quota owners alternate between control instances and daemons

Cause: all control instances may be killed at the same moment. Change: the order alternates. The bound does not depend on the order: a daemon lends its share to one owner at a time. Result: to be measured.

--- a/src/quota_task.cc
+++ b/src/quota_task.cc
@@ -92,15 +92,23 @@
 
 // Control instances first: they are few, so that the requests of all tenants of a daemon go in one
 // message, and a restart of daemons changes no owner.
+// Control instances and daemons alternate: all control instances may be lost at the same moment,
+// and each owner that does not answer costs half a second.
 std::vector<InstanceId> QuotaTask::OwnersInOrder() const {
   std::vector<std::tuple<bool, uint64_t, InstanceId>> ranked;
   for (const MemberRecord& member : context_.node.membership().members()) {
     ranked.emplace_back(!member.is_control, RankOf(member.instance), member.instance);
   }
   std::sort(ranked.begin(), ranked.end());
+  const auto first_daemon = std::find_if(ranked.begin(), ranked.end(),
+                                         [](const auto& each) { return std::get<bool>(each); });
   std::vector<InstanceId> owners;
-  for (size_t i = 0; i < std::min(ranked.size(), kMaxOwners); ++i) {
-    owners.push_back(std::get<InstanceId>(ranked[i]));
+  auto control = ranked.begin();
+  auto daemon = first_daemon;
+  while (owners.size() < std::min(ranked.size(), kMaxOwners)) {
+    const bool take_control =
+        control != first_daemon && (daemon == ranked.end() || owners.size() % 2 == 0);
+    owners.push_back(std::get<InstanceId>(take_control ? *control++ : *daemon++));
   }
   return owners;
 }
