Learn the speed only of targets that state their pace

Change: where the name of the load field is set, adaptive_limit takes effect once the target states its pace.

--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -67,7 +67,10 @@
       target_(TargetSettings{}),
       admission_(ServicePolicy{}),
       evidence_(context.run_id) {
-  admission_.SetAdaptiveLimit(context.settings.adaptive_limit);
+  // Where the load field is known, only a target that states its pace has its speed learned: where
+  // all targets are alike, the estimates cost more than they gain.
+  admission_.SetAdaptiveLimit(context.settings.adaptive_limit &&
+                              context.settings.headers.load.empty());
   timer_ = context_.loop.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
@@ -397,6 +400,9 @@
   }
   const auto load = ParseLoadField(response.headers.ValueOr(name, ""));
   if (load) {
+    if (load->pace && context_.settings.adaptive_limit) {
+      admission_.SetAdaptiveLimit(true);
+    }
     admission_.Reported(context_.loop.now(), *load);
   }
 }
