--- a/review/harness-2/harness.cc
+++ b/review/harness-2/harness.cc
@@ -369,6 +369,11 @@
   Start("daemon", address, machine, service);
 }
 
+pid_t Deployment::ProcessId(const std::string& address) const {
+  const auto found = processes_.find(address);
+  return found == processes_.end() ? 0 : found->second;
+}
+
 bool Deployment::IsRunning(const std::string& address) {
   const auto found = processes_.find(address);
   if (found == processes_.end()) {
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -121,6 +122,8 @@
 
   void StartCore(int machines);
   void StartDaemon(int machine, const std::string& service);
+  /// 0 if no process was started on the machine, or it was killed.
+  pid_t ProcessId(const std::string& address) const;
   /// Whether the process on the machine with this address runs.
   bool IsRunning(const std::string& address);
   void Signal(const std::string& address, int signal);
