--- a/review/harness-2/harness.cc
+++ b/review/harness-2/harness.cc
@@ -531,6 +531,16 @@
 
 void Server::Accept() {
   while (!stopping_) {
+    if (down_) {
+      listener_.Close();
+      listening_ = false;
+      while (down_ && !stopping_) {
+        Sleep(0.001);
+      }
+      listener_ = Socket(Listen(address_, kServerPort));
+      listening_ = true;
+      continue;
+    }
     const int descriptor = accept4(listener_.descriptor(), nullptr, nullptr, SOCK_CLOEXEC);
     if (descriptor < 0) {
       continue;
@@ -638,14 +648,27 @@
   return status;
 }
 
-void Server::Restart(int64_t born_ms) {
+void Server::GoDown() {
+  record_.Write("server " + id_ + " ends");
+  down_ = true;
+  shutdown(listener_.descriptor(), SHUT_RDWR);
   const std::lock_guard<std::mutex> lock(mutex_);
-  born_ms_ = born_ms;
-  sequence_ = 0;
-  state_ = "ready";
   for (const int descriptor : open_) {
     shutdown(descriptor, SHUT_RDWR);
   }
+}
+
+void Server::Restart(int64_t born_ms) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    born_ms_ = born_ms;
+    sequence_ = 0;
+    state_ = "ready";
+  }
+  down_ = false;
+  while (!listening_) {
+    Sleep(0.001);
+  }
   record_.Write("server " + id_ + " starts again");
 }
 
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -193,7 +193,9 @@
   int Report(const std::string& state);
   /// Sets the time of its start, by the clock of its machine.
   void SetBorn(int64_t born_ms);
-  /// Starts again under the same id: its connections end, and it counts its reports anew.
+  /// Ends: its connections end, and it accepts none.
+  void GoDown();
+  /// Starts again under the same id, and counts its reports anew.
   void Restart(int64_t born_ms);
 
  private:
@@ -209,6 +211,8 @@
   const std::string id_;
   const WorkTime work_time_;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> down_{false};
+  std::atomic<bool> listening_{true};
   std::atomic<int> running_{0};
   mutable std::mutex mutex_;
   std::string state_ = "ready";
