Count the bytes of a message head against one limit

The parser takes a head in parts and grants its limit to each of them anew. A head could exceed the limit by its first line when it came in one piece, and without bound when each piece ended inside the name of the next field; only the timeout of heads ended that. Whether a message was accepted depended on how it was cut into pieces. The readers now count the bytes that were consumed, and feed the parser no more than the limit leaves. A request whose limits change while it is read keeps those it began with.

--- a/src/http_codec.cc
+++ b/src/http_codec.cc
@@ -130,6 +130,25 @@
   return error;
 }
 
+/// Feeds the parser until the end of the head at most. The parser grants its limit of the head anew
+/// whenever it has consumed a part, so the bytes of the whole head are counted here.
+template <class Parser>
+boost::beast::error_code FeedHead(Parser& parser, size_t limit, size_t& head_bytes,
+                                  std::string& input) {
+  boost::beast::error_code error;
+  const size_t allowed = std::min(input.size(), limit - head_bytes);
+  parser.eager(false);
+  const size_t consumed = parser.put(boost::asio::buffer(input.data(), allowed), error);
+  parser.eager(true);
+  input.erase(0, consumed);
+  head_bytes += consumed;
+  const bool incomplete = !error || error == http::error::need_more;
+  if (incomplete && !parser.is_header_done() && head_bytes + input.size() >= limit) {
+    error = http::error::header_limit;
+  }
+  return error;
+}
+
 }  // namespace
 
 namespace {
@@ -188,6 +207,8 @@
     limits.body = std::max(limits.body, limits.streamed_body);
   }
   ConfigureParser(*parser_, limits);
+  head_limit_ = limits.header.value();
+  head_bytes_ = 0;
   streamed_head_.reset();
 }
 
@@ -285,16 +306,15 @@
     return ReadStatus::kNeedMore;
   }
   if (!parser_->is_header_done()) {
-    parser_->eager(false);  // stop after the header: it is validated before the body is read
+    // The header is validated before the body is read.
     started_ = true;
-    const auto error = FeedParser(*parser_, input);
+    const auto error = FeedHead(*parser_, head_limit_, head_bytes_, input);
     if (error && error != http::error::need_more) {
       return Fail(StatusFor(error));
     }
     if (!parser_->is_header_done()) {
       return ReadStatus::kNeedMore;
     }
-    parser_->eager(true);
     const auto& fields = parser_->get();
     fields_ = static_cast<size_t>(std::distance(fields.begin(), fields.end()));
   }
@@ -377,6 +397,7 @@
 
 void ResponseReader::ResetParser() {
   started_ = false;
+  head_bytes_ = 0;
   parser_ = std::make_unique<Parser>();
   ConfigureParser(*parser_, limits_);
   parser_->skip(request_is_head_);
@@ -389,7 +410,9 @@
       return ReadStatus::kError;
     }
     const size_t available = input.size();
-    const auto error = FeedParser(*parser_, input);
+    const auto error = parser_->is_header_done()
+                           ? FeedParser(*parser_, input)
+                           : FeedHead(*parser_, limits_.header.value(), head_bytes_, input);
     started_ = started_ || input.size() < available;
     if (error && error != http::error::need_more) {
       return ReadStatus::kError;
--- a/src/http_codec.h
+++ b/src/http_codec.h
@@ -91,6 +91,8 @@
   StreamPolicy stream_policy_;
   std::unique_ptr<Parser> parser_;
   size_t empty_lines_ = 0;      // before the request
+  size_t head_limit_ = 0;       // of the request being read
+  size_t head_bytes_ = 0;       // consumed of its head; at most head_limit_
   uint64_t encoded_bytes_ = 0;  // of the body as sent, with the framing of its chunks
   size_t fields_ = 0;           // in the head
   uint64_t content_bytes_ = 0;  // of the body, already taken
@@ -130,6 +132,7 @@
   bool request_is_head_ = false;
   bool keep_alive_ = false;
   bool started_ = false;          // the parser has consumed bytes of the current response
+  size_t head_bytes_ = 0;         // consumed of its head; at most the limit
   size_t interim_responses_ = 0;  // since ResetFor
 };
 
--- a/test/error/http_malformed_test.cc
+++ b/test/error/http_malformed_test.cc
@@ -84,6 +84,30 @@
   LONGS_EQUAL(1, CountOccurrences(client.received, "HTTP/1.1 431 "));
 }
 
+// Each piece completes a field and begins the name of the next one: a parser that grants each piece
+// the whole limit accepts fields without an end.
+TEST(HttpMalformed, OversizedHeaderInPiecesThatBeginTheNextFieldIsRejected) {
+  RawConnection client(loop, server.address());
+  client.Send("GET / HTTP/1.1\r\nHost: h\r\nX");
+  for (int i = 0; i < 1000 && !client.closed_by_peer; ++i) {
+    client.Send("-" + std::to_string(i) + ": value\r\nX");
+    RunFor(loop, std::chrono::microseconds(100));
+  }
+  CHECK(RunUntil(loop, [&] { return client.closed_by_peer; }));
+  LONGS_EQUAL(1, CountOccurrences(client.received, "HTTP/1.1 431 "));
+  LONGS_EQUAL(0, requests.size());
+}
+
+TEST(HttpMalformed, HeaderOfExactlyTheLimitIsAcceptedAndOneByteMoreIsRejected) {
+  const std::string start = "GET / HTTP/1.1\r\nHost: h\r\nX: ";
+  const size_t padding = limits.message.header.value() - start.size() - 4;
+  RawConnection client(loop, server.address());
+  client.Send(start + std::string(padding, 'x') + "\r\n\r\n");
+  CHECK(RunUntil(loop, [&] { return client.received.ends_with("served"); }));
+  requests.clear();
+  CheckRejected(start + std::string(padding + 1, 'x') + "\r\n\r\n", 431);
+}
+
 TEST(HttpMalformed, InvalidContentLengthIsRejected) {
   for (const char* length : {"abc", "-1", "+5", "1 2", "5,6", "99999999999999999999", ""}) {
     CheckRejected(
