Count the daemons that others know in a new quota owner

An owner that starts behind a partition knows few members, and took the share of each daemon for a larger part of the quota than it is. It believed what daemons report about the size of the mesh for its first 5 s only, because they reported what an owner had told them. Daemons now report what their own machine has seen as well, and an owner counts that until it has run for as long as members are remembered.

The mesh of the tests passes no members to the owner of a process that knows itself alone, as QuotaOwnerTask does.

--- a/src/quota_client.cc
+++ b/src/quota_client.cc
@@ -109,11 +109,11 @@
     return 0;
   }
   const double depth = UnknownPastLimitOf(tenant.quota);
-  if (depth >= members_) {
-    return depth / members_;
+  if (depth >= members()) {
+    return depth / members();
   }
   const std::string text = self_.value() + "/" + std::to_string(id.value());
-  return static_cast<double>(XXH3_64bits(text.data(), text.size()) % members_) < depth ? 1 : 0;
+  return static_cast<double>(XXH3_64bits(text.data(), text.size()) % members()) < depth ? 1 : 0;
 }
 
 void QuotaClient::FillOwn(TimePoint now, TenantId id, TenantState& tenant) const {
@@ -123,7 +123,7 @@
     return;
   }
   tenant.own_tokens =
-      std::min(tenant.own_tokens + tenant.quota.rate_per_second / members_ * Seconds(now - from),
+      std::min(tenant.own_tokens + tenant.quota.rate_per_second / members() * Seconds(now - from),
                OwnDepth(id, tenant));
 }
 
--- a/src/quota_client.h
+++ b/src/quota_client.h
@@ -4,6 +4,7 @@
 #ifndef ENDIVECLEAT_QUOTA_CLIENT_H_
 #define ENDIVECLEAT_QUOTA_CLIENT_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <deque>
@@ -77,6 +78,9 @@
   /// The processes that may be the owner, the preferred one first.
   void SetOwners(TimePoint now, std::vector<InstanceId> owners);
 
+  /// The daemons that this machine has known within kQuotaMemberMemory.
+  void SetKnownMembers(size_t daemons) { known_members_ = static_cast<uint32_t>(daemons); }
+
   /// Asks for a token for a request of a tenant. With kWait, TakeDecisions returns the answer, at
   /// the latest shortly before `deadline`.
   QuotaAnswer Take(TimePoint now, TenantId tenant, RequestNumber request, TimePoint deadline);
@@ -145,6 +149,7 @@
     std::optional<InstanceId> probed;
   };
 
+  uint32_t members() const { return std::max(members_, known_members_); }
   bool HasLimits() const { return !tenants_.empty(); }
   /// Whether the owner of the share answers.
   bool HasOwner(TimePoint now) const;
@@ -195,7 +200,8 @@
   TimePoint stamp_{};
   TimePoint answered_at_{};
   unsigned failures_ = 0;  // consecutive
-  uint32_t members_ = 0;
+  uint32_t members_ = 0;   // from the latest reply
+  uint32_t known_members_ = 0;
   std::optional<InFlight> in_flight_;
   TimePoint next_period_{};
   TimePoint retry_at_{};
--- a/src/quota_client_messages.cc
+++ b/src/quota_client_messages.cc
@@ -138,7 +138,7 @@
   request.from = self_;
   request.run = run_;
   request.sequence = ++sequence_;
-  request.members = members_;
+  request.members = members();
   request.version = version_;
   if (stopping_) {
     request.purpose = QuotaPurpose::kStop;
@@ -168,7 +168,7 @@
   outgoing.request.from = self_;
   outgoing.request.run = run_;
   outgoing.request.sequence = ++sequence_;
-  outgoing.request.members = members_;
+  outgoing.request.members = members();
   outgoing.request.version = version_;
   in_flight_ = InFlight{sequence_, now, false, false, owner};
   ++counts_.messages;
--- a/src/quota_message.h
+++ b/src/quota_message.h
@@ -49,8 +49,8 @@
   TimePoint stamp{};       // the same
   Duration lent_for{};  // for how long the share has been lent to this run of the owner alone; ms
   Duration running_for{};  // since the daemon has quotas; ms
-  uint32_t members = 0;    // daemons of the mesh, from the latest reply of any owner; 0: unknown
-  ConfigVersion version;   // of the quotas
+  uint32_t members = 0;  // daemons of the mesh, as the daemon and its latest owner know; 0: unknown
+  ConfigVersion version;  // of the quotas
   std::vector<QuotaEntry> entries;
 
   bool operator==(const QuotaRequest&) const = default;
--- a/src/quota_owner.cc
+++ b/src/quota_owner.cc
@@ -9,8 +9,6 @@
 namespace endivecleat {
 namespace {
 
-// Daemons report the size of the mesh to an owner that may not know all members yet.
-constexpr Duration kLearningTime = std::chrono::seconds(5);
 constexpr Duration kSweepInterval = std::chrono::seconds(1);
 constexpr Duration kSlotLength = std::chrono::milliseconds(250);
 // The requests of a daemon are known from the window before it lent its share on; the rest is the
@@ -177,7 +175,7 @@
   }
   daemon.sequence = request.sequence;
   daemon.heard_at = now_;
-  if (now_ < started_ + kLearningTime) {
+  if (now_ < started_ + kQuotaMemberMemory) {
     reported_members_ = std::max(reported_members_, request.members);
   }
   if (request.purpose == QuotaPurpose::kRequest) {
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -45,6 +45,8 @@
   /// Daemons whose share this owner holds.
   size_t daemons() const { return holders_; }
   size_t members() const;
+  /// Daemons passed to SetMembers within kQuotaMemberMemory.
+  size_t known_members() const { return members_.size(); }
   const Counts& counts() const { return counts_; }
 
  private:
@@ -104,7 +106,7 @@
   std::map<InstanceId, Daemon> daemons_;
   std::unordered_map<TenantId, Bucket> buckets_;
   std::map<InstanceId, TimePoint> members_;  // when each was a member last
-  uint32_t reported_members_ = 0;            // by daemons soon after the start
+  uint32_t reported_members_ = 0;            // by daemons, until members_ goes back far enough
   size_t holders_ = 0;
   size_t long_holders_ = 0;   // of these, the ones whose requests of the last window are known
   double short_seconds_ = 0;  // sum of the times for which the others have lent their shares
--- a/src/quota_owner_task.h
+++ b/src/quota_owner_task.h
@@ -25,6 +25,8 @@
   void Tick();
   /// This process stops: daemons turn to another owner.
   void Stop() { owner_.Stop(); }
+  /// Daemons that this process has known within kQuotaMemberMemory.
+  size_t known_members() const { return owner_.known_members(); }
   void UpdateMetrics(Metrics& metrics);
 
  private:
--- a/src/quota_task.cc
+++ b/src/quota_task.cc
@@ -119,6 +119,7 @@
   if (now >= next_owners_) {
     next_owners_ = now + kOwnersInterval;
     client_.SetOwners(now, OwnersInOrder());
+    client_.SetKnownMembers(owner_.known_members());
   }
   Pump();
 }
--- a/test/correctness/quota_test.cc
+++ b/test/correctness/quota_test.cc
@@ -193,6 +193,24 @@
   CHECK_EQUAL(size_t{0}, owner.daemons());
 }
 
+// An owner that has started while most daemons were cut off must not take each of the others for a
+// large part of the mesh.
+TEST(QuotaClientAlone, OwnerThatKnowsFewerDaemonsGivesOutOnlyTheSharesItHolds) {
+  Pass(seconds(10));
+  client.SetKnownMembers(10);
+  Pass(seconds(10));
+  const uint64_t before = client.counts().taken;
+  for (int step = 0; step < 490; ++step) {
+    now += milliseconds(10);
+    Take();
+    Talk();
+    client.TakeDecisions(now);
+  }
+  const uint64_t taken = client.counts().taken - before;
+  CHECK(taken >= 30);
+  CHECK(static_cast<double>(taken) <= QuotaMesh::Bound({100, 100}) / 10);
+}
+
 TEST_GROUP(QuotaMessages){};
 
 TEST(QuotaMessages, DecodeToWhatWasEncoded) {
--- a/test/quota_mesh.cc
+++ b/test/quota_mesh.cc
@@ -98,6 +98,21 @@
   return known;
 }
 
+// As QuotaOwnerTask does: a process that knows itself alone passes no members.
+void QuotaMesh::PassMembers(size_t index) {
+  const std::set<size_t> known = KnownMembers(index);
+  if (known.size() < 2) {
+    return;
+  }
+  std::vector<InstanceId> daemons;
+  for (const size_t member : known) {
+    if (member >= settings_.controls) {
+      daemons.push_back(machines_[member].id);
+    }
+  }
+  machines_[index].owner->SetMembers(Clock(machines_[index]), daemons);
+}
+
 void QuotaMesh::ConfigureClient(Machine& machine) {
   machine.configured = true;
   machine.learns_at.reset();
@@ -191,15 +206,10 @@
       continue;
     }
     if (members_due) {
-      std::vector<InstanceId> daemons;
-      for (const size_t member : KnownMembers(index)) {
-        if (member >= settings_.controls) {
-          daemons.push_back(machines_[member].id);
-        }
-      }
-      machine.owner->SetMembers(Clock(machine), daemons);
+      PassMembers(index);
       if (machine.client) {
         machine.client->SetOwners(Clock(machine), OwnersSeenBy(index));
+        machine.client->SetKnownMembers(machine.owner->known_members());
         if (!machine.configured && IsConnected(index)) {
           ConfigureClient(machine);
         }
--- a/test/quota_mesh.h
+++ b/test/quota_mesh.h
@@ -115,6 +115,7 @@
   void SendRequests();
   void Decide(Machine& machine, const QuotaDecision& decision);
   void Granted(Machine& machine, size_t tenant, TimePoint sent_at, const QuotaToken& token);
+  void PassMembers(size_t machine);
   void ConfigureClient(Machine& machine);
   /// Whether it reaches any machine that it considers a member.
   bool IsConnected(size_t machine) const;
