Admission: let more urgent requests use a target whose slots send responses

A large response keeps its slot until it has left the process, so that no more of its kind are started than the network link takes. The target itself is free then. Such a slot now counts for requests that are no more urgent than the one whose response it sends.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -73,8 +73,8 @@
     decisions.push_back({request.number, ResultCode::kDeadlinePassed});
     return decisions;
   }
-  const bool free_slot = running() < slots(now) && queued() == 0;
-  if (free_slot) {
+  const bool free_slot = TakenFor(request.priority) < slots(now) && !WaitsBefore(request.priority);
+  if (free_slot && queued() == 0) {
     queues_.clear();  // nobody waits, so what tenants have used cost no one anything
   }
   const bool counts_share = !request.tenant.empty() && request.max_wait != Duration{};
@@ -96,6 +96,15 @@
   return decisions;
 }
 
+std::vector<AdmissionDecision> Admission::SendsResponse(TimePoint now, RequestNumber number) {
+  const auto found = running_.find(number);
+  if (found == running_.end()) {
+    return {};
+  }
+  found->second.sends_response = true;
+  return Tick(now);
+}
+
 std::vector<AdmissionDecision> Admission::Finish(TimePoint now, RequestNumber number) {
   const auto found = running_.find(number);
   ENDIVECLEAT_CHECK(found != running_.end(), "a request finished that was not running");
@@ -206,10 +215,8 @@
 
 void Admission::FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions) {
   UpdateLoad(now);
-  const size_t limit = slots(now);
   const auto cost_of = [this](Duration objective) { return Cost(objective); };
-  while (running() < limit && queued() > 0) {
-    const auto next = NextQueue(now);
+  for (auto next = NextQueue(now); next != queues_.end(); next = NextQueue(now)) {
     const Priority priority = next->first;
     const WaitingRequest request = next->second.Pop(cost_of);
     --queued_;
@@ -231,17 +238,33 @@
 
 // The most urgent queue, or a less urgent one whose tenants' share of what is served is due.
 Admission::Queues::iterator Admission::NextQueue(TimePoint now) {
+  const size_t limit = slots(now);
   auto next = queues_.end();
   for (auto queue = queues_.begin(); queue != queues_.end(); ++queue) {
+    if (queue->second.empty() || TakenFor(queue->first) >= limit) {
+      continue;
+    }
     const bool due = queue->second.has_tenants() && IsDue(now, queue->first);
-    if (!queue->second.empty() && (next == queues_.end() || due)) {
+    if (next == queues_.end() || due) {
       next = queue;
     }
   }
-  ENDIVECLEAT_CHECK(next != queues_.end(), "no request waits");
   return next;
 }
 
+size_t Admission::TakenFor(Priority priority) const {
+  return static_cast<size_t>(
+      std::count_if(running_.begin(), running_.end(), [&](const auto& entry) {
+        return !entry.second.sends_response || entry.second.priority <= priority;
+      }));
+}
+
+bool Admission::WaitsBefore(Priority priority) const {
+  return std::any_of(queues_.begin(), queues_.end(), [&](const auto& entry) {
+    return entry.first <= priority && !entry.second.empty();
+  });
+}
+
 bool Admission::IsDue(TimePoint now, Priority priority) const {
   return share_.IsDue(now, priority);
 }
--- a/src/admission.h
+++ b/src/admission.h
@@ -79,6 +79,10 @@
 
   /// Admits, queues or refuses a request. A queued request may evict a less urgent one.
   std::vector<AdmissionDecision> Submit(TimePoint now, const AdmissionRequest& request);
+  /// The target has finished the request, but its response is still being sent on a link that may
+  /// be short. The slot stays taken for requests that are no more urgent; a more urgent one, whose
+  /// response is small mostly, may start at the target, which is free. Ignored if it does not run.
+  std::vector<AdmissionDecision> SendsResponse(TimePoint now, RequestNumber number);
   /// The target has finished the request; frees its slot.
   std::vector<AdmissionDecision> Finish(TimePoint now, RequestNumber number);
   /// The target has answered the running request, or refused it (`refused`). Tells the concurrency
@@ -127,6 +131,7 @@
     TenantName tenant;
     Duration charged{};  // the cost that its tenant was charged
     size_t concurrency;  // requests that ran after it was started
+    bool sends_response = false;
   };
 
   void Expire(TimePoint now, std::vector<AdmissionDecision>& decisions);
@@ -138,6 +143,11 @@
   void FillSlots(TimePoint now, std::vector<AdmissionDecision>& decisions);
   Duration Cost(Duration objective) const { return service_times_.Of(objective); }
   bool IsDue(TimePoint now, Priority priority) const;
+  /// Running requests whose slot is taken for a request of a priority.
+  size_t TakenFor(Priority priority) const;
+  /// Whether a request that is as urgent or more urgent waits.
+  bool WaitsBefore(Priority priority) const;
+  /// The queue from which a slot is filled; end() if there is no slot for any.
   Queues::iterator NextQueue(TimePoint now);
   bool MakeRoomFor(TimePoint now, const AdmissionRequest& request,
                    std::vector<AdmissionDecision>& decisions);
@@ -148,7 +158,7 @@
   ServicePolicy policy_;
   State state_ = State::kClosed;
   TimePoint opened_at_{};
-  std::map<RequestNumber, Running> running_;  // never more than slots(now) when one is added
+  std::map<RequestNumber, Running> running_;  // see TakenFor: at most slots(now) when one is added
   Queues queues_;                             // empty ones keep what their tenants have used
   size_t queued_ = 0;                         // sum over queues_
   ServiceShare share_;                        // of requests with a tenant
--- a/src/target_task.cc
+++ b/src/target_task.cc
@@ -517,9 +517,14 @@
 
 // A large response keeps its slot until it has left this process: while the network link is the
 // bottleneck, more requests would only wait there, and the wait for a slot shows it to the
-// callers' daemons. The slot is released at the request's deadline at the latest, since a
-// caller's daemon that reads nothing must not keep it.
+// callers' daemons. More urgent requests may use the target meanwhile. The slot is released at the
+// request's deadline at the latest, since a caller's daemon that reads nothing must not keep it.
 std::shared_ptr<void> TargetTask::HoldSlot(const Exchange& exchange) {
+  context_.loop.Post([this, number = exchange.number, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      ApplyDecisions(admission_.SendsResponse(context_.loop.now(), number));
+    }
+  });
   const auto finish = std::make_shared<std::function<void()>>(
       [this, number = exchange.number, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired()) {
--- a/test/correctness/admission_test.cc
+++ b/test/correctness/admission_test.cc
@@ -177,6 +177,95 @@
   }
 }
 
+// Guards against urgent requests that are refused while the target is idle, because the slots are
+// taken by large responses that leave on a short link.
+TEST_GROUP(AdmissionSendingResponses) {
+  static AdmissionRequest Request(uint64_t number, uint64_t priority) {
+    return {.number = RequestNumber(number), .priority = Priority(priority)};
+  }
+  Admission admission = Open({.slots = SlotCount(1), .queue_wait = seconds(60)});
+};
+
+TEST(AdmissionSendingResponses, GiveTheirSlotToMoreUrgentRequestsOnly) {
+  CHECK(admission.Submit(kWarmUpEnd, Request(1, 2)) == Decisions{Admitted(1)});
+  CHECK(admission.SendsResponse(kWarmUpEnd, RequestNumber(1)).empty());
+  CHECK(admission.Submit(kWarmUpEnd, Request(2, 2)).empty());
+  CHECK(admission.Submit(kWarmUpEnd, Request(3, 1)) == Decisions{Admitted(3)});
+  CHECK(admission.Submit(kWarmUpEnd, Request(4, 1)).empty());
+  CHECK(admission.Finish(kWarmUpEnd, RequestNumber(1)).empty());
+  CHECK(admission.Finish(kWarmUpEnd, RequestNumber(3)) == Decisions{Admitted(4)});
+  CHECK(admission.Finish(kWarmUpEnd, RequestNumber(4)) == Decisions{Admitted(2)});
+}
+
+TEST(AdmissionSendingResponses, StartAMoreUrgentRequestThatWaits) {
+  admission.Submit(kWarmUpEnd, Request(1, 2));
+  CHECK(admission.Submit(kWarmUpEnd, Request(2, 1)).empty());
+  CHECK(admission.SendsResponse(kWarmUpEnd, RequestNumber(1)) == Decisions{Admitted(2)});
+}
+
+TEST(AdmissionSendingResponses, LeaveAFreeSlotForAMoreUrgentOffer) {
+  admission.Submit(kWarmUpEnd, Request(1, 2));
+  admission.SendsResponse(kWarmUpEnd, RequestNumber(1));
+  admission.Submit(kWarmUpEnd, Request(2, 2));
+  AdmissionRequest offer = Request(3, 1);
+  offer.max_wait = Duration{};
+  CHECK(admission.Submit(kWarmUpEnd, offer) == Decisions{Admitted(3)});
+}
+
+TEST(AdmissionSendingResponses, OfARequestThatHasEndedChangesNothing) {
+  admission.Submit(kWarmUpEnd, Request(1, 2));
+  admission.Finish(kWarmUpEnd, RequestNumber(1));
+  CHECK(admission.SendsResponse(kWarmUpEnd, RequestNumber(1)).empty());
+  CHECK(admission.empty());
+}
+
+TEST(AdmissionSendingResponses, NeverLetMoreRequestsRunThanThereAreSlots) {
+  const ServicePolicy policy{.slots = SlotCount(4)};
+  Admission busy = Open(policy);
+  SeededRandom random(9);
+  std::set<RequestNumber> at_target;
+  std::set<RequestNumber> sending;
+  uint64_t undecided = 0;
+  size_t most = 0;
+  TimePoint now = kWarmUpEnd;
+  const auto decide = [&](const Decisions& decisions) {
+    undecided -= decisions.size();
+    for (const AdmissionDecision& decision : decisions) {
+      if (!decision.refusal_code) {
+        at_target.insert(decision.number);
+      }
+    }
+    most = std::max(most, at_target.size());
+    CHECK(at_target.size() <= 4);
+  };
+  const auto take = [&](std::set<RequestNumber>& numbers) {
+    return numbers
+        .extract(
+            std::next(numbers.begin(), static_cast<std::ptrdiff_t>(random.Below(numbers.size()))))
+        .value();
+  };
+  for (uint64_t number = 1; number <= 20000; ++number) {
+    now += Duration(random.Below(4000));
+    ++undecided;
+    decide(busy.Submit(now, Request(number, random.Below(3))));
+    if (!at_target.empty() && random.Chance(70)) {
+      const RequestNumber ended = take(at_target);
+      if (random.Chance(50)) {
+        sending.insert(ended);
+        decide(busy.SendsResponse(now, ended));
+      } else {
+        decide(busy.Finish(now, ended));
+      }
+    }
+    if (!sending.empty() && random.Chance(40)) {
+      decide(busy.Finish(now, take(sending)));
+    }
+    LONGS_EQUAL(undecided, busy.queued());
+    CHECK(busy.queued() <= policy.queue_length.value() + 1);
+  }
+  LONGS_EQUAL(4, most);
+}
+
 // Simulates a constant arrival rate of requests of three priorities, above or below the capacity.
 TEST_GROUP(AdmissionBurst) {
   struct Outcome {
