Quotas: wait longer for a token while the owner's reply is late

A request was refused after 150 ms without a token, also where the owner had not answered: its link or its processor may be busy, and the tenant is probably below its limit. While a reply takes longer than 100 ms, a request now waits for up to 400 ms, when the message is given up.

Runs: the new test of quota_test fails before.

--- a/src/quota_client.cc
+++ b/src/quota_client.cc
@@ -16,8 +16,13 @@
 // A round trip between regions takes 60 ms; a request that gets no token in this time would only
 // become late.
 constexpr Duration kMaxWait = std::chrono::milliseconds(150);
-// The same while there is no owner, after a start or a change of owners. These take up to
-// kQuotaDelegation; the tenant is probably far below its limit.
+// Between regions, on links that are not full.
+constexpr Duration kUsualReplyTime = std::chrono::milliseconds(100);
+// While the owner's reply takes longer, as its link or processor may be busy. The message is given
+// up after this time.
+constexpr Duration kMaxWaitForLateReply = std::chrono::milliseconds(400);
+// While there is no owner, after a start or a change of owners. These take up to kQuotaDelegation;
+// the tenant is probably far below its limit.
 constexpr Duration kMaxWaitWithoutOwner = std::chrono::seconds(1);
 // The daemons lend their shares to a new owner within this time.
 constexpr Duration kJoiningTime = kQuotaPeriod + std::chrono::milliseconds(100);
@@ -204,8 +209,11 @@
 }
 
 TimePoint QuotaClient::GiveUpAt(TimePoint now, const Waiting& waiting) const {
-  return std::min(waiting.since + (HasOwner(now) ? kMaxWait : kMaxWaitWithoutOwner),
-                  waiting.deadline);
+  const bool reply_is_late = in_flight_ && in_flight_->sent_at + kUsualReplyTime <= now;
+  const Duration most = !HasOwner(now)  ? kMaxWaitWithoutOwner
+                        : reply_is_late ? kMaxWaitForLateReply
+                                        : kMaxWait;
+  return std::min(waiting.since + most, waiting.deadline);
 }
 
 void QuotaClient::Forget(TenantId id, RequestNumber request) {
--- a/test/correctness/quota_test.cc
+++ b/test/correctness/quota_test.cc
@@ -193,6 +193,20 @@
   CHECK_EQUAL(size_t{0}, owner.daemons());
 }
 
+TEST(QuotaClientAlone, RequestWaitsWhileTheReplyOfItsOwnerIsLate) {
+  Pass(seconds(2));
+  while (Take() == QuotaVerdict::kGranted) {
+  }
+  const auto outgoing = client.NextRequest(now);
+  CHECK(outgoing.has_value());
+  now += milliseconds(300);
+  CHECK(client.TakeDecisions(now).empty());
+  client.Received(now, outgoing->request.sequence, owner.Receive(now, outgoing->request));
+  const auto decisions = client.TakeDecisions(now);
+  CHECK_EQUAL(size_t{1}, decisions.size());
+  CHECK(decisions[0].answer.verdict == QuotaVerdict::kGranted);
+}
+
 // An owner that has started while most daemons were cut off must not take each of the others for a
 // large part of the mesh.
 TEST(QuotaClientAlone, OwnerThatKnowsFewerDaemonsGivesOutOnlyTheSharesItHolds) {
