Quotas: charge a former owner's bucket only for its own tokens

A daemon that came back to an owner reported all that it had used since its last report there, also the tokens of the owners between. The owner took them from its bucket and, in the first message, from the window as well, and refused tenants below their limits for about 5 s.

--- a/src/quota_owner.cc
+++ b/src/quota_owner.cc
@@ -174,7 +174,14 @@
     return reply;  // arrived late or twice
   }
   daemon.sequence = request.sequence;
+  const bool was_absent = daemon.heard_at + kPastKnownAfter < now_;
   daemon.heard_at = now_;
+  TimePoint present_since{};
+  if (request.owner_run == run_) {
+    present_since = now_ - request.lent_for;
+  } else if (was_absent) {
+    present_since = now_;
+  }
   if (now_ < started_ + kQuotaMemberMemory) {
     reported_members_ = std::max(reported_members_, request.members);
   }
@@ -189,7 +196,7 @@
   reply.released = stopped_ || request.purpose != QuotaPurpose::kRequest;
   for (const QuotaEntry& entry : request.entries) {
     Bucket& bucket = FindBucket(entry, request.version);
-    Report(daemon, bucket, entry);
+    Report(daemon, bucket, entry, present_since);
     if (!reply.released) {
       Grant(daemon, bucket, entry, reply);
     }
@@ -222,10 +229,14 @@
   return bucket;
 }
 
-void QuotaOwner::Report(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry) {
+// After a long absence of the daemon, the difference to its last report here is mostly what it used
+// of the tokens of other owners; the part of the last window is in entry.recent.
+void QuotaOwner::Report(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry,
+                        TimePoint present_since) {
   const auto [found, added] = daemon.leases.try_emplace(entry.tenant);
   Lease& lease = found->second;
-  const uint64_t used_since = added || entry.used < lease.used ? 0 : entry.used - lease.used;
+  const bool known = !added && lease.reported_at + kPastKnownAfter >= present_since;
+  const uint64_t used_since = known && entry.used > lease.used ? entry.used - lease.used : 0;
   if (entry.recent.empty()) {
     CountUsed(bucket, used_since);
   }
@@ -238,7 +249,7 @@
   counts_.returned += entry.returned;
   bucket.leased += entry.held;
   bucket.leased -= lease.tokens;
-  lease = {entry.held, entry.used, now_ + kQuotaLease};
+  lease = {entry.held, entry.used, now_, now_ + kQuotaLease};
 }
 
 void QuotaOwner::Grant(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry, QuotaReply& reply) {
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -56,6 +56,7 @@
   struct Lease {
     uint32_t tokens = 0;
     uint64_t used = 0;  // by the run of the daemon, as it reports
+    TimePoint reported_at{};
     TimePoint expires_at{};
   };
   struct Daemon {
@@ -88,7 +89,8 @@
   void TakeBackShare(Daemon& daemon);
   void DropLeases(Daemon& daemon);
   Bucket& FindBucket(const QuotaEntry& entry, ConfigVersion version);
-  void Report(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry);
+  /// `present_since`: since when the daemon has used tokens of this owner without a long absence.
+  void Report(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry, TimePoint present_since);
   void Grant(Daemon& daemon, Bucket& bucket, const QuotaEntry& entry, QuotaReply& reply);
   void CountUsed(Bucket& bucket, uint64_t tokens, Duration age = Duration{});
   void Fill(Bucket& bucket);
--- a/test/failure/quota_test.cc
+++ b/test/failure/quota_test.cc
@@ -234,6 +234,22 @@
   CHECK(RefusedPerMille(mesh, kCalm, before) < 50);
 }
 
+// A former owner must not take what was used of another owner's tokens for a use of its own.
+TEST(QuotaUnderFaults, FormerOwnerThatIsNeededAgainServesATenantBelowItsLimit) {
+  QuotaMesh mesh(Mesh(1), 9);
+  StartLoad(mesh);
+  mesh.Run(seconds(10));
+  mesh.Restart(0, seconds(2));
+  mesh.Run(seconds(15));
+  CHECK_EQUAL(size_t{0}, mesh.OwnerOf(mesh.first_daemon() + 1).value());
+  const QuotaCounts before = mesh.counts(kCalm);
+  mesh.Restart(0, seconds(10));
+  mesh.Run(seconds(6));
+  CHECK_EQUAL(mesh.first_daemon(), mesh.OwnerOf(mesh.first_daemon() + 1).value());
+  CheckBound(mesh);
+  CHECK(RefusedPerMille(mesh, kCalm, before) < 50);
+}
+
 TEST(QuotaUnderFaults, LowerLimitHoldsOneWindowAfterAllDaemonsHaveLearned) {
   QuotaMesh mesh(Mesh(), 6);
   StartLoad(mesh);
